--- a/include/tanagerhoist/core/result_code.hpp
+++ b/include/tanagerhoist/core/result_code.hpp
@@ -48,6 +48,7 @@
     settings_missing = 208,
     transaction_aborted = 209,
     connection_unavailable = 210,
+    caller_gone = 211,
 
     outcome_unknown = 300,
     superseded = 301,
--- a/src/core/result_code.cpp
+++ b/src/core/result_code.cpp
@@ -11,7 +11,7 @@
 using c = result_code;
 using o = outcome;
 
-constexpr std::array<result_info, 27> table{{
+constexpr std::array<result_info, 28> table{{
     {c::ok, "ok", o::served, 200, "served"},
     {c::malformed_request, "malformed_request", o::caller_error, 400,
      "the request could not be read"},
@@ -58,6 +58,8 @@
      "the transaction was rolled back"},
     {c::connection_unavailable, "connection_unavailable", o::not_run, 503,
      "no connection to the database became free in time"},
+    {c::caller_gone, "caller_gone", o::not_run, 503,
+     "the caller's connection ended before the request started"},
     {c::outcome_unknown, "outcome_unknown", o::unknown, 504,
      "the request may have run"},
     {c::superseded, "superseded", o::unknown, 504,
