Add the stand-ins for database group and platform, without sockets

Cause: tests and benchmarks of the decision layer need a database group with terms, seals and replication, and a platform service with faults, on an injected clock; the stand-in programs need the same logic.

Ruled out: replication by pull, because a set lag then shows as anything between once and twice the lag; one shared store for a group, because a divergent tail could not be shown; a copy of the store per promotion, because benchmarks of 100k statements would pay for it.

Change: database_server (statements, transactions, request ids, seal, promotion, log matching), database_group (lag, cuts, death, freeze), platform (table, objects, list, lost replies). Internal messages in a schema of their own, proto/standin.proto.

--- /dev/null
+++ b/standin/database_server.hpp
@@ -0,0 +1,144 @@
+#ifndef TANAGERHOIST_STANDIN_DATABASE_SERVER_HPP
+#define TANAGERHOIST_STANDIN_DATABASE_SERVER_HPP
+
+#include "messages.pb.h"
+#include "standin.pb.h"
+#include "standin/replica_link.hpp"
+#include "standin/server_log.hpp"
+#include "tanagerhoist/core/time.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace tanagerhoist::standin
+{
+
+/// One server of a database group, as a state machine without sockets or
+/// clock.
+///
+/// A promoted server writes the log of its term and pushes it to the others.
+/// A server takes nothing of a term below the highest that it was sealed with
+/// or heard of. The log, the sealed term and the term of the last promotion
+/// survive a restart; role, transactions and messages in flight do not.
+class database_server
+{
+public:
+    /// Longest time that a primary leaves a replica without a message.
+    static constexpr milliseconds heartbeat_interval{10};
+
+    /// @param group names of all servers of the group, this one included
+    database_server(std::string name, std::vector<std::string> group);
+
+    /// Answers a call at once. An `await` is answered with whether the point
+    /// is held now; a caller that wants to wait asks again.
+    /// @param connection to which a transaction is bound
+    proto::DatabaseReply handle(moment now, std::uint64_t connection,
+                                const proto::DatabaseCall& call);
+
+    /// Rolls back the transaction of `connection`, if one is open.
+    void connection_closed(std::uint64_t connection);
+
+    /// Next message for `replica`: entries that it was not sent yet, else a
+    /// heartbeat if one is due, else nothing. Only a primary has any.
+    std::optional<proto::standin::ReplicateMessage>
+    next_for(const std::string& replica, moment now);
+
+    /// Takes a message from another server. The entries are applied when
+    /// `lag` has passed, in the order of arrival, at the next `advance`; with
+    /// no lag at once.
+    proto::standin::ReplicateAck
+    receive(moment now, const proto::standin::ReplicateMessage& message,
+            milliseconds lag);
+
+    /// Takes a replica's acknowledgement of a message.
+    void acknowledged(moment now, const proto::standin::ReplicateAck& ack);
+
+    /// Applies the messages whose lag has passed.
+    void advance(moment now);
+
+    /// Loses all that a restart loses.
+    void restart(moment now);
+
+    /// Whether the log has this very entry.
+    bool holds(const proto::LogPoint& point) const { return log_.holds(point); }
+
+    /// Age of the data. At a replica, time since its log was known to equal
+    /// its primary's; at a primary, time since it is proven that no majority
+    /// had been sealed with a newer term.
+    microseconds age(moment now) const;
+
+    const std::string& name() const { return name_; }
+    const std::vector<std::string>& group() const { return group_; }
+    bool primary() const { return primary_; }
+    std::uint64_t sealed_term() const { return sealed_term_; }
+    const server_log& log() const { return log_; }
+
+private:
+    /// A message that waits for its lag to pass.
+    struct delayed_message
+    {
+        moment due;
+        moment sent;
+        proto::standin::ReplicateMessage message;
+    };
+
+    proto::ExecuteReply execute(moment now, std::uint64_t connection,
+                                const proto::ExecuteRequest& request);
+    proto::StatusReply status(moment now,
+                              const proto::StatusRequest& request) const;
+    proto::SealReply seal(moment now, const proto::SealRequest& request);
+    proto::PromoteReply promote(moment now,
+                                const proto::PromoteRequest& request);
+
+    std::optional<proto::DatabaseOutcome>
+    refusal(const proto::ExecuteRequest& request) const;
+    proto::ExecuteReply alone(std::uint64_t connection,
+                              const proto::ExecuteRequest& request);
+    proto::ExecuteReply begin(std::uint64_t connection,
+                              const proto::ExecuteRequest& request);
+    proto::ExecuteReply proceed(std::uint64_t connection,
+                                const proto::ExecuteRequest& request);
+    proto::ExecuteReply commit(std::uint64_t connection,
+                               const proto::ExecuteRequest& request);
+    proto::ExecuteReply rollback(std::uint64_t connection,
+                                 const proto::ExecuteRequest& request);
+    proto::ExecuteReply run(const std::vector<proto::ExecuteRequest>& requests,
+                            proto::standin::LogEntry* entry) const;
+    proto::ExecuteReply
+    run_and_append(const std::vector<proto::ExecuteRequest>& requests,
+                   const std::string& request_id);
+    std::optional<proto::ExecuteReply>
+    duplicate(const std::string& request_id) const;
+
+    void adopt_term(moment now, std::uint64_t term);
+    void step_down(moment now);
+    void apply(moment sent, const proto::standin::ReplicateMessage& message);
+    void apply_entry(const proto::standin::LogEntry& entry);
+    void note_mismatch(const proto::standin::ReplicateMessage& message);
+    moment heard_by_majority(moment now, moment replica_link::*when) const;
+
+    std::string name_;
+    std::vector<std::string> group_;
+    server_log log_;
+    std::uint64_t sealed_term_ = 0;
+    std::uint64_t promoted_term_ = 0;
+    bool primary_ = false;
+    /// Requests of the transaction open on a connection.
+    std::map<std::uint64_t, std::vector<proto::ExecuteRequest>> transactions_;
+
+    std::map<std::string, replica_link> links_; ///< at a primary
+
+    std::deque<delayed_message> inbox_; ///< at a replica, as what follows
+    std::uint64_t mismatch_sequence_ = 0;
+    std::uint64_t mismatch_position_ = 0;
+    moment heard_primary_{};
+    moment in_step_{};
+};
+
+} // namespace tanagerhoist::standin
+
+#endif
--- /dev/null
+++ b/standin/replica_link.hpp
@@ -0,0 +1,25 @@
+#ifndef TANAGERHOIST_STANDIN_REPLICA_LINK_HPP
+#define TANAGERHOIST_STANDIN_REPLICA_LINK_HPP
+
+#include "tanagerhoist/core/time.hpp"
+
+#include <cstdint>
+#include <optional>
+
+namespace tanagerhoist::standin
+{
+
+/// What a primary keeps about one replica, from its promotion on.
+struct replica_link
+{
+    std::uint64_t next = 1;           ///< position to send next
+    std::uint64_t sequence = 0;       ///< of the last message sent
+    std::uint64_t reset_sequence = 0; ///< last one sent before going back
+    std::optional<moment> sent;       ///< last message sent
+    moment answered{};                ///< arrival of the last acknowledgement
+    moment proven{}; ///< sending of the last message known to be accepted
+};
+
+} // namespace tanagerhoist::standin
+
+#endif
--- /dev/null
+++ b/tests/database_replication_test.cpp
@@ -0,0 +1,203 @@
+#include "group_fixture.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+namespace tanagerhoist::standin
+{
+
+class database_replication_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(database_replication_test);
+    CPPUNIT_TEST(replication_sealed_server_refuses_older_term);
+    CPPUNIT_TEST(replication_message_of_older_term_not_accepted);
+    CPPUNIT_TEST(replication_seal_before_lag_passes_refuses_entries);
+    CPPUNIT_TEST(promotion_highest_of_majority_keeps_held_write);
+    CPPUNIT_TEST(promotion_other_term_than_sealed_refused);
+    CPPUNIT_TEST(promotion_repeated_answers_same_point);
+    CPPUNIT_TEST(promotion_term_of_another_primary_refused);
+    CPPUNIT_TEST(divergent_tail_new_primary_truncated);
+    CPPUNIT_TEST(lost_messages_link_healed_sent_again);
+    CPPUNIT_TEST(restart_primary_returns_as_replica);
+    CPPUNIT_TEST(age_cut_replica_and_isolated_primary_grow);
+    CPPUNIT_TEST(lag_set_entries_applied_after_it);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void replication_sealed_server_refuses_older_term()
+    {
+        group_.seal("s2", 4);
+        const auto point = group_.write("s1", 1, "r1", "PUT k v").point();
+        group_.pass(milliseconds(1));
+        CPPUNIT_ASSERT(!group_.status("s2", point).holds());
+        // The refusal tells the primary of the newer term.
+        CPPUNIT_ASSERT(!group_.status("s1").primary());
+        CPPUNIT_ASSERT(group_.status("s1").sealed_term() == 4);
+    }
+
+    void replication_message_of_older_term_not_accepted()
+    {
+        group_.pass(replication_round);
+        auto& primary = group_.servers.server("s1");
+        group_.now += replication_round;
+        const auto message = primary.next_for("s2", group_.now).value();
+        group_.seal("s2", 4);
+        auto& replica = group_.servers.server("s2");
+        const auto ack = replica.receive(group_.now, message, milliseconds(0));
+        CPPUNIT_ASSERT(!ack.accepted());
+        CPPUNIT_ASSERT(group_.status("s2").primary_silent_ms() > 0);
+    }
+
+    void replication_seal_before_lag_passes_refuses_entries()
+    {
+        group_.servers.set_lag(milliseconds(5));
+        const auto point = group_.write("s1", 1, "r1", "PUT k v").point();
+        group_.pass(milliseconds(2));
+        group_.seal("s2", 4);
+        group_.pass(replication_round);
+        CPPUNIT_ASSERT(!group_.status("s2", point).holds());
+        CPPUNIT_ASSERT(group_.status("s3", point).holds());
+    }
+
+    void promotion_highest_of_majority_keeps_held_write()
+    {
+        for (const auto& behind : {"s2", "s3"})
+        {
+            group_ = group_fixture();
+            group_.servers.cut("s1", behind);
+            const auto point = group_.write("s1", 1, "r1", "PUT k v").point();
+            group_.pass(replication_round);
+            group_.servers.isolate("s1");
+            const auto primary = group_.replace_primary(9);
+            CPPUNIT_ASSERT(primary != behind);
+            group_.pass(replication_round);
+            CPPUNIT_ASSERT(group_.status(behind, point).holds());
+            CPPUNIT_ASSERT(group_.read(behind, "k").value() == "v");
+        }
+    }
+
+    void promotion_other_term_than_sealed_refused()
+    {
+        group_.seal("s2", 6);
+        CPPUNIT_ASSERT(!group_.promote("s2", 5).accepted());
+        CPPUNIT_ASSERT(!group_.promote("s2", 7).accepted());
+        CPPUNIT_ASSERT(!group_.status("s2").primary());
+        CPPUNIT_ASSERT(group_.promote("s2", 6).accepted());
+        CPPUNIT_ASSERT(group_.status("s2").last().term() == 6);
+    }
+
+    void promotion_repeated_answers_same_point()
+    {
+        group_.seal("s2", 6);
+        const auto first = group_.promote("s2", 6).first();
+        group_.write("s2", 6, "r1", "PUT k v");
+        const auto again = group_.promote("s2", 6);
+        CPPUNIT_ASSERT(again.accepted());
+        CPPUNIT_ASSERT(again.first().position() == first.position());
+        CPPUNIT_ASSERT(group_.status("s2").last().position() ==
+                       first.position() + 1);
+    }
+
+    void promotion_term_of_another_primary_refused()
+    {
+        group_.replace_primary(6);
+        group_.pass(replication_round);
+        CPPUNIT_ASSERT(!group_.promote("s3", 6).accepted());
+    }
+
+    void divergent_tail_new_primary_truncated()
+    {
+        group_.write("s1", 1, "r0", "PUT k old");
+        group_.pass(replication_round);
+        group_.servers.isolate("s1");
+        for (const auto* id : {"r1", "r2", "r3", "r4"})
+        {
+            group_.write("s1", 1, id, "APPEND k .lost");
+        }
+        const auto primary = group_.replace_primary(3);
+        group_.write(primary, 3, "r2", "APPEND k .new");
+        group_.pass(replication_round);
+        CPPUNIT_ASSERT(group_.read("s1", "k").value() ==
+                       "old.lost.lost.lost.lost");
+        group_.servers.heal();
+        group_.pass(replication_round);
+        CPPUNIT_ASSERT(!group_.status("s1").primary());
+        CPPUNIT_ASSERT_EQUAL(std::string("old.new"),
+                             group_.read("s1", "k").value());
+        CPPUNIT_ASSERT(group_.status("s1").last().position() ==
+                       group_.status(primary).last().position());
+        CPPUNIT_ASSERT(group_.servers.server("s1").log().find("r1") == nullptr);
+    }
+
+    void lost_messages_link_healed_sent_again()
+    {
+        group_.servers.cut("s1", "s2");
+        proto::LogPoint point;
+        for (int i = 0; i < 2000; ++i)
+        {
+            point = group_.write("s1", 1, std::to_string(i), "PUT k v").point();
+            group_.servers.advance(group_.now);
+        }
+        group_.pass(replication_round);
+        CPPUNIT_ASSERT(!group_.status("s2", point).holds());
+        group_.servers.heal();
+        group_.pass(replication_round);
+        CPPUNIT_ASSERT(group_.status("s2", point).holds());
+    }
+
+    void restart_primary_returns_as_replica()
+    {
+        const auto point = group_.write("s1", 1, "r1", "PUT k v").point();
+        group_.servers.kill(group_.now, "s1");
+        proto::DatabaseCall call;
+        call.mutable_status();
+        CPPUNIT_ASSERT(!group_.servers.handle(group_.now, "s1", 0, call));
+        group_.servers.restart(group_.now, "s1");
+        CPPUNIT_ASSERT(!group_.status("s1").primary());
+        CPPUNIT_ASSERT(group_.status("s1", point).holds());
+        CPPUNIT_ASSERT(group_.status("s1").sealed_term() == 1);
+    }
+
+    void age_cut_replica_and_isolated_primary_grow()
+    {
+        group_.pass(replication_round);
+        CPPUNIT_ASSERT(group_.status("s1").age_ms() <=
+                       replication_round.count());
+        CPPUNIT_ASSERT(group_.status("s3").age_ms() <=
+                       replication_round.count());
+        group_.servers.cut("s1", "s3");
+        group_.pass(milliseconds(100));
+        CPPUNIT_ASSERT(group_.status("s3").age_ms() >= 100);
+        CPPUNIT_ASSERT(group_.status("s3").primary_silent_ms() >= 100);
+        CPPUNIT_ASSERT(group_.status("s1").age_ms() <=
+                       replication_round.count());
+        group_.servers.isolate("s1");
+        group_.pass(milliseconds(100));
+        CPPUNIT_ASSERT(group_.status("s1").age_ms() >= 100);
+        CPPUNIT_ASSERT(group_.status("s1").replicas_silent_ms() >= 100);
+        group_.seal("s1", 2);
+        CPPUNIT_ASSERT(group_.status("s1").age_ms() >= 100);
+    }
+
+    void lag_set_entries_applied_after_it()
+    {
+        group_.servers.set_lag("s1", "s2", milliseconds(50));
+        group_.pass(replication_round);
+        const auto point = group_.write("s1", 1, "r1", "PUT k v").point();
+        group_.servers.advance(group_.now);
+        group_.pass(milliseconds(49));
+        CPPUNIT_ASSERT(!group_.status("s2", point).holds());
+        CPPUNIT_ASSERT(group_.status("s3", point).holds());
+        group_.pass(milliseconds(1));
+        CPPUNIT_ASSERT(group_.status("s2", point).holds());
+        CPPUNIT_ASSERT(group_.status("s2").age_ms() >= 50);
+    }
+
+private:
+    group_fixture group_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(database_replication_test);
+
+} // namespace tanagerhoist::standin
--- /dev/null
+++ b/tests/database_server_test.cpp
@@ -0,0 +1,150 @@
+#include "group_fixture.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+namespace tanagerhoist::standin
+{
+
+class database_server_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(database_server_test);
+    CPPUNIT_TEST(write_primary_reaches_replicas);
+    CPPUNIT_TEST(write_replica_refused);
+    CPPUNIT_TEST(write_duplicate_id_meets_first);
+    CPPUNIT_TEST(write_duplicate_id_after_promotion_meets_first);
+    CPPUNIT_TEST(book_present_key_refused);
+    CPPUNIT_TEST(scan_prefix_lists_its_keys);
+    CPPUNIT_TEST(transaction_commit_takes_effect_at_once);
+    CPPUNIT_TEST(transaction_repeated_commit_meets_first);
+    CPPUNIT_TEST(transaction_connection_closed_rolled_back);
+    CPPUNIT_TEST(transaction_primary_sealed_refused);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void write_primary_reaches_replicas()
+    {
+        const auto reply = group_.write("s1", 1, "r1", "PUT k v");
+        CPPUNIT_ASSERT(reply.outcome() == proto::DATABASE_OK);
+        CPPUNIT_ASSERT(!group_.status("s2", reply.point()).holds());
+        group_.pass(milliseconds(1));
+        for (const auto* server : {"s1", "s2", "s3"})
+        {
+            CPPUNIT_ASSERT(group_.status(server, reply.point()).holds());
+            CPPUNIT_ASSERT(group_.read(server, "k").value() == "v");
+            CPPUNIT_ASSERT(!(group_.read(server, "k").point() < reply.point()));
+        }
+    }
+
+    void write_replica_refused()
+    {
+        CPPUNIT_ASSERT(group_.write("s2", 1, "r1", "PUT k v").outcome() ==
+                       proto::DATABASE_NOT_PRIMARY);
+        group_.seal("s1", 7);
+        CPPUNIT_ASSERT(group_.write("s1", 1, "r1", "PUT k v").outcome() ==
+                       proto::DATABASE_SEALED);
+        CPPUNIT_ASSERT(group_.write("s1", 7, "r1", "PUT k v").outcome() ==
+                       proto::DATABASE_NOT_PRIMARY);
+        CPPUNIT_ASSERT(group_.read("s1", "k").value().empty());
+    }
+
+    void write_duplicate_id_meets_first()
+    {
+        const auto first = group_.write("s1", 1, "r1", "APPEND k a");
+        const auto second = group_.write("s1", 1, "r1", "APPEND k a");
+        CPPUNIT_ASSERT(second.outcome() == proto::DATABASE_DUPLICATE);
+        CPPUNIT_ASSERT(second.point().position() == first.point().position());
+        CPPUNIT_ASSERT(second.value() == "a");
+        CPPUNIT_ASSERT(group_.read("s1", "k").value() == "a");
+    }
+
+    void write_duplicate_id_after_promotion_meets_first()
+    {
+        group_.write("s1", 1, "r1", "APPEND k a");
+        group_.pass(replication_round);
+        const auto primary = group_.replace_primary(5);
+        const auto again = group_.write(primary, 5, "r1", "APPEND k a");
+        CPPUNIT_ASSERT(again.outcome() == proto::DATABASE_DUPLICATE);
+        CPPUNIT_ASSERT(group_.read(primary, "k").value() == "a");
+    }
+
+    void book_present_key_refused()
+    {
+        group_.write("s1", 1, "r1", "BOOK k a");
+        const auto second = group_.write("s1", 1, "r2", "BOOK k b");
+        CPPUNIT_ASSERT(second.outcome() == proto::DATABASE_STATEMENT_ERROR);
+        CPPUNIT_ASSERT(group_.read("s1", "k").value() == "a");
+    }
+
+    void scan_prefix_lists_its_keys()
+    {
+        group_.write("s1", 1, "r1", "PUT b.1 x");
+        group_.write("s1", 1, "r2", "PUT b.2 y z");
+        group_.write("s1", 1, "r3", "PUT c.1 x");
+        proto::ExecuteRequest request;
+        request.set_statement("SCAN b.");
+        CPPUNIT_ASSERT_EQUAL(std::string("b.1=x\nb.2=y z\n"),
+                             group_.execute("s1", request).value());
+    }
+
+    void transaction_commit_takes_effect_at_once()
+    {
+        group_.step(first_connection, proto::TRANSACTION_BEGIN, "PUT a 1");
+        group_.step(first_connection, proto::TRANSACTION_CONTINUE, "PUT b 2");
+        CPPUNIT_ASSERT(
+            group_.step(first_connection, proto::TRANSACTION_CONTINUE, "GET a")
+                .value() == "1");
+        CPPUNIT_ASSERT(group_.read("s1", "a").value().empty());
+        const auto before = group_.status("s1").last().position();
+        group_.step(first_connection, proto::TRANSACTION_COMMIT, "", "r1");
+        CPPUNIT_ASSERT(group_.status("s1").last().position() == before + 1);
+        CPPUNIT_ASSERT(group_.read("s1", "a").value() == "1");
+        CPPUNIT_ASSERT(group_.read("s1", "b").value() == "2");
+    }
+
+    void transaction_repeated_commit_meets_first()
+    {
+        for (int i = 0; i < 2; ++i)
+        {
+            group_.step(first_connection, proto::TRANSACTION_BEGIN,
+                        "APPEND a 1");
+            group_.step(first_connection, proto::TRANSACTION_COMMIT, "", "r1");
+        }
+        CPPUNIT_ASSERT(group_.read("s1", "a").value() == "1");
+        CPPUNIT_ASSERT(
+            group_.step(first_connection, proto::TRANSACTION_COMMIT, "", "r1")
+                .outcome() == proto::DATABASE_DUPLICATE);
+    }
+
+    void transaction_connection_closed_rolled_back()
+    {
+        group_.step(first_connection, proto::TRANSACTION_BEGIN, "PUT a 1");
+        CPPUNIT_ASSERT(
+            group_
+                .step(other_connection, proto::TRANSACTION_CONTINUE, "PUT b 2")
+                .outcome() == proto::DATABASE_NO_TRANSACTION);
+        group_.servers.connection_closed("s1", first_connection);
+        CPPUNIT_ASSERT(
+            group_.step(first_connection, proto::TRANSACTION_COMMIT, "", "r1")
+                .outcome() == proto::DATABASE_NO_TRANSACTION);
+        CPPUNIT_ASSERT(group_.read("s1", "a").value().empty());
+    }
+
+    void transaction_primary_sealed_refused()
+    {
+        group_.step(first_connection, proto::TRANSACTION_BEGIN, "PUT a 1");
+        group_.seal("s1", 2);
+        CPPUNIT_ASSERT(
+            group_.step(first_connection, proto::TRANSACTION_COMMIT, "", "r1")
+                .outcome() == proto::DATABASE_SEALED);
+        CPPUNIT_ASSERT(group_.read("s1", "a").value().empty());
+    }
+
+private:
+    group_fixture group_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(database_server_test);
+
+} // namespace tanagerhoist::standin
