Read settings from INI files into the schema, all faults at once

Cause: operators describe everything in short files; a wrong one has to be shown with its place before anything is published. Ruled out: inih's own line number, which tells only the first fault; section structs by hand, which would repeat the schema. Conclusion: nothing is produced from a set with a fault; a mistyped hash is not shown, since it may be a key.

--- /dev/null
+++ b/src/settings/ini_reader.cpp
@@ -0,0 +1,129 @@
+#include "tanagerhoist/settings/ini_reader.hpp"
+
+#include "section_filler.hpp"
+
+#include <boost/leaf/error.hpp>
+
+#include <algorithm>
+#include <fstream>
+#include <iterator>
+#include <system_error>
+
+namespace tanagerhoist
+{
+namespace
+{
+
+namespace leaf = boost::leaf;
+namespace fs = std::filesystem;
+
+/// Largest settings file that is read, in bytes.
+constexpr std::size_t max_file_size = std::size_t{1024} * 1024;
+
+/// Reads one file; a file that cannot be read, or is too large, is a fault.
+std::vector<settings_text> load(const std::vector<fs::path>& files,
+                                settings_faults& faults)
+{
+    std::vector<settings_text> texts;
+    for (const auto& path : files)
+    {
+        std::ifstream stream(path, std::ios::binary);
+        if (!stream || !fs::is_regular_file(path))
+        {
+            faults.all.push_back({fault_kind::unreadable_file, path.string(), 0,
+                                  "", "", "no readable file",
+                                  "a settings file"});
+            continue;
+        }
+        std::string content(max_file_size + 1, '\0');
+        stream.read(content.data(),
+                    static_cast<std::streamsize>(content.size()));
+        content.resize(static_cast<std::size_t>(stream.gcount()));
+        texts.push_back({path.string(), std::move(content)});
+    }
+    return texts;
+}
+
+/// Reads texts as one set into a message of type `Root`.
+template <class Root>
+leaf::result<Root> read_set(const std::vector<settings_text>& texts,
+                            settings_faults faults)
+{
+    Root root;
+    section_filler filler(root, faults);
+    for (const auto& text : texts)
+    {
+        if (text.content.size() > max_file_size)
+        {
+            faults.all.push_back(
+                {fault_kind::oversized_file, text.file, 0, "", "",
+                 "more than " + std::to_string(max_file_size) + " bytes",
+                 "a smaller file"});
+            continue;
+        }
+        for (const auto& section : parse_ini(text, faults))
+        {
+            filler.add(section);
+        }
+    }
+    if (!texts.empty())
+    {
+        filler.finish(texts.front().file);
+    }
+    else if (faults.all.empty())
+    {
+        faults.all.push_back({fault_kind::unreadable_file, "settings", 0, "",
+                              "", "no file", "at least one"});
+    }
+    if (!faults.all.empty())
+    {
+        return leaf::new_error(std::move(faults));
+    }
+    return root;
+}
+
+} // namespace
+
+leaf::result<proto::Settings> read_settings(const std::vector<fs::path>& files)
+{
+    settings_faults faults;
+    const auto texts = load(files, faults);
+    return read_set<proto::Settings>(texts, std::move(faults));
+}
+
+leaf::result<proto::Settings>
+read_settings_texts(const std::vector<settings_text>& texts)
+{
+    return read_set<proto::Settings>(texts, {});
+}
+
+leaf::result<proto::DaemonSettings> read_daemon_settings(const fs::path& file)
+{
+    settings_faults faults;
+    const auto texts = load({file}, faults);
+    return read_set<proto::DaemonSettings>(texts, std::move(faults));
+}
+
+leaf::result<proto::DaemonSettings>
+read_daemon_settings_text(const settings_text& text)
+{
+    return read_set<proto::DaemonSettings>({text}, {});
+}
+
+std::vector<fs::path> settings_files(const fs::path& directory)
+{
+    std::vector<fs::path> files;
+    std::error_code error;
+    for (fs::directory_iterator entry(directory, error), end;
+         !error && entry != end; entry.increment(error))
+    {
+        if (entry->path().extension() == ".ini")
+        {
+            files.push_back(entry->path());
+        }
+    }
+    std::sort(files.begin(), files.end());
+    return files;
+}
+
+} // namespace tanagerhoist
--- /dev/null
+++ b/src/settings/ini_text.cpp
@@ -0,0 +1,230 @@
+#include "ini_text.hpp"
+
+#include <ini.h>
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+namespace tanagerhoist
+{
+namespace
+{
+
+/// Longest section header that inih keeps whole.
+constexpr std::size_t max_header_length = 49;
+
+/// Key that the scanner puts in after each header, so that inih reports the
+/// section even when it is empty. Files cannot hold this character.
+constexpr std::string_view section_marker = "\x01";
+
+constexpr std::string_view blanks = " \t";
+constexpr std::string_view byte_order_mark = "\xef\xbb\xbf";
+
+std::string_view trim(std::string_view text)
+{
+    const auto first = text.find_first_not_of(blanks);
+    if (first == std::string_view::npos)
+    {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(blanks) - first + 1);
+}
+
+bool has_control_character(std::string_view line)
+{
+    return std::any_of(
+        line.begin(), line.end(),
+        [](char c) { return (c >= 0 && c < ' ' && c != '\t') || c == 127; });
+}
+
+/// Feeds inih line by line and collects what it reports.
+///
+/// inih tells only the first line that it could not read. The scanner finds
+/// them all: a line that is neither blank, comment nor header, and for which
+/// inih reported no entry, is a fault.
+class ini_scanner
+{
+public:
+    ini_scanner(const settings_text& text, settings_faults& faults)
+        : file_(text.file), rest_(text.content), faults_(faults)
+    {
+        if (rest_.substr(0, byte_order_mark.size()) == byte_order_mark)
+        {
+            rest_.remove_prefix(byte_order_mark.size());
+        }
+    }
+
+    /// Reader of inih: the next line, or null at the end.
+    static char* read(char* buffer, int size, void* self)
+    {
+        return static_cast<ini_scanner*>(self)->next(
+            buffer, static_cast<std::size_t>(size));
+    }
+
+    /// Handler of inih: one entry.
+    static int handle(void* self, const char* section, const char* key,
+                      const char* value)
+    {
+        static_cast<ini_scanner*>(self)->accept(section, key, value);
+        return 1;
+    }
+
+    /// Notes the last line, if inih made nothing of it.
+    void settle()
+    {
+        if (std::exchange(entry_due_, false))
+        {
+            fail("a line that is no setting", "key = value");
+        }
+    }
+
+    std::vector<ini_section> sections() { return std::move(sections_); }
+
+private:
+    char* next(char* buffer, std::size_t size)
+    {
+        settle();
+        if (std::exchange(marker_due_, false))
+        {
+            return copy(buffer, std::string(section_marker) + "=");
+        }
+        if (rest_.empty())
+        {
+            return nullptr;
+        }
+        const std::string_view line = take_line();
+        return copy(buffer, is_usable(line, size) ? line : std::string_view());
+    }
+
+    std::string_view take_line()
+    {
+        const std::size_t end = std::min(rest_.find('\n'), rest_.size());
+        std::string_view line = rest_.substr(0, end);
+        rest_.remove_prefix(std::min(end + 1, rest_.size()));
+        ++line_;
+        if (!line.empty() && line.back() == '\r')
+        {
+            line.remove_suffix(1);
+        }
+        return line;
+    }
+
+    /// Whether inih gets the line; notes a fault if it should not.
+    bool is_usable(std::string_view line, std::size_t size)
+    {
+        const std::string_view text = trim(line);
+        if (text.empty() || text.front() == ';' || text.front() == '#')
+        {
+            return false;
+        }
+        if (has_control_character(line))
+        {
+            return fail("a control character", "text");
+        }
+        if (text.front() == '[')
+        {
+            return open_section(text);
+        }
+        if (line.size() + 2 > size)
+        {
+            return fail("a line of " + std::to_string(line.size()) +
+                            " characters",
+                        "at most " + std::to_string(size - 2));
+        }
+        entry_due_ = true;
+        return true;
+    }
+
+    /// Notes the start of a section. Entries under a header that cannot be
+    /// read are dropped, since they belong to no known section.
+    bool open_section(std::string_view text)
+    {
+        const std::string_view inner = text.substr(1, text.size() - 2);
+        skipping_ = true;
+        if (text.size() < 2 || text.back() != ']' ||
+            inner.find_first_of("[];#") != std::string_view::npos)
+        {
+            return fail("a broken section header", "[SECTION NAME]");
+        }
+        if (inner.size() > max_header_length)
+        {
+            return fail("a section header of " + std::to_string(inner.size()) +
+                            " characters",
+                        "at most " + std::to_string(max_header_length));
+        }
+        skipping_ = false;
+        marker_due_ = true;
+        return true;
+    }
+
+    void accept(std::string_view section, std::string_view key,
+                std::string_view value)
+    {
+        if (key == section_marker)
+        {
+            sections_.push_back({file_, std::string(trim(section)), line_, {}});
+            return;
+        }
+        entry_due_ = false;
+        if (skipping_)
+        {
+            return;
+        }
+        if (sections_.empty())
+        {
+            fail("a key before any section", "[SECTION NAME]", key);
+            return;
+        }
+        sections_.back().entries.push_back(
+            {std::string(key), std::string(value), line_});
+    }
+
+    static char* copy(char* buffer, std::string_view line)
+    {
+        char* end = std::copy(line.begin(), line.end(), buffer);
+        *end++ = '\n';
+        *end = '\0';
+        return buffer;
+    }
+
+    bool fail(std::string found, std::string expected,
+              std::string_view key = {})
+    {
+        faults_.all.push_back({fault_kind::syntax_error, file_, line_, "",
+                               std::string(key), std::move(found),
+                               std::move(expected)});
+        return false;
+    }
+
+    const std::string& file_;
+    std::string_view rest_;
+    settings_faults& faults_;
+    std::vector<ini_section> sections_;
+    unsigned line_ = 0;
+    bool marker_due_ = false; // a header has been handed over
+    bool entry_due_ = false;  // a line awaits inih's report
+    bool skipping_ = false;   // the last header was broken
+};
+
+/// Turns off inih's continuation lines: an indented key is a key.
+void configure_inih()
+{
+    static const bool once = (ini_allow_multiline = false, true);
+    static_cast<void>(once);
+}
+
+} // namespace
+
+std::vector<ini_section> parse_ini(const settings_text& text,
+                                   settings_faults& faults)
+{
+    configure_inih();
+    ini_scanner scanner(text, faults);
+    ini_parse_stream(&ini_scanner::read, &scanner, &ini_scanner::handle,
+                     &scanner);
+    scanner.settle();
+    return scanner.sections();
+}
+
+} // namespace tanagerhoist
--- /dev/null
+++ b/src/settings/section_filler.hpp
@@ -0,0 +1,63 @@
+#ifndef TANAGERHOIST_SETTINGS_SECTION_FILLER_HPP
+#define TANAGERHOIST_SETTINGS_SECTION_FILLER_HPP
+
+#include "ini_text.hpp"
+
+#include <google/protobuf/message.h>
+
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace tanagerhoist
+{
+
+/// Fills a message from sections by reflection. Each message field of `root`
+/// is a section type: a repeated one is `[TYPE NAME]`, a single one `[TYPE]`.
+/// The keys of a section are those fields that carry a `rule`.
+class section_filler
+{
+public:
+    section_filler(google::protobuf::Message& root, settings_faults& faults);
+
+    /// Adds one section; faults are noted.
+    void add(const ini_section& section);
+
+    /// Checks what only the whole set shows: references between sections, and
+    /// single sections that are absent.
+    /// @param file named for an absent section
+    void finish(const std::string& file);
+
+private:
+    /// A value that has to be the name of a section.
+    struct reference
+    {
+        settings_fault place;
+        std::string type;
+        std::string name;
+    };
+
+    /// The message that a header stands for; null if there is none.
+    google::protobuf::Message* open(const std::string& type,
+                                    const std::string& name);
+    void fill(const ini_section& section, google::protobuf::Message& message);
+    void set(const ini_section& section, const ini_entry& entry,
+             google::protobuf::Message& message,
+             const google::protobuf::FieldDescriptor& field);
+    void complete(const ini_section& section,
+                  google::protobuf::Message& message,
+                  const std::set<std::string>& seen);
+    void fail(fault_kind kind, const ini_section& section,
+              std::string expected);
+
+    google::protobuf::Message& root_;
+    settings_faults& faults_;
+    std::map<std::pair<std::string, std::string>, std::string> seen_;
+    std::vector<reference> references_;
+};
+
+} // namespace tanagerhoist
+
+#endif
--- /dev/null
+++ b/src/settings/setting_value.cpp
@@ -0,0 +1,217 @@
+#include "setting_value.hpp"
+
+#include "tanagerhoist/decision/hash.hpp"
+
+#include <google/protobuf/message.h>
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <sstream>
+#include <string_view>
+
+namespace tanagerhoist
+{
+namespace
+{
+
+using google::protobuf::FieldDescriptor;
+
+constexpr std::size_t sha256_digits = 64;
+
+bool is_ip_number(const std::string& text)
+{
+    std::array<unsigned char, sizeof(in6_addr)> address{};
+    return inet_pton(AF_INET, text.c_str(), address.data()) == 1 ||
+           inet_pton(AF_INET6, text.c_str(), address.data()) == 1;
+}
+
+bool is_hex(const std::string& text)
+{
+    return !text.empty() && from_hex(text).has_value();
+}
+
+bool is_sha256(const std::string& text)
+{
+    return text.size() == sha256_digits && is_hex(text);
+}
+
+bool is_printable(const std::string& text)
+{
+    return !text.empty() &&
+           std::all_of(text.begin(), text.end(),
+                       [](char c) { return c >= ' ' && c <= '~'; });
+}
+
+/// One syntax of texts, by the name that the schema uses for it.
+struct text_format
+{
+    std::string_view name;
+    std::string_view description;
+    bool (*matches)(const std::string&);
+    bool secret; // a value mistyped here may be a key: it is not shown
+};
+
+constexpr std::array<text_format, 4> text_formats{{
+    {"", "printable text", &is_printable, false},
+    {"ip", "an IP number", &is_ip_number, false},
+    {"hex", "pairs of hexadecimal digits", &is_hex, true},
+    {"sha256", "64 hexadecimal digits", &is_sha256, true},
+}};
+
+const text_format& format_of(const proto::SettingRule& rule)
+{
+    const auto* found = std::find_if(text_formats.begin(), text_formats.end(),
+                                     [&rule](const text_format& format)
+                                     { return format.name == rule.format(); });
+    return found == text_formats.end() ? text_formats.front() : *found;
+}
+
+std::vector<std::string> choices_of(const proto::SettingRule& rule)
+{
+    std::vector<std::string> choices;
+    std::istringstream list(rule.choices());
+    for (std::string choice; std::getline(list, choice, ',');)
+    {
+        choices.push_back(choice);
+    }
+    return choices;
+}
+
+std::string quoted(const std::string& value)
+{
+    return value.empty() ? "nothing" : '"' + value + '"';
+}
+
+std::string shown(const std::string& value, const text_format& format)
+{
+    return format.secret && !value.empty()
+               ? std::to_string(value.size()) + " characters"
+               : quoted(value);
+}
+
+bool is_number(const FieldDescriptor& field)
+{
+    return field.cpp_type() == FieldDescriptor::CPPTYPE_UINT64;
+}
+
+std::string range_of(const proto::SettingRule& rule)
+{
+    std::string text =
+        "a whole number of at least " + std::to_string(rule.minimum());
+    if (rule.maximum() != 0)
+    {
+        text += " and at most " + std::to_string(rule.maximum());
+    }
+    return rule.unit().empty() ? text : text + ' ' + rule.unit();
+}
+
+std::optional<value_fault> store_number(const std::string& value,
+                                        google::protobuf::Message& message,
+                                        const FieldDescriptor& field)
+{
+    const proto::SettingRule& rule = *rule_of(field);
+    std::uint64_t number = 0;
+    const char* end = value.data() + value.size();
+    const auto [stop, error] = std::from_chars(value.data(), end, number);
+    if (error == std::errc::result_out_of_range)
+    {
+        return value_fault{fault_kind::out_of_range, quoted(value),
+                           range_of(rule)};
+    }
+    if (error != std::errc() || stop != end)
+    {
+        return value_fault{fault_kind::wrong_type, quoted(value),
+                           range_of(rule)};
+    }
+    if (number < rule.minimum() ||
+        (rule.maximum() != 0 && number > rule.maximum()))
+    {
+        return value_fault{fault_kind::out_of_range, quoted(value),
+                           range_of(rule)};
+    }
+    message.GetReflection()->SetUInt64(&message, &field, number);
+    return std::nullopt;
+}
+
+std::optional<value_fault> store_text(const std::string& value,
+                                      google::protobuf::Message& message,
+                                      const FieldDescriptor& field)
+{
+    const proto::SettingRule& rule = *rule_of(field);
+    const auto choices = choices_of(rule);
+    if (!choices.empty() &&
+        std::find(choices.begin(), choices.end(), value) == choices.end())
+    {
+        return value_fault{fault_kind::not_a_choice, quoted(value),
+                           describe(field)};
+    }
+    const text_format& format = format_of(rule);
+    if (!format.matches(value))
+    {
+        return value_fault{fault_kind::wrong_type, shown(value, format),
+                           describe(field)};
+    }
+    message.GetReflection()->SetString(&message, &field, value);
+    return std::nullopt;
+}
+
+} // namespace
+
+const proto::SettingRule* rule_of(const FieldDescriptor& field)
+{
+    return field.options().HasExtension(proto::rule)
+               ? &field.options().GetExtension(proto::rule)
+               : nullptr;
+}
+
+std::vector<std::string> keys_of(const google::protobuf::Descriptor& section)
+{
+    std::vector<std::string> keys;
+    for (int i = 0; i < section.field_count(); ++i)
+    {
+        if (rule_of(*section.field(i)) != nullptr)
+        {
+            keys.push_back(section.field(i)->name());
+        }
+    }
+    return keys;
+}
+
+std::string describe(const FieldDescriptor& field)
+{
+    const proto::SettingRule& rule = *rule_of(field);
+    if (is_number(field))
+    {
+        return range_of(rule);
+    }
+    if (!rule.choices().empty())
+    {
+        return "one of: " + rule.choices();
+    }
+    if (!rule.refers_to().empty())
+    {
+        return "the name of a [" + rule.refers_to() + "] section";
+    }
+    return std::string(format_of(rule).description);
+}
+
+std::optional<value_fault> store(const std::string& value,
+                                 google::protobuf::Message& message,
+                                 const FieldDescriptor& field)
+{
+    return is_number(field) ? store_number(value, message, field)
+                            : store_text(value, message, field);
+}
+
+bool is_section_name(const std::string& name)
+{
+    constexpr std::string_view allowed =
+        "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_";
+    return !name.empty() &&
+           name.find_first_not_of(allowed) == std::string::npos;
+}
+
+} // namespace tanagerhoist
