--- /dev/null
+++ b/src/decision/read_acceptance.cpp
@@ -0,0 +1,30 @@
+#include "tanagerhoist/decision/read_acceptance.hpp"
+
+#include "tanagerhoist/core/log_point.hpp"
+
+namespace tanagerhoist
+{
+
+bool acceptable(const proto::ExecuteReply& reply, const proto::LogPoint& token,
+                bool has_token, milliseconds tolerated_age, bool from_primary)
+{
+    if (reply.outcome() != proto::DATABASE_OK)
+    {
+        return false;
+    }
+    if (has_token && !covers(reply.point(), token))
+    {
+        return false;
+    }
+    if (from_primary)
+    {
+        return true;
+    }
+    if (tolerated_age > milliseconds::zero())
+    {
+        return reply.age_ms() <= to_ms(tolerated_age);
+    }
+    return has_token;
+}
+
+} // namespace tanagerhoist
