--- a/include/tanagerhoist/decision/read_acceptance.hpp
+++ b/include/tanagerhoist/decision/read_acceptance.hpp
@@ -9,15 +9,17 @@
 
 /// Whether a server's answer to a read may go to the session.
 ///
-/// With a token, the answer must reflect everything the token has seen,
-/// whatever age the route tolerates. Without one, a replica's answer must be
-/// provably no older than `tolerated_age`; the primary's always passes here,
-/// but a known session that lost its token needs it confirmed besides.
+/// The answer must reflect everything that the token has seen, whatever age
+/// the route tolerates, and must be provably no older than that age. A primary
+/// that was superseded unawares shows in the age, too.
 /// @param reply answer as the server gave it
-/// @param token what the session has seen of this database
-/// @param has_token whether `token` means anything
+/// @param token what the session has seen of this database; empty for a
+///        session that has seen nothing
+/// @param has_token false for a session that may have written something, but
+///        lost its token: only the primary's answer passes, and the caller of
+///        this function needs it confirmed besides (`write_confirmer`)
 /// @param tolerated_age of the route; 0 when only the token bounds the read
-/// @param from_primary whether the server answered as primary of its term
+/// @param from_primary whether the server answered as primary
 bool acceptable(const proto::ExecuteReply& reply, const proto::LogPoint& token,
                 bool has_token, milliseconds tolerated_age, bool from_primary);
 
--- a/include/tanagerhoist/decision/write_confirmer.hpp
+++ b/include/tanagerhoist/decision/write_confirmer.hpp
@@ -53,6 +53,15 @@
                  std::vector<std::string> others, const proto::LogPoint& point,
                  moment deadline, outbox& out, handler done);
 
+    /// Confirms everything that `primary` holds now: asks it for the end of
+    /// its log, then confirms that. For answers whose own point does not tell
+    /// enough, such as that a request had run in an earlier term.
+    /// @param term in which `primary` is believed to lead
+    void confirm_current(moment now, const std::string& database,
+                         const std::string& primary,
+                         std::vector<std::string> others, std::uint64_t term,
+                         moment deadline, outbox& out, handler done);
+
     /// Ends what is past its deadline and repeats questions that failed.
     void on_tick(moment now, outbox& out);
 
@@ -71,6 +80,7 @@
     {
         answer last = answer::none;
         bool asked = false;
+        moment asked_at;
         moment retry;
     };
 
--- /dev/null
+++ b/src/decision/promotion.cpp
@@ -0,0 +1,232 @@
+#include "tanagerhoist/decision/promotion.hpp"
+
+#include "tanagerhoist/core/log_point.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace tanagerhoist
+{
+
+promotion::promotion(promotion_task task, promotion_options options,
+                     term_source& terms, won_handler won)
+    : task_(std::move(task)),
+      options_(options),
+      terms_(terms),
+      won_(std::move(won))
+{
+}
+
+bool promotion::finished() const
+{
+    return state_ == state::won || state_ == state::abandoned;
+}
+
+bool promotion::frozen(moment now)
+{
+    const bool late = now - last_input_ > options_.freeze_bound;
+    last_input_ = now;
+    if (late)
+    {
+        abandon();
+    }
+    return late;
+}
+
+void promotion::start(moment now, outbox& out)
+{
+    last_input_ = now;
+    begin_round(now, out);
+}
+
+void promotion::begin_round(moment now, outbox& out)
+{
+    ++round_;
+    term_ = terms_.next(task_.seen_term);
+    state_ = state::sealing;
+    round_began_ = now;
+    promote_calls_ = 0;
+    servers_.clear();
+    for (const auto& server : task_.servers)
+    {
+        servers_[server] = {};
+    }
+    for (const auto& server : task_.servers)
+    {
+        seal(server, out);
+    }
+}
+
+void promotion::seal(const std::string& server, outbox& out)
+{
+    servers_[server].asked = true;
+    proto::DatabaseCall call;
+    call.mutable_seal()->set_term(term_);
+    calls_.call(out, server, std::move(call), options_.call_timeout,
+                [this, server, term = term_,
+                 &out](moment now, const proto::DatabaseReply* reply, bool)
+                {
+                    const bool whole = reply != nullptr && reply->has_seal();
+                    on_seal(now, server, term, whole ? &reply->seal() : nullptr,
+                            out);
+                });
+}
+
+void promotion::on_seal(moment now, const std::string& server,
+                        std::uint64_t term, const proto::SealReply* reply,
+                        outbox& out)
+{
+    if (finished() || frozen(now) || term != term_ || state_ != state::sealing)
+    {
+        return;
+    }
+    auto& entry = servers_[server];
+    entry.asked = false;
+    if (reply == nullptr)
+    {
+        entry.repeat = now + options_.repeat_pause;
+    }
+    else if (reply->sealed_term() > term_)
+    {
+        back_off(now, reply->sealed_term());
+        return;
+    }
+    else if (reply->accepted())
+    {
+        entry.sealed = true;
+        entry.last = reply->last();
+    }
+    else
+    {
+        entry.repeat = now + options_.repeat_pause;
+    }
+    choose(now, out);
+}
+
+const std::string* promotion::best(bool with_suspect) const
+{
+    const std::string* found = nullptr;
+    proto::LogPoint last;
+    std::size_t sealed = 0;
+    for (const auto& [server, entry] : servers_)
+    {
+        const bool suspect = server == task_.suspect;
+        if (!entry.sealed || (suspect && !with_suspect))
+        {
+            continue;
+        }
+        ++sealed;
+        const bool higher = found == nullptr || last < entry.last;
+        const bool spares = found != nullptr && *found == task_.suspect &&
+                            covers(entry.last, last);
+        if (higher || spares)
+        {
+            found = &server;
+            last = entry.last;
+        }
+    }
+    return sealed >= task_.servers.size() / 2 + 1 ? found : nullptr;
+}
+
+void promotion::choose(moment now, outbox& out)
+{
+    // The suspect may be alive and ahead by a tail that nobody can confirm;
+    // a majority without it is enough, and serves.
+    const bool patient = now - round_began_ < options_.spare_suspect;
+    const std::string* server = best(false);
+    if (server == nullptr && !patient)
+    {
+        server = best(true);
+    }
+    if (server == nullptr)
+    {
+        return;
+    }
+    chosen_ = *server;
+    state_ = state::promoting;
+    promote(out);
+}
+
+void promotion::promote(outbox& out)
+{
+    ++promote_calls_;
+    proto::DatabaseCall call;
+    call.mutable_promote()->set_term(term_);
+    calls_.call(out, chosen_, std::move(call), options_.call_timeout,
+                [this, term = term_,
+                 &out](moment now, const proto::DatabaseReply* reply, bool)
+                {
+                    const bool whole = reply != nullptr && reply->has_promote();
+                    on_promote(now, term, whole ? &reply->promote() : nullptr,
+                               out);
+                });
+}
+
+void promotion::on_promote(moment now, std::uint64_t term,
+                           const proto::PromoteReply* reply, outbox& out)
+{
+    if (finished() || frozen(now) || term != term_ ||
+        state_ != state::promoting)
+    {
+        return;
+    }
+    if (reply == nullptr && promote_calls_ < options_.promote_calls)
+    {
+        promote(out); // the same server: it may have accepted the first
+        return;
+    }
+    if (reply == nullptr || !reply->accepted())
+    {
+        back_off(now, reply == nullptr ? term_ : reply->sealed_term());
+        return;
+    }
+    state_ = state::won;
+    proto::PrimaryBelief belief;
+    belief.set_database(task_.database);
+    belief.set_server(chosen_);
+    belief.set_term(term_);
+    won_(now, belief, out);
+}
+
+void promotion::back_off(moment now, std::uint64_t seen)
+{
+    task_.seen_term = std::max(task_.seen_term, seen);
+    state_ = state::backing_off;
+    const auto spread =
+        static_cast<std::uint64_t>(options_.retry_spread.count());
+    const std::uint64_t number = terms_.number();
+    const std::uint64_t jitter =
+        spread == 0 ? 0 : XXH64(&number, sizeof number, round_) % spread;
+    resume_ = now + options_.retry_step * task_.rank +
+              milliseconds(static_cast<milliseconds::rep>(jitter));
+}
+
+void promotion::on_tick(moment now, outbox& out)
+{
+    if (finished() || frozen(now))
+    {
+        return;
+    }
+    if (state_ == state::backing_off && now >= resume_)
+    {
+        begin_round(now, out);
+        return;
+    }
+    if (state_ != state::sealing)
+    {
+        return;
+    }
+    for (const auto& server : task_.servers)
+    {
+        const auto& entry = servers_[server];
+        if (!entry.sealed && !entry.asked && now >= entry.repeat)
+        {
+            seal(server, out);
+        }
+    }
+    choose(now, out);
+}
+
+} // namespace tanagerhoist
--- a/src/decision/read_acceptance.cpp
+++ b/src/decision/read_acceptance.cpp
@@ -12,19 +12,12 @@
     {
         return false;
     }
-    if (has_token && !covers(reply.point(), token))
+    if (has_token ? !covers(reply.point(), token) : !from_primary)
     {
         return false;
     }
-    if (from_primary)
-    {
-        return true;
-    }
-    if (tolerated_age > milliseconds::zero())
-    {
-        return reply.age_ms() <= to_ms(tolerated_age);
-    }
-    return has_token;
+    return tolerated_age <= milliseconds::zero() ||
+           reply.age_ms() <= to_ms(tolerated_age);
 }
 
 } // namespace tanagerhoist
--- a/src/decision/replica_view.cpp
+++ b/src/decision/replica_view.cpp
@@ -3,6 +3,7 @@
 #include "tanagerhoist/core/log_point.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace tanagerhoist
 {
@@ -13,14 +14,24 @@
                             const proto::LogPoint& point, microseconds age)
 {
     auto& entry = servers_[server];
+    // Answers overtake each other; a log end only moves back with a new term.
     if (!entry.known || covers(point, entry.point))
     {
         entry.point = point;
     }
+    entry.known = true;
     entry.age = age;
     entry.seen = now;
-    entry.known = true;
     entry.avoid_until = moment();
+    auto& history = entry.history;
+    if (history.empty() || now - history.back().at >= options_.history_step)
+    {
+        history.push_back({now, entry.point});
+    }
+    if (history.size() > options_.history)
+    {
+        history.pop_front();
+    }
 }
 
 void replica_view::failed(moment now, const std::string& server)
@@ -28,37 +39,111 @@
     servers_[server].avoid_until = now + options_.avoid_failed;
 }
 
+moment replica_view::written_before(moment now, const std::string& primary,
+                                    const proto::LogPoint& token) const
+{
+    const auto found = servers_.find(primary);
+    if (found != servers_.end())
+    {
+        for (const auto& each : found->second.history)
+        {
+            if (covers(each.point, token))
+            {
+                return each.at;
+            }
+        }
+    }
+    return now;
+}
+
+std::optional<microseconds>
+replica_view::expected_wait(moment now, const std::string& server,
+                            const std::string& primary,
+                            const proto::LogPoint& token) const
+{
+    const auto found = servers_.find(server);
+    if (token.term() == 0 ||
+        (found != servers_.end() && covers(found->second.point, token)))
+    {
+        return microseconds::zero();
+    }
+    if (found == servers_.end() || !found->second.known)
+    {
+        return std::nullopt;
+    }
+    const moment held = written_before(now, primary, token) + found->second.age;
+    return std::max(held - now, microseconds::zero());
+}
+
+std::optional<microseconds> replica_view::wait_for(moment now,
+                                                   const std::string& server,
+                                                   const std::string& primary,
+                                                   const proto::LogPoint& token,
+                                                   milliseconds tolerated_age)
+{
+    auto& entry = servers_[server];
+    if (now < entry.avoid_until)
+    {
+        return std::nullopt;
+    }
+    const auto wait = expected_wait(now, server, primary, token);
+    const bool aged = tolerated_age > milliseconds::zero() &&
+                      (!entry.known || entry.age > tolerated_age);
+    if (wait && *wait <= options_.longest_wait && !aged)
+    {
+        return wait;
+    }
+    const bool unheard =
+        !entry.known || now - entry.seen >= options_.explore_interval;
+    const bool untried = entry.explored == moment() ||
+                         now - entry.explored >= options_.explore_interval;
+    if (unheard && untried)
+    {
+        entry.explored = now;
+        return microseconds::zero();
+    }
+    return std::nullopt;
+}
+
 std::vector<std::string>
 replica_view::candidates(moment now, const std::vector<std::string>& servers,
                          const std::string& primary,
                          const proto::LogPoint& token, bool has_token,
-                         milliseconds tolerated_age) const
+                         milliseconds tolerated_age)
 {
-    std::vector<std::string> chosen;
+    using choice = std::pair<microseconds, std::string>;
+    std::vector<choice> choices;
     for (const auto& server : servers)
     {
-        const auto found = servers_.find(server);
-        const bool known = found != servers_.end() && found->second.known;
-        const bool avoid =
-            found != servers_.end() && now < found->second.avoid_until;
-        const bool fresh =
-            !has_token || (known && covers(found->second.point, token));
-        const bool bounded = has_token || tolerated_age.count() > 0;
-        if (server != primary && fresh && bounded && !avoid)
+        if (!has_token || server == primary)
         {
-            chosen.push_back(server);
+            continue;
         }
+        const auto wait = wait_for(now, server, primary, token, tolerated_age);
+        if (wait)
+        {
+            choices.emplace_back(*wait, server);
+        }
+    }
+    if (!choices.empty())
+    {
+        const auto shift =
+            static_cast<std::ptrdiff_t>(turn_++ % choices.size());
+        std::rotate(choices.begin(), choices.begin() + shift, choices.end());
     }
-    if (!chosen.empty())
+    std::stable_sort(choices.begin(), choices.end(),
+                     [](const choice& a, const choice& b)
+                     { return a.first < b.first; });
+    std::vector<std::string> names;
+    for (auto& [wait, server] : choices)
     {
-        const auto shift = static_cast<std::ptrdiff_t>(turn_++ % chosen.size());
-        std::rotate(chosen.begin(), chosen.begin() + shift, chosen.end());
+        names.push_back(std::move(server));
     }
     if (!primary.empty())
     {
-        chosen.push_back(primary);
+        names.push_back(primary);
     }
-    return chosen;
+    return names;
 }
 
 } // namespace tanagerhoist
--- a/src/decision/write_confirmer.cpp
+++ b/src/decision/write_confirmer.cpp
@@ -38,11 +38,43 @@
     }
 }
 
+void write_confirmer::confirm_current(moment now, const std::string& database,
+                                      const std::string& primary,
+                                      std::vector<std::string> others,
+                                      std::uint64_t term, moment deadline,
+                                      outbox& out, handler done)
+{
+    const auto left = std::max(deadline - now, microseconds::zero());
+    proto::DatabaseCall call;
+    call.mutable_status();
+    out.call_database(primary, 0, std::move(call), milliseconds(to_ms(left)),
+                      [this, database, others = std::move(others), term,
+                       deadline, &out, done = std::move(done)](
+                          moment at, const proto::DatabaseReply* reply, bool)
+                      {
+                          if (reply == nullptr || !reply->has_status())
+                          {
+                              done(at, verdict::unconfirmed);
+                              return;
+                          }
+                          const auto& status = reply->status();
+                          if (!status.primary() || status.sealed_term() != term)
+                          {
+                              done(at, verdict::superseded);
+                              return;
+                          }
+                          confirm(at, database, others, status.last(), deadline,
+                                  out, done);
+                      });
+}
+
 void write_confirmer::ask(moment now, std::uint64_t id,
                           const std::string& server, outbox& out)
 {
     auto& entry = pending_.at(id);
-    entry.others[server].asked = true;
+    auto& other = entry.others[server];
+    other.asked = true;
+    other.asked_at = now;
     const auto left = std::max(entry.deadline - now, microseconds::zero());
     const auto wait = std::min<microseconds>(options_.await, left);
     proto::DatabaseCall call;
@@ -84,10 +116,17 @@
     {
         other.last = answer::holds;
     }
-    if (!decide(now, id) && other.last == answer::none)
+    if (decide(now, id) || other.last != answer::none)
+    {
+        return;
+    }
+    // A server that did not wait is not asked again at once.
+    if (now - other.asked_at >= options_.await / 2)
     {
         ask(now, id, server, out);
+        return;
     }
+    other.retry = now + options_.retry_pause;
 }
 
 bool write_confirmer::decide(moment now, std::uint64_t id)
