--- /dev/null
+++ b/standin/failover_scene.cpp
@@ -0,0 +1,431 @@
+#include "standin/failover_scene.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace tanagerhoist::standin
+{
+
+namespace
+{
+
+constexpr milliseconds replication_step{1};
+constexpr milliseconds tick_interval{50};
+constexpr std::uint64_t ticks_per_heartbeat = 10;
+constexpr std::uint64_t statement_connection = 1;
+
+} // namespace
+
+failover_scene::failover_scene(
+    const std::vector<std::string>& vms,
+    const std::map<std::string, std::vector<std::string>>& groups,
+    delay_rule delay, primary_watch_options options)
+    : names_(vms), delay_(std::move(delay)), options_(options)
+{
+    for (const auto& [database, servers] : groups)
+    {
+        groups_[database] = std::make_unique<database_group>(now_, servers);
+        for (const auto& server : servers)
+        {
+            auto& entry = *settings_.add_server();
+            entry.set_name(server);
+            entry.set_database(database);
+            database_of_[server] = database;
+        }
+    }
+    for (const auto& name : names_)
+    {
+        start_vm(name);
+    }
+}
+
+void failover_scene::start_vm(const std::string& name)
+{
+    auto& vm = vms_[name];
+    vm.out.take_actions();
+    vm.alive = true;
+    vm.frozen = false;
+    vm.backlog.clear();
+    ++vm.life;
+    vm.self.vm = name;
+    vm.self.number = next_number_++;
+    vm.watch = std::make_unique<primary_watch>(
+        vm.self, [this](moment) { return names_; }, options_);
+    vm.confirmer = std::make_unique<write_confirmer>();
+    vm.watch->use_settings(now_, settings_);
+}
+
+database_group& failover_scene::group(const std::string& database)
+{
+    return *groups_.at(database);
+}
+
+void failover_scene::later(microseconds delay, std::function<void()> event)
+{
+    events_[{now_ + delay, sequence_++}] = std::move(event);
+}
+
+void failover_scene::send(const std::string& from, const std::string& to,
+                          std::function<void()> arrival)
+{
+    const auto delay = delay_(from, to);
+    if (delay && cuts_.count({from, to}) == 0)
+    {
+        later(*delay, std::move(arrival));
+    }
+}
+
+void failover_scene::input(const std::string& name, std::uint64_t life,
+                           std::function<void(scene_vm&)> take)
+{
+    auto& vm = vms_.at(name);
+    if (!vm.alive || vm.life != life)
+    {
+        return;
+    }
+    if (vm.frozen)
+    {
+        vm.backlog.emplace_back([this, name, life, take = std::move(take)]
+                                { input(name, life, take); });
+        return;
+    }
+    take(vm);
+    flush(vm);
+}
+
+void failover_scene::flush(scene_vm& vm)
+{
+    for (const auto& action : vm.out.take_actions())
+    {
+        if (action.has_call_database())
+        {
+            call_database(vm, action.call_database());
+        }
+        else if (action.has_call_platform())
+        {
+            call_platform(vm, action.call_platform());
+        }
+        else if (action.has_send_peer())
+        {
+            auto message = action.send_peer();
+            message.mutable_from()->set_vm(vm.self.vm);
+            message.mutable_from()->set_number(vm.self.number);
+            send(vm.self.vm, message.to(),
+                 [this, message] { deliver(message); });
+        }
+    }
+    vm.out.take_events();
+}
+
+void failover_scene::call_database(scene_vm& vm,
+                                   const proto::CallDatabase& call)
+{
+    const std::string name = vm.self.vm;
+    const auto life = vm.life;
+    const auto finish = [this, name, life, tag = call.tag()](
+                            const std::optional<proto::DatabaseReply>& reply)
+    {
+        input(name, life,
+              [this, tag, reply](scene_vm& at)
+              {
+                  if (auto handler = at.out.take_database(tag))
+                  {
+                      handler(now_, reply ? &*reply : nullptr, true);
+                  }
+              });
+    };
+    later(milliseconds(call.timeout_ms()), [finish] { finish(std::nullopt); });
+    const auto answer = [this, name, finish, server = call.server()](
+                            const proto::DatabaseReply& reply)
+    { send(server, name, [finish, reply] { finish(reply); }); };
+    send(name, call.server(), [this, call, answer] { serve(call, answer); });
+}
+
+void failover_scene::serve(const proto::CallDatabase& call,
+                           std::function<void(proto::DatabaseReply)> answer)
+{
+    if (call.call().status().has_await())
+    {
+        const auto wait = milliseconds(call.call().status().wait_ms());
+        waiting_.push_back(
+            {call.server(), call.call(), now_ + wait, std::move(answer)});
+        answer_waiting();
+        return;
+    }
+    auto reply =
+        group(database_of_.at(call.server()))
+            .handle(now_, call.server(), call.connection(), call.call());
+    if (reply)
+    {
+        answer(std::move(*reply));
+    }
+}
+
+void failover_scene::answer_waiting()
+{
+    auto waiting = std::exchange(waiting_, {});
+    for (auto& each : waiting)
+    {
+        const auto reply = group(database_of_.at(each.server))
+                               .handle(now_, each.server, 0, each.call);
+        if (!reply)
+        {
+            continue; // a server that is dead forgets its callers
+        }
+        const auto& status = reply->status();
+        const bool sealed =
+            status.sealed_term() > each.call.status().await().term();
+        if (status.holds() || sealed || now_ >= each.until)
+        {
+            each.answer(*reply);
+        }
+        else
+        {
+            waiting_.push_back(std::move(each));
+        }
+    }
+}
+
+void failover_scene::call_platform(scene_vm& vm,
+                                   const proto::CallPlatform& call)
+{
+    const std::string name = vm.self.vm;
+    const auto life = vm.life;
+    const auto finish = [this, name, life, tag = call.tag()](
+                            const std::optional<proto::PlatformReply>& reply)
+    {
+        input(name, life,
+              [this, tag, reply](scene_vm& at)
+              {
+                  if (auto handler = at.out.take_platform(tag))
+                  {
+                      handler(now_, reply ? &*reply : nullptr);
+                  }
+              });
+    };
+    later(milliseconds(call.timeout_ms()), [finish] { finish(std::nullopt); });
+    send(name, "platform",
+         [this, name, call, finish]
+         {
+             const auto reply = platform_.handle(now_, call.call());
+             if (reply)
+             {
+                 send("platform", name, [finish, reply] { finish(reply); });
+             }
+         });
+}
+
+void failover_scene::deliver(const proto::PeerMessage& message)
+{
+    const auto life = vms_.at(message.to()).life;
+    input(message.to(), life,
+          [this, message](scene_vm& vm)
+          {
+              const auto& from = message.from();
+              if (message.has_suspect_ask())
+              {
+                  vm.watch->on_suspect_ask(now_, from, message.suspect_ask(),
+                                           vm.out);
+              }
+              if (message.has_suspect_answer())
+              {
+                  vm.watch->on_suspect_answer(now_, from,
+                                              message.suspect_answer(), vm.out);
+              }
+              for (const auto& belief : message.heartbeat().primary())
+              {
+                  vm.watch->learned(now_, belief);
+              }
+          });
+}
+
+void failover_scene::tick_all()
+{
+    const auto ticks =
+        to_us(next_tick_) /
+        static_cast<std::uint64_t>(microseconds(tick_interval).count());
+    const bool heartbeat = ticks % ticks_per_heartbeat == 0;
+    for (const auto& name : names_)
+    {
+        input(name, vms_.at(name).life,
+              [this, heartbeat](scene_vm& vm)
+              {
+                  vm.watch->on_tick(now_, vm.out);
+                  vm.confirmer->on_tick(now_, vm.out);
+                  proto::PeerMessage message;
+                  if (heartbeat)
+                  {
+                      vm.watch->take_news(*message.mutable_heartbeat());
+                  }
+                  for (const auto& other : names_)
+                  {
+                      if (heartbeat && other != vm.self.vm)
+                      {
+                          vm.out.send_peer(other, 0, message);
+                      }
+                  }
+              });
+    }
+}
+
+void failover_scene::run_for(milliseconds duration)
+{
+    const moment end = now_ + duration;
+    while (now_ < end)
+    {
+        now_ += replication_step;
+        while (!events_.empty() && events_.begin()->first.first <= now_)
+        {
+            auto event = events_.extract(events_.begin());
+            event.mapped()();
+        }
+        for (auto& [database, each] : groups_)
+        {
+            each->advance(now_);
+        }
+        answer_waiting();
+        if (now_ >= next_tick_)
+        {
+            tick_all();
+            next_tick_ += tick_interval;
+        }
+    }
+}
+
+void failover_scene::write(const std::string& vm, const std::string& database,
+                           const std::string& request_id,
+                           const std::string& statement, milliseconds deadline,
+                           write_handler done)
+{
+    const moment end = now_ + deadline;
+    input(vm, vms_.at(vm).life,
+          [this, vm, database, request_id, statement, end,
+           done = std::move(done)](scene_vm& at)
+          {
+              const auto* belief = at.watch->primary(database);
+              if (belief == nullptr)
+              {
+                  done(now_, write_result::not_run, {});
+                  return;
+              }
+              proto::DatabaseCall call;
+              auto& execute = *call.mutable_execute();
+              execute.set_request_id(request_id);
+              execute.set_kind(proto::STATEMENT_WRITE);
+              execute.set_statement(statement);
+              execute.set_term(belief->term());
+              at.out.call_database(
+                  belief->server(), statement_connection, std::move(call),
+                  milliseconds(to_ms(end - now_)),
+                  [this, vm, database, believed = *belief, end,
+                   done](moment, const proto::DatabaseReply* reply, bool)
+                  { on_executed(vm, database, believed, reply, end, done); });
+          });
+}
+
+void failover_scene::on_executed(const std::string& name,
+                                 const std::string& database,
+                                 const proto::PrimaryBelief& belief,
+                                 const proto::DatabaseReply* reply,
+                                 moment deadline, const write_handler& done)
+{
+    auto& vm = vms_.at(name);
+    if (reply == nullptr)
+    {
+        vm.watch->report_failure(now_, database, belief.server());
+        done(now_, write_result::unknown, {});
+        return;
+    }
+    const auto& answer = reply->execute();
+    const auto point = answer.point();
+    const auto confirmed =
+        [done, point](moment at, write_confirmer::verdict verdict)
+    {
+        const bool held = verdict == write_confirmer::verdict::confirmed;
+        done(at, held ? write_result::confirmed : write_result::unknown, point);
+    };
+    auto others = group(database).servers();
+    others.erase(std::find(others.begin(), others.end(), belief.server()));
+    if (answer.outcome() == proto::DATABASE_OK)
+    {
+        vm.confirmer->confirm(now_, database, others, point, deadline, vm.out,
+                              confirmed);
+    }
+    else if (answer.outcome() == proto::DATABASE_DUPLICATE)
+    {
+        vm.confirmer->confirm_current(now_, database, belief.server(), others,
+                                      belief.term(), deadline, vm.out,
+                                      confirmed);
+    }
+    else
+    {
+        vm.watch->report_failure(now_, database, belief.server());
+        done(now_, write_result::not_run, {});
+    }
+}
+
+void failover_scene::cut(const std::string& one, const std::string& other)
+{
+    cuts_.insert({one, other});
+    cuts_.insert({other, one});
+    const auto a = database_of_.find(one);
+    const auto b = database_of_.find(other);
+    if (a != database_of_.end() && b != database_of_.end() &&
+        a->second == b->second)
+    {
+        group(a->second).cut(one, other);
+    }
+}
+
+void failover_scene::isolate(const std::string& server)
+{
+    for (const auto& name : names_)
+    {
+        cut(server, name);
+    }
+    group(database_of_.at(server)).isolate(server);
+}
+
+void failover_scene::heal()
+{
+    cuts_.clear();
+    for (auto& [database, each] : groups_)
+    {
+        each->heal();
+    }
+}
+
+void failover_scene::kill_server(const std::string& server)
+{
+    group(database_of_.at(server)).kill(now_, server);
+}
+
+void failover_scene::restart_server(const std::string& server)
+{
+    group(database_of_.at(server)).restart(now_, server);
+}
+
+void failover_scene::kill_vm(const std::string& vm)
+{
+    vms_.at(vm).alive = false;
+}
+
+void failover_scene::restart_vm(const std::string& vm)
+{
+    start_vm(vm);
+}
+
+void failover_scene::set_vm_frozen(const std::string& vm, bool frozen)
+{
+    auto& state = vms_.at(vm);
+    state.frozen = frozen;
+    if (!frozen)
+    {
+        for (auto& event : std::exchange(state.backlog, {}))
+        {
+            event();
+        }
+    }
+}
+
+} // namespace tanagerhoist::standin
--- /dev/null
+++ b/standin/failover_scene.hpp
@@ -0,0 +1,144 @@
+#ifndef TANAGERHOIST_STANDIN_FAILOVER_SCENE_HPP
+#define TANAGERHOIST_STANDIN_FAILOVER_SCENE_HPP
+
+#include "standin/database_group.hpp"
+#include "standin/platform.hpp"
+#include "tanagerhoist/decision/primary_watch.hpp"
+#include "tanagerhoist/decision/write_confirmer.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace tanagerhoist::standin
+{
+
+/// What became of one attempt at a write.
+enum class write_result
+{
+    confirmed,
+    not_run, ///< refused by the server, or no primary known
+    unknown
+};
+
+/// Runs when an attempt at a write is over; the point is set if confirmed.
+using write_handler =
+    std::function<void(moment, write_result, const proto::LogPoint&)>;
+
+/// One VM with the modules that decide on failover.
+struct scene_vm
+{
+    identity self;
+    outbox out;
+    std::unique_ptr<primary_watch> watch;
+    std::unique_ptr<write_confirmer> confirmer;
+    bool alive = true;
+    bool frozen = false;
+    std::uint64_t life = 0;
+    std::vector<std::function<void()>> backlog; ///< arrived while frozen
+};
+
+/// Several VMs, database groups and the platform on one injected clock, with
+/// messages that take time and may be lost.
+class failover_scene
+{
+public:
+    /// Time that a message from one endpoint to another takes; empty: lost.
+    using delay_rule = std::function<std::optional<microseconds>(
+        const std::string& from, const std::string& to)>;
+
+    /// @param vms names; VM number i starts as incarnation i + 1
+    /// @param groups servers by database; the first of each is the primary
+    failover_scene(
+        const std::vector<std::string>& vms,
+        const std::map<std::string, std::vector<std::string>>& groups,
+        delay_rule delay, primary_watch_options options = {});
+    failover_scene(const failover_scene&) = delete;
+    failover_scene& operator=(const failover_scene&) = delete;
+
+    moment now() const { return now_; }
+    void run_for(milliseconds duration);
+
+    /// One attempt at a write through `vm`.
+    void write(const std::string& vm, const std::string& database,
+               const std::string& request_id, const std::string& statement,
+               milliseconds deadline, write_handler done);
+
+    /// Loses messages between two endpoints, both ways.
+    void cut(const std::string& one, const std::string& other);
+    /// Loses messages between `server` and all other endpoints.
+    void isolate(const std::string& server);
+    void heal();
+
+    void kill_server(const std::string& server);
+    void restart_server(const std::string& server);
+    void kill_vm(const std::string& vm);
+    /// Starts a new incarnation of `vm`.
+    void restart_vm(const std::string& vm);
+    /// A frozen VM takes its inputs late, all at once.
+    void set_vm_frozen(const std::string& vm, bool frozen);
+
+    scene_vm& vm(const std::string& name) { return vms_.at(name); }
+    const std::vector<std::string>& vms() const { return names_; }
+    database_group& group(const std::string& database);
+    platform& service() { return platform_; }
+    const std::map<std::string, std::string>& servers() const
+    {
+        return database_of_;
+    }
+
+private:
+    /// A question that a server answers once it holds a point.
+    struct waiting_call
+    {
+        std::string server;
+        proto::DatabaseCall call;
+        moment until;
+        std::function<void(proto::DatabaseReply)> answer;
+    };
+
+    void start_vm(const std::string& name);
+    void later(microseconds delay, std::function<void()> event);
+    void send(const std::string& from, const std::string& to,
+              std::function<void()> arrival);
+    void input(const std::string& name, std::uint64_t life,
+               std::function<void(scene_vm&)> take);
+    void flush(scene_vm& vm);
+    void call_database(scene_vm& vm, const proto::CallDatabase& call);
+    void serve(const proto::CallDatabase& call,
+               std::function<void(proto::DatabaseReply)> answer);
+    void answer_waiting();
+    void call_platform(scene_vm& vm, const proto::CallPlatform& call);
+    void deliver(const proto::PeerMessage& message);
+    void tick_all();
+    void on_executed(const std::string& name, const std::string& database,
+                     const proto::PrimaryBelief& belief,
+                     const proto::DatabaseReply* reply, moment deadline,
+                     const write_handler& done);
+
+    std::vector<std::string> names_;
+    proto::Settings settings_;
+    std::map<std::string, std::string> database_of_;
+    std::map<std::string, std::unique_ptr<database_group>> groups_;
+    platform platform_;
+    delay_rule delay_;
+    primary_watch_options options_;
+    std::map<std::string, scene_vm> vms_;
+    std::uint64_t next_number_ = 1;
+    moment now_{};
+    moment next_tick_{};
+    std::uint64_t sequence_ = 0;
+    std::map<std::pair<moment, std::uint64_t>, std::function<void()>> events_;
+    std::vector<waiting_call> waiting_;
+    std::set<std::pair<std::string, std::string>> cuts_;
+};
+
+} // namespace tanagerhoist::standin
+
+#endif
