--- /dev/null
+++ b/src/decision/retry_policy.cpp
@@ -0,0 +1,118 @@
+#include "tanagerhoist/decision/retry_policy.hpp"
+
+namespace tanagerhoist
+{
+namespace
+{
+
+/// What the end of an attempt proves about that attempt.
+enum class proof
+{
+    ran,
+    not_run,
+    may_have_run,
+    rejected
+};
+
+struct answer_row
+{
+    proto::DatabaseOutcome answer;
+    proof proves;
+    bool elsewhere;      ///< another server may answer otherwise
+    result_code refusal; ///< when it is not tried again
+};
+
+constexpr answer_row answer_table[] = {
+    {proto::DATABASE_OK, proof::ran, false, result_code::ok},
+    {proto::DATABASE_NOT_PRIMARY, proof::not_run, true,
+     result_code::no_primary},
+    {proto::DATABASE_SEALED, proof::not_run, true, result_code::no_primary},
+    {proto::DATABASE_STATEMENT_ERROR, proof::rejected, false,
+     result_code::statement_rejected},
+    {proto::DATABASE_DUPLICATE, proof::ran, false, result_code::ok},
+    {proto::DATABASE_NOT_HELD, proof::not_run, true,
+     result_code::no_fresh_server},
+    {proto::DATABASE_NO_TRANSACTION, proof::not_run, false,
+     result_code::transaction_aborted},
+};
+
+/// An attempt that was not answered, or by an outcome this program lacks.
+constexpr answer_row not_sent = {proto::DATABASE_OK, proof::not_run, true,
+                                 result_code::connection_unavailable};
+constexpr answer_row lost = {proto::DATABASE_OK, proof::may_have_run, true,
+                             result_code::connection_unavailable};
+
+answer_row row_of(const attempt_end& end)
+{
+    if (end.answer)
+    {
+        // Reads are not deduplicated: such an answer to one is no answer.
+        const bool meaningless = *end.answer == proto::DATABASE_DUPLICATE &&
+                                 end.kind == proto::STATEMENT_READ &&
+                                 end.step != proto::TRANSACTION_COMMIT;
+        for (const answer_row& row : answer_table)
+        {
+            if (row.answer == *end.answer && !meaningless)
+            {
+                return row;
+            }
+        }
+        return lost;
+    }
+    return end.sent ? lost : not_sent;
+}
+
+/// Whether the statement belongs to a transaction that is already open, and
+/// so to one connection.
+bool pinned(proto::TransactionStep step)
+{
+    return step != proto::TRANSACTION_NONE && step != proto::TRANSACTION_BEGIN;
+}
+
+/// Whether an attempt that was sent can have a lasting effect. Without a
+/// commit, the end of its connection undoes a transaction.
+bool has_effect(const attempt_end& end)
+{
+    return end.step == proto::TRANSACTION_COMMIT ||
+           (end.step == proto::TRANSACTION_NONE &&
+            end.kind != proto::STATEMENT_READ);
+}
+
+} // namespace
+
+retry_decision retry_policy::after(const attempt_end& end) const
+{
+    const answer_row row = row_of(end);
+    if (row.proves == proof::ran)
+    {
+        return {next_step::answer_served, result_code::ok, true};
+    }
+    const bool may_have_run =
+        has_effect(end) &&
+        (end.may_have_run_before || row.proves == proof::may_have_run);
+    const bool allowed = !may_have_run || may_repeat(end);
+    if (row.elsewhere && allowed && !pinned(end.step) && end.time_left &&
+        end.attempts < options_.most_attempts)
+    {
+        return {next_step::retry_elsewhere, result_code::ok, may_have_run};
+    }
+    if (may_have_run)
+    {
+        return {next_step::answer_unknown, result_code::outcome_unknown, true};
+    }
+    if (row.proves == proof::rejected)
+    {
+        return {next_step::answer_caller_error, row.refusal, false};
+    }
+    return {next_step::answer_not_run,
+            pinned(end.step) ? result_code::transaction_aborted : row.refusal,
+            false};
+}
+
+bool retry_policy::may_repeat(const attempt_end& end) const
+{
+    return end.idempotent ||
+           (end.has_request_id && options_.database_deduplicates);
+}
+
+} // namespace tanagerhoist
--- /dev/null
+++ b/src/decision/weighted_fair_order.cpp
@@ -0,0 +1,148 @@
+#include "tanagerhoist/decision/queue_order.hpp"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace tanagerhoist
+{
+namespace
+{
+
+/// Virtual time that one request of a workspace with weight 1 takes.
+constexpr std::uint64_t request_span = 1'000'000;
+
+/// Start-time fair queueing. A workspace's requests have start tags one span
+/// apart, and the request with the lowest tag runs next. Only the tag of the
+/// first one is kept, so that a request taken out of the middle costs its
+/// workspace nothing.
+class weighted_fair_order final : public queue_order
+{
+public:
+    void push(const queued& request) override
+    {
+        flow& owner = flows_[request.workspace];
+        owner.span = span_of(request);
+        if (owner.waiting.empty())
+        {
+            owner.start = std::max(owner.start, virtual_time_);
+            heads_.emplace(owner.start, request.workspace);
+        }
+        owner.waiting.emplace(next_place_, request.id);
+        places_.emplace(request.id, next_place_);
+        ++next_place_;
+    }
+
+    std::optional<std::uint64_t> pop() override
+    {
+        if (heads_.empty())
+        {
+            return std::nullopt;
+        }
+        const std::string workspace = heads_.begin()->second;
+        heads_.erase(heads_.begin());
+        flow& owner = flows_[workspace];
+        const auto first = owner.waiting.begin();
+        const std::uint64_t id = first->second;
+        owner.waiting.erase(first);
+        places_.erase(id);
+        virtual_time_ = owner.start;
+        owner.start += owner.span;
+        if (!owner.waiting.empty())
+        {
+            heads_.emplace(owner.start, workspace);
+        }
+        forget_served();
+        return id;
+    }
+
+    void erase(const queued& request) override
+    {
+        const auto place = places_.find(request.id);
+        if (place == places_.end())
+        {
+            return;
+        }
+        flow& owner = flows_[request.workspace];
+        owner.waiting.erase(place->second);
+        places_.erase(place);
+        if (owner.waiting.empty())
+        {
+            heads_.erase({owner.start, request.workspace});
+        }
+        forget_served();
+    }
+
+    std::size_t ahead_of(const queued& request) const override
+    {
+        const std::uint64_t start = start_of(request);
+        std::size_t ahead = 0;
+        for (const auto& head : heads_)
+        {
+            if (head.first >= start)
+            {
+                break;
+            }
+            const flow& other = flows_.at(head.second);
+            const std::uint64_t earlier =
+                (start - head.first + other.span - 1) / other.span;
+            ahead += std::min<std::size_t>(other.waiting.size(), earlier);
+        }
+        return ahead;
+    }
+
+    std::size_t size() const override { return places_.size(); }
+
+private:
+    /// The requests of one workspace, by place in order of arrival.
+    struct flow
+    {
+        std::uint64_t start = 0; ///< tag of the first, or of the next to come
+        std::uint64_t span = request_span;
+        std::map<std::uint64_t, std::uint64_t> waiting;
+    };
+
+    static std::uint64_t span_of(const queued& request)
+    {
+        return std::max<std::uint64_t>(
+            request_span / std::max<std::uint64_t>(request.weight, 1), 1);
+    }
+
+    /// Start tag that `request` would have, were it pushed now.
+    std::uint64_t start_of(const queued& request) const
+    {
+        const auto owner = flows_.find(request.workspace);
+        if (owner == flows_.end())
+        {
+            return virtual_time_;
+        }
+        return std::max(owner->second.start, virtual_time_) +
+               span_of(request) * owner->second.waiting.size();
+    }
+
+    /// Drops all flows at the end of a busy period: nobody owes anybody.
+    void forget_served()
+    {
+        if (places_.empty())
+        {
+            flows_.clear();
+            virtual_time_ = 0;
+        }
+    }
+
+    std::uint64_t virtual_time_ = 0;
+    std::uint64_t next_place_ = 0;
+    std::map<std::string, flow> flows_;
+    std::set<std::pair<std::uint64_t, std::string>> heads_;
+    std::map<std::uint64_t, std::uint64_t> places_; // id to place
+};
+
+} // namespace
+
+std::unique_ptr<queue_order> make_weighted_fair_order()
+{
+    return std::make_unique<weighted_fair_order>();
+}
+
+} // namespace tanagerhoist
