Compose the decisions: node and the path of a request

Cause: the modules stood alone; nothing took a request from arrival to answer. Ruled out: one queue per database (a failover would hold up reads that replicas can serve), so each database has a lane for its primary and one for its replicas. Change: node routes inputs to modules and stamps messages and events; request_flow checks, admits, queues, dispatches, confirms and answers once. Before: no path. Conclusion: the decision layer is one deterministic state machine.

--- a/include/tanagerhoist/core/result_code.hpp
+++ b/include/tanagerhoist/core/result_code.hpp
@@ -36,6 +36,7 @@
     request_timeout = 110,
     request_id_missing = 111,
     wrong_transaction_owner = 112,
+    statement_outstanding = 113,
 
     over_rate = 200,
     queue_full = 201,
--- a/include/tanagerhoist/decision/membership.hpp
+++ b/include/tanagerhoist/decision/membership.hpp
@@ -55,6 +55,9 @@
     /// Sends heartbeats that carry `news` and reads the platform's list.
     void on_tick(moment now, const proto::Heartbeat& news, outbox& out);
 
+    /// Whether the next `on_tick` at `now` sends heartbeats.
+    bool heartbeat_due(moment now) const { return now >= next_heartbeat_; }
+
     void on_heartbeat(moment now, const proto::Incarnation& from,
                       const proto::Heartbeat& heartbeat);
 
--- /dev/null
+++ b/include/tanagerhoist/decision/node.hpp
@@ -0,0 +1,122 @@
+#ifndef TANAGERHOIST_DECISION_NODE_HPP
+#define TANAGERHOIST_DECISION_NODE_HPP
+
+#include "tanagerhoist/core/identity.hpp"
+#include "tanagerhoist/decision/enrolment.hpp"
+#include "tanagerhoist/decision/hybrid_clock.hpp"
+#include "tanagerhoist/decision/membership.hpp"
+#include "tanagerhoist/decision/request_flow.hpp"
+#include "tanagerhoist/decision/settings_follower.hpp"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace tanagerhoist
+{
+
+/// All times and bounds of one node, and who it is.
+struct node_options
+{
+    std::string vm;
+    std::string data_centre;
+    membership_options membership;
+    settings_follower_options settings;
+    fence_options fence;
+    limiter_options limiter;
+    primary_watch_options primaries;
+    replica_view_options replicas;
+    write_confirmer_options confirmer;
+    connection_pool_options pool;
+    transaction_table_options transactions;
+    request_registry_options registry;
+    retry_policy_options retries;
+    request_flow_options flow;
+};
+
+/// Figures of a node for its metrics.
+struct node_figures
+{
+    std::uint64_t incarnation = 0;
+    std::uint64_t settings_version = 0;
+    std::size_t requests_in_flight = 0;
+    std::size_t serving_vms = 0;
+    bool may_serve = false;
+    bool draining = false;
+};
+
+/// The decisions of one daemon: a deterministic state machine that turns
+/// inputs into actions. It has no socket, fiber, thread, clock or log; the
+/// same inputs in the same order always give the same actions and events.
+class node
+{
+public:
+    explicit node(node_options options);
+    node(const node&) = delete;
+    node& operator=(const node&) = delete;
+
+    /// Consumes one input. The times of inputs must not fall.
+    /// @return what is to be done, in order
+    std::vector<proto::Action> apply(const proto::Input& input);
+
+    /// Takes the events noted since the last call, stamped and in order.
+    std::vector<proto::Event> take_events();
+
+    /// Figures for metrics, as of the last input at `now`.
+    node_figures figures(moment now) const;
+
+    /// Interval of the ticks that the node needs as inputs.
+    static constexpr milliseconds tick_interval{20};
+
+private:
+    using handler = void (node::*)(moment, const proto::Input&);
+    static handler handler_of(proto::Input::BodyCase body);
+
+    void on_caller_arrived(moment now, const proto::Input& input);
+    void on_caller_gone(moment now, const proto::Input& input);
+    void on_database_answered(moment now, const proto::Input& input);
+    void on_database_failed(moment now, const proto::Input& input);
+    void on_connection_opened(moment now, const proto::Input& input);
+    void on_connection_closed(moment now, const proto::Input& input);
+    void on_platform_answered(moment now, const proto::Input& input);
+    void on_platform_failed(moment now, const proto::Input& input);
+    void on_peer(moment now, const proto::Input& input);
+    void on_tick(moment now, const proto::Input& input);
+    void on_drain(moment now, const proto::Input& input);
+
+    void adopt_settings(moment now);
+    void share_connections(moment now);
+    void go_on_draining(moment now);
+    proto::Heartbeat news();
+    std::vector<std::string> serving_vms(moment now) const;
+    void stamp(proto::Action& action);
+
+    node_options options_;
+    identity self_;
+    hybrid_clock clock_;
+    std::uint64_t wall_us_ = 0;
+    std::uint64_t event_sequence_ = 0;
+    bool draining_ = false;
+    bool drain_reported_ = false;
+
+    outbox out_;
+    enrolment enrolment_;
+    membership membership_;
+    settings_follower follower_;
+    fence fence_;
+    limiter limiter_;
+    primary_watch primaries_;
+    replica_view replicas_;
+    write_confirmer confirmer_;
+    connection_pool pool_;
+    transaction_table transactions_;
+    request_registry registry_;
+    retry_policy retries_;
+    request_flow flow_;
+    std::unique_ptr<const settings_view> view_;
+    std::vector<proto::Event> events_;
+};
+
+} // namespace tanagerhoist
+
+#endif
--- /dev/null
+++ b/src/adapter/http_wire.cpp
@@ -0,0 +1,233 @@
+#include "tanagerhoist/adapter/http_wire.hpp"
+
+#include "tanagerhoist/adapter/fiber_await.hpp"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <utility>
+
+namespace tanagerhoist
+{
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+constexpr int http_version = 11;
+constexpr std::size_t header_limit = 8 * 1024; // bytes
+
+read_status status_of(const error_code& error, bool has_bytes)
+{
+    if (error == http::error::end_of_stream)
+    {
+        return read_status::closed;
+    }
+    if (error == http::error::body_limit || error == http::error::header_limit)
+    {
+        return read_status::too_large;
+    }
+    if (error == beast::error::timeout)
+    {
+        return read_status::timed_out;
+    }
+    const bool dropped = error == asio::error::connection_reset ||
+                         error == asio::error::operation_aborted ||
+                         error == asio::error::eof;
+    return dropped && !has_bytes ? read_status::closed : read_status::malformed;
+}
+
+} // namespace
+
+// ---- server ---------------------------------------------------------------
+
+struct http_server_stream::state
+{
+    explicit state(asio::ip::tcp::socket socket) : stream(std::move(socket)) {}
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+};
+
+http_server_stream::http_server_stream(asio::ip::tcp::socket socket)
+    : state_(std::make_unique<state>(std::move(socket)))
+{
+    error_code ignored;
+    state_->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+}
+
+http_server_stream::~http_server_stream() = default;
+
+void http_server_stream::wait_readable(std::function<void(bool)> ready)
+{
+    state_->buffer.shrink_to_fit(); // an idle connection keeps no buffer
+    state_->stream.socket().async_wait(
+        asio::ip::tcp::socket::wait_read,
+        [ready = std::move(ready)](error_code error) { ready(!error); });
+}
+
+read_status http_server_stream::read(http_request& request, std::size_t limit,
+                                     milliseconds timeout)
+{
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(limit);
+    parser.header_limit(header_limit);
+    state_->stream.expires_after(timeout);
+    const auto error = await(
+        [&](auto handler)
+        {
+            http::async_read(state_->stream, state_->buffer, parser,
+                             std::move(handler));
+        });
+    if (error)
+    {
+        return status_of(error, parser.got_some());
+    }
+    state_->stream.expires_never();
+    auto message = parser.release();
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    request.authorization = std::string(message[http::field::authorization]);
+    request.keep_alive = message.keep_alive();
+    request.body = std::move(message.body());
+    return read_status::whole;
+}
+
+bool http_server_stream::has_buffered() const
+{
+    return state_->buffer.size() > 0;
+}
+
+bool http_server_stream::write(const http_answer& answer, bool keep_alive,
+                               milliseconds timeout)
+{
+    http::response<http::string_body> message(
+        http::int_to_status(answer.status), http_version);
+    message.set(http::field::content_type, answer.content_type);
+    message.keep_alive(keep_alive);
+    message.body() = answer.body;
+    message.prepare_payload();
+    state_->stream.expires_after(timeout);
+    const auto error = await(
+        [&](auto handler)
+        { http::async_write(state_->stream, message, std::move(handler)); });
+    state_->stream.expires_never();
+    return !error;
+}
+
+void http_server_stream::close()
+{
+    error_code ignored;
+    state_->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both,
+                                     ignored);
+    state_->stream.close();
+}
+
+// ---- client ---------------------------------------------------------------
+
+struct http_client_stream::state
+{
+    explicit state(asio::io_context& context) : stream(context) {}
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+};
+
+http_client_stream::http_client_stream(asio::io_context& context)
+    : state_(std::make_unique<state>(context))
+{
+}
+
+http_client_stream::~http_client_stream() = default;
+
+bool http_client_stream::connect(const std::string& address, std::uint16_t port,
+                                 milliseconds timeout)
+{
+    error_code error;
+    const auto ip = asio::ip::make_address(address, error);
+    if (error)
+    {
+        return false;
+    }
+    state_->stream.expires_after(timeout);
+    error = await(
+        [&](auto handler)
+        {
+            state_->stream.async_connect(asio::ip::tcp::endpoint(ip, port),
+                                         std::move(handler));
+        });
+    state_->stream.expires_never();
+    if (error)
+    {
+        close();
+        return false;
+    }
+    state_->stream.socket().set_option(asio::ip::tcp::no_delay(true), error);
+    return true;
+}
+
+std::optional<std::string> http_client_stream::post(const std::string& target,
+                                                    const std::string& body,
+                                                    milliseconds timeout,
+                                                    bool& sent)
+{
+    http::request<http::string_body> message(http::verb::post, target,
+                                             http_version);
+    message.set(http::field::host, "database");
+    message.set(http::field::content_type, "application/json");
+    message.body() = body;
+    message.prepare_payload();
+    state_->stream.expires_after(timeout);
+    sent = is_open();
+    auto error = await(
+        [&](auto handler)
+        { http::async_write(state_->stream, message, std::move(handler)); });
+    http::response<http::string_body> answer;
+    if (!error)
+    {
+        error = await(
+            [&](auto handler)
+            {
+                http::async_read(state_->stream, state_->buffer, answer,
+                                 std::move(handler));
+            });
+    }
+    const bool whole = !error && answer.result() == http::status::ok;
+    if (!whole || !answer.keep_alive())
+    {
+        close();
+    }
+    else
+    {
+        state_->stream.expires_never();
+    }
+    return whole ? std::optional<std::string>(std::move(answer.body()))
+                 : std::nullopt;
+}
+
+void http_client_stream::watch(std::function<void()> ended)
+{
+    state_->stream.socket().async_wait(
+        asio::ip::tcp::socket::wait_read,
+        [ended = std::move(ended)](error_code error)
+        {
+            if (error != asio::error::operation_aborted)
+            {
+                ended();
+            }
+        });
+}
+
+bool http_client_stream::is_open() const
+{
+    return state_->stream.socket().is_open();
+}
+
+void http_client_stream::close()
+{
+    state_->stream.close();
+}
+
+} // namespace tanagerhoist
--- /dev/null
+++ b/src/adapter/json_codec.cpp
@@ -0,0 +1,27 @@
+#include "tanagerhoist/adapter/json_codec.hpp"
+
+#include <google/protobuf/util/json_util.h>
+
+namespace tanagerhoist
+{
+
+std::string to_json(const google::protobuf::Message& message)
+{
+    google::protobuf::util::JsonPrintOptions options;
+    options.preserve_proto_field_names = true;
+    std::string text;
+    // Printing fails only for messages with google.protobuf.Any.
+    const auto status =
+        google::protobuf::util::MessageToJsonString(message, &text, options);
+    return status.ok() ? text : std::string("{}");
+}
+
+bool from_json(std::string_view text, google::protobuf::Message& message)
+{
+    return google::protobuf::util::JsonStringToMessage(
+               google::protobuf::StringPiece(text.data(), text.size()),
+               &message)
+        .ok();
+}
+
+} // namespace tanagerhoist
--- a/src/core/result_code.cpp
+++ b/src/core/result_code.cpp
@@ -11,7 +11,7 @@
 using c = result_code;
 using o = outcome;
 
-constexpr std::array<result_info, 28> table{{
+constexpr std::array<result_info, 29> table{{
     {c::ok, "ok", o::served, 200, "served"},
     {c::malformed_request, "malformed_request", o::caller_error, 400,
      "the request could not be read"},
@@ -37,6 +37,8 @@
      "a write needs a request id"},
     {c::wrong_transaction_owner, "wrong_transaction_owner", o::caller_error,
      403, "the transaction belongs to another workspace"},
+    {c::statement_outstanding, "statement_outstanding", o::caller_error, 409,
+     "the transaction's last statement is not answered yet"},
     {c::over_rate, "over_rate", o::not_run, 429,
      "the workspace is over its rate and burst"},
     {c::queue_full, "queue_full", o::not_run, 503,
--- /dev/null
+++ b/src/decision/request_answers.cpp
@@ -0,0 +1,421 @@
+// The last half of a request's path: from a server's reply to the one answer.
+
+#include "tanagerhoist/core/log_point.hpp"
+#include "tanagerhoist/decision/read_acceptance.hpp"
+#include "tanagerhoist/decision/request_flow.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace tanagerhoist
+{
+namespace
+{
+
+proto::CallerReply make_reply(const std::string& request_id, result_code code,
+                              const std::string& message)
+{
+    proto::CallerReply reply;
+    const auto& row = info(code);
+    reply.set_request_id(request_id);
+    reply.set_code(static_cast<std::uint32_t>(code));
+    reply.set_message(message.empty() ? std::string(row.message) : message);
+    reply.set_outcome(std::string(name(row.outcome)));
+    return reply;
+}
+
+} // namespace
+
+void request_flow::on_database(moment now, std::uint64_t id,
+                               const proto::DatabaseReply* reply, bool sent)
+{
+    request* r = find(id);
+    if (r == nullptr)
+    {
+        return;
+    }
+    r->tag = 0;
+    if (reply == nullptr || !reply->has_execute())
+    {
+        modules_.replicas.failed(now, r->server);
+        modules_.primaries.report_failure(now, r->route.database(), r->server);
+        on_failure(now, *r, sent);
+        return;
+    }
+    const auto& execute = reply->execute();
+    modules_.replicas.observed(now, r->server, execute.point(),
+                               milliseconds(execute.age_ms()));
+    if (execute.outcome() != proto::DATABASE_OK &&
+        execute.outcome() != proto::DATABASE_DUPLICATE)
+    {
+        on_refused(now, *r, execute);
+    }
+    else if (r->in_transaction())
+    {
+        on_transaction_step(now, *r, execute);
+    }
+    else if (r->is_write())
+    {
+        on_write(now, *r, execute);
+    }
+    else
+    {
+        on_read(now, *r, execute);
+    }
+}
+
+/// The call brought no answer. A write is sent again under its request id,
+/// which the database keeps in its replicated log: the repeat meets the first
+/// or, if a promotion has lost the first, is the first.
+void request_flow::on_failure(moment now, request& r, bool sent)
+{
+    if (r.continues_transaction())
+    {
+        const bool commit = r.wire.step() == proto::TRANSACTION_COMMIT;
+        abort_transaction(now, r);
+        answer(now, r.id,
+               commit && sent ? result_code::outcome_unknown
+                              : result_code::transaction_aborted);
+        return;
+    }
+    release(now, r, false);
+    after_attempt(now, r, sent, nullptr);
+}
+
+/// Asks the retry policy what follows on an attempt that did not serve.
+void request_flow::after_attempt(moment now, request& r, bool sent,
+                                 const proto::ExecuteReply* reply)
+{
+    attempt_end end;
+    end.kind = r.is_write() ? proto::STATEMENT_WRITE : proto::STATEMENT_READ;
+    end.step = r.wire.step();
+    end.idempotent = says_yes(r.route.idempotent());
+    end.has_request_id = !r.wire.request_id().empty();
+    end.sent = sent;
+    if (reply != nullptr)
+    {
+        end.answer = reply->outcome();
+    }
+    end.may_have_run_before = r.maybe_ran;
+    end.attempts = r.attempts;
+    end.time_left = now < r.deadline;
+    const auto decision = modules_.retries.after(end);
+    r.maybe_ran = decision.may_have_run;
+    if (decision.step == next_step::retry_elsewhere)
+    {
+        retry(now, r, r.lane);
+        return;
+    }
+    answer(now, r.id, decision.code, reply == nullptr ? "" : reply->error());
+}
+
+void request_flow::on_refused(moment now, request& r,
+                              const proto::ExecuteReply& reply)
+{
+    if (reply.outcome() == proto::DATABASE_STATEMENT_ERROR)
+    {
+        if (r.continues_transaction())
+        {
+            keep_transaction(now, r);
+        }
+        release(now, r, true);
+        after_attempt(now, r, true, &reply);
+        return;
+    }
+    if (r.continues_transaction())
+    {
+        abort_transaction(now, r);
+        answer(now, r.id, result_code::transaction_aborted);
+        return;
+    }
+    modules_.primaries.report_failure(now, r.route.database(), r.server);
+    release(now, r, true);
+    after_attempt(now, r, true, &reply);
+}
+
+void request_flow::on_read(moment now, request& r,
+                           const proto::ExecuteReply& reply)
+{
+    const auto* belief = modules_.primaries.primary(r.route.database());
+    const bool at_primary = belief != nullptr && belief->server() == r.server;
+    release(now, r, true);
+    r.result = reply;
+    if (!acceptable(reply, r.token, r.has_token,
+                    milliseconds(r.route.tolerated_age_ms()), at_primary))
+    {
+        if (at_primary)
+        {
+            modules_.primaries.report_failure(now, r.route.database(),
+                                              r.server);
+        }
+        r.short_servers.insert(r.server);
+        retry(now, r, lane_kind::primary);
+        return;
+    }
+    if (r.confirm_read)
+    {
+        confirm(now, r, reply);
+        return;
+    }
+    answer(now, r.id, result_code::ok);
+}
+
+void request_flow::on_write(moment now, request& r,
+                            const proto::ExecuteReply& reply)
+{
+    release(now, r, true);
+    r.maybe_ran = true;
+    r.result = reply;
+    confirm(now, r, reply);
+}
+
+void request_flow::on_transaction_step(moment now, request& r,
+                                       const proto::ExecuteReply& reply)
+{
+    r.result = reply;
+    switch (r.wire.step())
+    {
+    case proto::TRANSACTION_BEGIN:
+    {
+        const auto id = modules_.transactions.begin(
+            now, r.user(), r.route.database(), r.server, r.connection);
+        r.wire.set_transaction(id);
+        r.connection = 0; // the transaction owns it now
+        answer(now, r.id, result_code::ok);
+        break;
+    }
+    case proto::TRANSACTION_COMMIT:
+        modules_.transactions.finish(r.wire.transaction());
+        release(now, r, true);
+        r.maybe_ran = true;
+        confirm(now, r, reply);
+        break;
+    case proto::TRANSACTION_ROLLBACK:
+        modules_.transactions.finish(r.wire.transaction());
+        release(now, r, true);
+        answer(now, r.id, result_code::ok);
+        break;
+    default:
+        keep_transaction(now, r);
+        answer(now, r.id, result_code::ok);
+        break;
+    }
+}
+
+/// The statement is over; its transaction stays open and keeps the connection.
+void request_flow::keep_transaction(moment now, request& r)
+{
+    modules_.transactions.finish_statement(now, r.wire.transaction());
+    r.connection = 0;
+}
+
+/// Closing the connection makes the database roll the transaction back.
+void request_flow::abort_transaction(moment now, request& r)
+{
+    modules_.transactions.finish(r.wire.transaction());
+    release(now, r, false);
+}
+
+void request_flow::confirm(moment now, request& r,
+                           const proto::ExecuteReply& reply)
+{
+    r.state = request_state::confirming;
+    std::vector<std::string> others;
+    for (const auto* server : view_->servers_of(r.route.database()))
+    {
+        if (server->name() != r.server)
+        {
+            others.push_back(server->name());
+        }
+    }
+    const auto id = r.id;
+    auto done = [this, id](moment at, write_confirmer::verdict verdict)
+    { on_confirmed(at, id, verdict); };
+    const auto* belief = modules_.primaries.primary(r.route.database());
+    if (reply.outcome() == proto::DATABASE_DUPLICATE && belief != nullptr)
+    {
+        // The first entry may be of an earlier term, which no server confirms
+        // any more: everything that the primary holds now is confirmed instead.
+        modules_.confirmer.confirm_current(
+            now, r.route.database(), r.server, std::move(others),
+            belief->term(), r.deadline, modules_.out, std::move(done));
+        return;
+    }
+    modules_.confirmer.confirm(now, r.route.database(), std::move(others),
+                               reply.point(), r.deadline, modules_.out,
+                               std::move(done));
+}
+
+void request_flow::on_confirmed(moment now, std::uint64_t id,
+                                write_confirmer::verdict verdict)
+{
+    request* r = find(id);
+    if (r == nullptr)
+    {
+        return;
+    }
+    if (verdict == write_confirmer::verdict::confirmed)
+    {
+        answer(now, id, result_code::ok);
+        return;
+    }
+    const bool superseded = verdict == write_confirmer::verdict::superseded;
+    if (superseded && !r->in_transaction())
+    {
+        modules_.primaries.report_failure(now, r->route.database(), r->server);
+        retry(now, *r, lane_kind::primary);
+        return;
+    }
+    answer(now, id,
+           superseded ? result_code::superseded : result_code::unconfirmed);
+}
+
+void request_flow::answer(moment now, std::uint64_t id, result_code code,
+                          const std::string& message)
+{
+    auto node = requests_.extract(id);
+    request& r = node.mapped();
+    release(now, r, false);
+    forget_waiting(r);
+    const bool claims_no_effect = info(code).outcome == outcome::not_run;
+    if (r.maybe_ran && claims_no_effect)
+    {
+        code = result_code::outcome_unknown;
+    }
+    else if (claims_no_effect && r.charged)
+    {
+        modules_.limiter_.refund(now, r.principal.workspace());
+    }
+    auto reply = make_reply(r.wire.request_id(), code, message);
+    if (code == result_code::ok)
+    {
+        reply.set_value(r.result.value());
+        reply.set_served_by(r.server);
+        reply.set_transaction(r.wire.transaction());
+        fill_token(r, reply);
+    }
+    if (code == result_code::over_rate)
+    {
+        reply.set_retry_after_ms(
+            to_ms(modules_.limiter_.retry_after(now, r.principal.workspace())));
+    }
+    const bool keep = code == result_code::ok && r.is_write();
+    const auto calls = modules_.registry.finish(now, r.call, reply, keep);
+    send_answer(calls.empty() ? std::vector<std::uint64_t>{r.call} : calls,
+                reply);
+    note(r, "answered", r.is_write() ? "write" : "read", code, message);
+}
+
+/// Takes the request out of the line that it waits in.
+void request_flow::forget_waiting(const request& r)
+{
+    paused_.erase(r.id);
+    if (r.state == request_state::queued)
+    {
+        lane_of(r).queue.erase(r.id);
+    }
+    const auto line = admitting_.find(r.principal.workspace());
+    if (r.state == request_state::admitting && line != admitting_.end())
+    {
+        auto& ids = line->second;
+        ids.erase(std::remove(ids.begin(), ids.end(), r.id), ids.end());
+    }
+}
+
+/// Adds what the answer reflects to the caller's token. A read on a route with
+/// a tolerated age leaves it as it is: the caller has asked for data of that
+/// age, and a token that held it would bind its later reads to newer data.
+void request_flow::fill_token(const request& r, proto::CallerReply& reply) const
+{
+    auto& token = *reply.mutable_token();
+    token = r.wire.token();
+    if (token.session().empty())
+    {
+        token.set_session(r.wire.session());
+    }
+    const bool binds = r.is_write() || r.route.tolerated_age_ms() == 0;
+    const bool uncommitted =
+        r.in_transaction() && r.wire.step() != proto::TRANSACTION_COMMIT;
+    if (!binds || uncommitted)
+    {
+        return;
+    }
+    auto& seen = (*token.mutable_seen())[r.route.database()];
+    if (seen < r.result.point())
+    {
+        seen = r.result.point();
+    }
+}
+
+void request_flow::send_answer(const std::vector<std::uint64_t>& calls,
+                               const proto::CallerReply& reply)
+{
+    for (const auto call : calls)
+    {
+        proto::Action action;
+        action.mutable_answer_caller()->set_call(call);
+        *action.mutable_answer_caller()->mutable_reply() = reply;
+        modules_.out.add(std::move(action));
+    }
+}
+
+void request_flow::answer_at_once(const proto::CallerArrived& arrived,
+                                  result_code code)
+{
+    send_answer({arrived.call()},
+                make_reply(arrived.request().request_id(), code, ""));
+    request r;
+    r.wire = arrived.request();
+    r.principal = arrived.principal();
+    note(r, "answered", "checked", code);
+}
+
+void request_flow::note(const request& r, const char* kind, const char* rule,
+                        result_code code, const std::string& detail)
+{
+    proto::Event event;
+    event.set_kind(kind);
+    event.set_rule(rule);
+    event.set_code(static_cast<std::uint32_t>(code));
+    event.set_request_id(r.wire.request_id());
+    event.set_session(r.wire.token().session().empty()
+                          ? r.wire.session()
+                          : r.wire.token().session());
+    event.set_workspace(r.principal.workspace());
+    event.set_database(r.route.database());
+    event.set_server(r.server);
+    event.set_detail(detail);
+    modules_.out.note(std::move(event));
+}
+
+void request_flow::drain()
+{
+    draining_ = true;
+}
+
+bool request_flow::idle() const
+{
+    return requests_.empty() && modules_.transactions.size() == 0;
+}
+
+/// A statement of an open transaction needs no queue: its connection is held.
+void request_flow::enqueue_in_transaction(moment now, request& r)
+{
+    const auto& id = r.wire.transaction();
+    const auto found = modules_.transactions.find(id, r.user());
+    if (found.code != result_code::ok)
+    {
+        answer(now, r.id, found.code);
+        return;
+    }
+    if (!modules_.transactions.start_statement(id))
+    {
+        answer(now, r.id, result_code::statement_outstanding);
+        return;
+    }
+    r.server = found.transaction->server;
+    r.connection = found.transaction->connection;
+    send(now, r);
+}
+
+} // namespace tanagerhoist
--- /dev/null
+++ b/src/decision/request_dispatch.cpp
@@ -0,0 +1,318 @@
+// The middle of a request's path: from the queue to a server and back.
+
+#include "tanagerhoist/core/log_point.hpp"
+#include "tanagerhoist/decision/authenticator.hpp"
+#include "tanagerhoist/decision/request_flow.hpp"
+
+#include <algorithm>
+
+namespace tanagerhoist
+{
+
+void request_flow::pump(moment now)
+{
+    abandon_superseded(now);
+    pump_admission(now);
+    for (auto& [key, l] : lanes_)
+    {
+        pump_lane(now, l);
+    }
+}
+
+void request_flow::pump_lane(moment now, lane& l)
+{
+    while (true)
+    {
+        if (!l.head)
+        {
+            l.head = l.queue.pop(now);
+        }
+        if (!l.head)
+        {
+            return;
+        }
+        const auto id = *l.head;
+        if (find(id) != nullptr && !dispatch_head(now, id))
+        {
+            return;
+        }
+        l.head.reset();
+    }
+}
+
+/// Gives the head of a lane a connection.
+/// @return false if it must wait
+bool request_flow::dispatch_head(moment now, std::uint64_t id)
+{
+    request& r = *find(id);
+    const auto code = recheck(r);
+    if (code != result_code::ok)
+    {
+        answer(now, id, code);
+        return true;
+    }
+    const auto servers = candidates(now, r);
+    if (!servers.empty() && await_replica(now, r, servers.front()))
+    {
+        return true;
+    }
+    for (const auto& server : servers)
+    {
+        const auto connection =
+            modules_.pool.acquire(now, server, modules_.out);
+        if (connection)
+        {
+            r.server = server;
+            r.connection = *connection;
+            send(now, r);
+            return true;
+        }
+    }
+    return false;
+}
+
+/// Pauses a read once for a replica that is expected to hold its token soon.
+/// @return whether it has been paused
+bool request_flow::await_replica(moment now, request& r,
+                                 const std::string& server)
+{
+    const auto* belief = modules_.primaries.primary(r.route.database());
+    const bool is_replica = belief != nullptr && belief->server() != server;
+    if (r.lane != lane_kind::replica || r.waited_for_replica || !is_replica)
+    {
+        return false;
+    }
+    const auto wait =
+        modules_.replicas.expected_wait(now, server, belief->server(), r.token);
+    if (!wait || *wait <= microseconds(0))
+    {
+        return false;
+    }
+    r.waited_for_replica = true;
+    paused_[r.id] = now + *wait;
+    return true;
+}
+
+/// What was true at arrival must still be true when the statement leaves.
+result_code request_flow::recheck(const request& r) const
+{
+    if (!r.principal.key_id().empty() && !still_valid(*view_, r.principal))
+    {
+        return result_code::key_withdrawn;
+    }
+    const auto* database = view_->database(r.route.database());
+    if (database == nullptr || says_yes(database->leaving()))
+    {
+        return result_code::database_leaving;
+    }
+    return result_code::ok;
+}
+
+std::vector<std::string> request_flow::candidates(moment now, const request& r)
+{
+    const auto* belief = modules_.primaries.primary(r.route.database());
+    const std::string primary = belief == nullptr ? "" : belief->server();
+    if (r.lane == lane_kind::primary)
+    {
+        return primary.empty() ? std::vector<std::string>()
+                               : std::vector<std::string>{primary};
+    }
+    std::vector<std::string> servers;
+    for (const auto* server : view_->servers_of(r.route.database()))
+    {
+        if (r.short_servers.count(server->name()) == 0)
+        {
+            servers.push_back(server->name());
+        }
+    }
+    return modules_.replicas.candidates(
+        now, servers, primary, r.token, r.has_token,
+        milliseconds(r.route.tolerated_age_ms()));
+}
+
+void request_flow::send(moment now, request& r)
+{
+    r.state = request_state::running;
+    ++r.attempts;
+    proto::DatabaseCall call;
+    auto& execute = *call.mutable_execute();
+    execute.set_request_id(r.wire.request_id());
+    execute.set_kind(r.is_write() ? proto::STATEMENT_WRITE
+                                  : proto::STATEMENT_READ);
+    execute.set_statement(r.wire.statement());
+    execute.set_step(r.wire.step());
+    execute.set_workspace(r.principal.workspace());
+    const auto* belief = modules_.primaries.primary(r.route.database());
+    if (belief != nullptr && belief->server() == r.server)
+    {
+        execute.set_term(belief->term());
+    }
+    const auto longest =
+        r.is_write() ? options_.write_timeout : options_.read_timeout;
+    const auto left =
+        std::chrono::duration_cast<milliseconds>(r.deadline - now);
+    const auto timeout = std::clamp(left, milliseconds(1), longest);
+    const auto id = r.id;
+    r.tag = modules_.out.call_database(
+        r.server, r.connection, std::move(call), timeout,
+        [this, id](moment at, const proto::DatabaseReply* reply, bool sent)
+        { on_database(at, id, reply, sent); });
+    note(r, "dispatched", r.lane == lane_kind::primary ? "primary" : "replica",
+         result_code::ok);
+}
+
+/// Frees requests that hang at a server which is no longer the primary.
+void request_flow::abandon_superseded(moment now)
+{
+    std::vector<std::uint64_t> stuck;
+    for (const auto& [id, r] : requests_)
+    {
+        const bool at_primary =
+            r.state == request_state::running && r.lane == lane_kind::primary;
+        const auto* belief = modules_.primaries.primary(r.route.database());
+        if (at_primary && belief != nullptr && belief->server() != r.server)
+        {
+            stuck.push_back(id);
+        }
+    }
+    for (const auto id : stuck)
+    {
+        if (request* r = find(id))
+        {
+            modules_.out.forget(r->tag);
+            on_failure(now, *r, true);
+        }
+    }
+}
+
+void request_flow::retry(moment now, request& r, lane_kind lane)
+{
+    if (now >= r.deadline)
+    {
+        answer(now, r.id, expiry_code(r));
+        return;
+    }
+    r.lane = lane;
+    r.state = request_state::queued;
+    paused_[r.id] = now + options_.retry_pause;
+}
+
+/// Ends transactions that nobody will finish: the database rolls back when
+/// their connection closes.
+void request_flow::end_transactions(moment now,
+                                    const std::vector<open_transaction>& ended)
+{
+    for (const auto& transaction : ended)
+    {
+        modules_.pool.release(now, transaction.connection, false, modules_.out);
+    }
+}
+
+/// Tells the pool how many requests wait for each primary and replica.
+void request_flow::tell_pool(moment now)
+{
+    for (auto& [key, l] : lanes_)
+    {
+        const auto& [database, kind] = key;
+        const auto* belief = modules_.primaries.primary(database);
+        const std::uint64_t waiting = l.queue.size() + (l.head ? 1 : 0);
+        for (const auto* server : view_->servers_of(database))
+        {
+            const bool is_primary =
+                belief != nullptr && belief->server() == server->name();
+            if (is_primary == (kind == lane_kind::primary))
+            {
+                modules_.pool.waiting(now, server->name(), waiting,
+                                      modules_.out);
+            }
+        }
+    }
+}
+
+void request_flow::release(moment now, request& r, bool clean)
+{
+    if (r.connection != 0)
+    {
+        modules_.pool.release(now, r.connection, clean, modules_.out);
+        r.connection = 0;
+    }
+}
+
+void request_flow::on_tick(moment now)
+{
+    for (auto it = paused_.begin(); it != paused_.end();)
+    {
+        if (it->second > now)
+        {
+            ++it;
+            continue;
+        }
+        const auto id = it->first;
+        it = paused_.erase(it);
+        if (request* r = find(id))
+        {
+            enqueue(now, *r);
+        }
+    }
+    expire(now);
+    end_transactions(now, modules_.transactions.expire(now));
+    tell_pool(now);
+    pump(now);
+}
+
+void request_flow::expire(moment now)
+{
+    std::vector<std::uint64_t> late;
+    for (const auto& [id, r] : requests_)
+    {
+        if (now >= r.deadline && r.state != request_state::confirming)
+        {
+            late.push_back(id);
+        }
+    }
+    for (const auto id : late)
+    {
+        request& r = *find(id);
+        if (r.state == request_state::running)
+        {
+            on_expired_call(now, r);
+        }
+        answer(now, id, expiry_code(r));
+    }
+}
+
+/// The statement is still at the server: its connection can't be used again.
+void request_flow::on_expired_call(moment now, request& r)
+{
+    modules_.out.forget(r.tag);
+    const bool rolled_back =
+        r.in_transaction() && r.wire.step() != proto::TRANSACTION_COMMIT;
+    r.maybe_ran = r.maybe_ran || (r.is_write() && !rolled_back);
+    if (r.continues_transaction())
+    {
+        abort_transaction(now, r);
+    }
+    release(now, r, false);
+}
+
+/// The truest code for a request whose deadline has passed.
+result_code request_flow::expiry_code(const request& r) const
+{
+    if (r.state == request_state::admitting)
+    {
+        return result_code::deadline_too_short;
+    }
+    if (!r.short_servers.empty())
+    {
+        return result_code::no_fresh_server;
+    }
+    if (r.lane == lane_kind::primary &&
+        modules_.primaries.primary(r.route.database()) == nullptr)
+    {
+        return result_code::no_primary;
+    }
+    return r.attempts == 0 ? result_code::connection_unavailable
+                           : result_code::no_primary;
+}
+
+} // namespace tanagerhoist
