--- a/include/tanagerhoist/decision/settings_view.hpp
+++ b/include/tanagerhoist/decision/settings_view.hpp
@@ -27,7 +27,7 @@
     settings_view(const settings_view&) = delete;
     settings_view& operator=(const settings_view&) = delete;
 
-    const proto::Settings& settings() const noexcept { return settings_; }
+    const proto::Settings& all() const noexcept { return settings_; }
     std::uint64_t version() const noexcept { return settings_.version(); }
 
     /// Each looks up a section by its name; null if there is none.
--- a/tests/ini_reader_test.cpp
+++ b/tests/ini_reader_test.cpp
@@ -220,7 +220,7 @@
                    kind::unreadable_file, 0, "", "");
         expect_one(faults_of([] { return read_daemon_settings("/nowhere"); }),
                    kind::unreadable_file, 0, "", "");
-        expect_one(faults_in(database + std::string(1024 * 1024, '\n')),
+        expect_one(faults_in(database + std::string(1U << 20U, '\n')),
                    kind::oversized_file, 0, "", "");
         expect_one(faults_of([] { return read_settings({}); }),
                    kind::unreadable_file, 0, "", "");
