--- a/tests/ini_reader_test.cpp
+++ b/tests/ini_reader_test.cpp
@@ -108,8 +108,9 @@
         for (const std::string header : {"shop a", "database", "database a b",
                                          "version", "", "database a.b"})
         {
-            expect_one(faults_in(database + '[' + header + "]\nx = 1\n"),
-                       kind::unknown_section, 4, header, "");
+            std::string text = database;
+            text.append("[").append(header).append("]\nx = 1\n");
+            expect_one(faults_in(text), kind::unknown_section, 4, header, "");
         }
         expect_one(faults_in(database + database), kind::duplicate_section, 4,
                    "database d1", "");
@@ -262,10 +263,13 @@
 
     void bundle_changed_content_is_refused()
     {
-        auto bundle = make_bundle(*read_settings_texts({{"a.ini", database}}));
+        const auto bundle =
+            make_bundle(*read_settings_texts({{"a.ini", database}}));
+        const auto other =
+            make_bundle(*read_settings_texts({{"a.ini", workspace}}));
         CPPUNIT_ASSERT(open_bundle(bundle.name, bundle.content));
-        bundle.content += '\0';
-        CPPUNIT_ASSERT(!open_bundle(bundle.name, bundle.content));
+        CPPUNIT_ASSERT(!open_bundle(bundle.name, bundle.content + '\0'));
+        CPPUNIT_ASSERT(!open_bundle(bundle.name, other.content));
     }
 };
 
--- a/tests/settings_follower_test.cpp
+++ b/tests/settings_follower_test.cpp
@@ -70,6 +70,7 @@
     CPPUNIT_TEST(acknowledge_waits_for_incarnation);
     CPPUNIT_TEST(acknowledge_retries_until_known);
     CPPUNIT_TEST(acknowledge_replaces_earlier_life_only);
+    CPPUNIT_TEST(acknowledge_calls_bounded_during_outage);
     CPPUNIT_TEST_SUITE_END();
 
     identity self_{"vm1", "a", 5};
@@ -146,7 +147,9 @@
         publish(platform_, 0);
         for (auto& object : platform_.objects)
         {
-            object.second = version(1).SerializeAsString() + '\0';
+            proto::Settings other = version(1);
+            other.add_workspace()->set_name("exchanged");
+            object.second = make_bundle(other).content;
         }
         tick(f, 100);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), f.refused_bundles());
@@ -271,6 +274,25 @@
         CPPUNIT_ASSERT_EQUAL(2U, platform_.writes);
     }
 
+    void acknowledge_calls_bounded_during_outage()
+    {
+        settings_follower f(self_);
+        f.on_peer_push(at(1), version(2), out_);
+        out_.take_actions();
+        unsigned calls = 0;
+        for (int t = 100; t < 5100; t += 50)
+        {
+            f.on_tick(at(t), false, out_);
+            for (const auto& action : out_.take_actions())
+            {
+                ++calls;
+                out_.take_platform(action.call_platform().tag())(at(t),
+                                                                 nullptr);
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(10U, calls);
+    }
+
     void acknowledge_replaces_earlier_life_only()
     {
         for (const std::uint64_t life : {4, 6})
--- /dev/null
+++ b/tools/publish/command_line.cpp
@@ -0,0 +1,137 @@
+#include "command_line.hpp"
+
+#include <cxxopts.hpp>
+
+#include <charconv>
+#include <cstdlib>
+#include <iostream>
+#include <limits>
+
+namespace tanagerhoist::publish
+{
+namespace
+{
+
+constexpr char after_help[] = R"(
+Commands:
+  check PATH...     read the settings and show every fault
+  diff PATH...      show what a publish would change, and the version in force
+  publish PATH...   check, store and put in force; needs --from
+  status            show the version in force on each listed VM
+  hash-key          read a secret from standard input, print salt and hash
+
+A PATH is an INI file, or a directory whose .ini files are read.
+
+Exit codes:
+  0  done
+  1  the command line is wrong
+  2  the settings have faults; nothing was published
+  3  conflict with another change, which is named; nothing was published
+  4  the platform gave no usable answer; nothing was published
+  5  the platform gave no answer; not known whether the change was accepted
+  6  published, but not in force on every listed VM
+)";
+
+cxxopts::Options describe()
+{
+    const char* user = std::getenv("USER");
+    cxxopts::Options options("tanagerhoist-publish",
+                             "Checks and publishes the operators' settings.");
+    options.positional_help("COMMAND [PATH...]");
+    options.add_options()("h,help", "show this help")("version",
+                                                      "show the version")(
+        "platform", "platform service as ADDRESS:PORT",
+        cxxopts::value<std::string>()->default_value("127.0.0.1:7900"))(
+        "from", "version that the edited files started from; 0 for the first",
+        cxxopts::value<std::uint64_t>())(
+        "publisher", "who publishes, shown to others on a conflict",
+        cxxopts::value<std::string>()->default_value(user ? user : "unknown"))(
+        "wait", "seconds to wait until the change is in force everywhere",
+        cxxopts::value<unsigned>()->default_value("0"))(
+        "timeout", "milliseconds that one platform call may take",
+        cxxopts::value<unsigned>()->default_value("1000"))(
+        "command", "", cxxopts::value<std::string>())(
+        "paths", "", cxxopts::value<std::vector<std::string>>());
+    options.parse_positional({"command", "paths"});
+    return options;
+}
+
+/// Splits ADDRESS:PORT at the last colon; false if it is not that.
+bool split_platform(const std::string& text, command_line& line)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string::npos || colon == 0)
+    {
+        return false;
+    }
+    line.platform_address = text.substr(0, colon);
+    unsigned port = 0;
+    const char* end = text.data() + text.size();
+    const auto [stop, error] =
+        std::from_chars(text.data() + colon + 1, end, port);
+    line.platform_port = static_cast<std::uint16_t>(port);
+    return error == std::errc() && stop == end && port != 0 &&
+           port <= std::numeric_limits<std::uint16_t>::max();
+}
+
+command_line collect(const cxxopts::ParseResult& result)
+{
+    command_line line;
+    line.command = result["command"].as<std::string>();
+    if (result.count("paths") != 0)
+    {
+        for (const auto& path : result["paths"].as<std::vector<std::string>>())
+        {
+            line.paths.emplace_back(path);
+        }
+    }
+    if (result.count("from") != 0)
+    {
+        line.from_version = result["from"].as<std::uint64_t>();
+    }
+    line.publisher = result["publisher"].as<std::string>();
+    line.wait = std::chrono::seconds(result["wait"].as<unsigned>());
+    line.timeout = std::chrono::milliseconds(result["timeout"].as<unsigned>());
+    return line;
+}
+
+} // namespace
+
+std::optional<command_line> parse(int argc, const char* const* argv,
+                                  exit_code& code)
+{
+    code = exit_code::usage;
+    auto options = describe();
+    try
+    {
+        const auto result = options.parse(argc, argv);
+        if (result.count("help") != 0 || result.count("version") != 0)
+        {
+            std::cout << (result.count("help") != 0
+                              ? options.help() + after_help
+                              : "tanagerhoist-publish " TANAGERHOIST_VERSION
+                                "\n");
+            code = exit_code::ok;
+            return std::nullopt;
+        }
+        if (result.count("command") == 0)
+        {
+            std::cerr << "no command given; see --help\n";
+            return std::nullopt;
+        }
+        auto line = collect(result);
+        if (!split_platform(result["platform"].as<std::string>(), line))
+        {
+            std::cerr << "--platform: expected ADDRESS:PORT\n";
+            return std::nullopt;
+        }
+        return line;
+    }
+    catch (const cxxopts::exceptions::exception& error)
+    {
+        std::cerr << error.what() << '\n';
+    }
+    return std::nullopt;
+}
+
+} // namespace tanagerhoist::publish
--- /dev/null
+++ b/tools/publish/command_line.hpp
@@ -0,0 +1,46 @@
+#ifndef TANAGERHOIST_TOOLS_PUBLISH_COMMAND_LINE_HPP
+#define TANAGERHOIST_TOOLS_PUBLISH_COMMAND_LINE_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <filesystem>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace tanagerhoist::publish
+{
+
+/// Exit codes; `--help` lists them.
+enum class exit_code
+{
+    ok = 0,
+    usage = 1,
+    settings_fault = 2,
+    conflict = 3,
+    nothing_published = 4,
+    unknown = 5,
+    not_in_force = 6
+};
+
+/// What the operator asked for.
+struct command_line
+{
+    std::string command;
+    std::vector<std::filesystem::path> paths;
+    std::string platform_address;
+    std::uint16_t platform_port = 0;
+    std::optional<std::uint64_t> from_version;
+    std::string publisher;
+    std::chrono::seconds wait{0};
+    std::chrono::milliseconds timeout{0};
+};
+
+/// Reads the command line; empty if there is nothing left to do, after it has
+/// printed help, version or what is wrong, with `code` set.
+std::optional<command_line> parse(int argc, const char* const* argv,
+                                  exit_code& code);
+
+} // namespace tanagerhoist::publish
+
+#endif
--- /dev/null
+++ b/tools/publish/commands.cpp
@@ -0,0 +1,278 @@
+#include "commands.hpp"
+
+#include "tanagerhoist/decision/authenticator.hpp"
+#include "tanagerhoist/decision/hash.hpp"
+#include "tanagerhoist/decision/publish_plan.hpp"
+#include "tanagerhoist/decision/settings_rows.hpp"
+#include "tanagerhoist/settings/force_report.hpp"
+#include "tanagerhoist/settings/ini_reader.hpp"
+#include "tanagerhoist/settings/settings_diff.hpp"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <openssl/rand.h>
+
+#include <algorithm>
+#include <array>
+#include <iostream>
+#include <thread>
+
+namespace tanagerhoist::publish
+{
+namespace
+{
+
+namespace leaf = boost::leaf;
+using std::chrono::steady_clock;
+
+constexpr std::size_t random_bytes = 16;
+constexpr std::chrono::milliseconds retry_pause{200};
+
+/// Unpredictable bytes for salts and publish ids.
+std::string random_text()
+{
+    std::string bytes(random_bytes, '\0');
+    auto* data = reinterpret_cast<unsigned char*>(bytes.data());
+    return RAND_bytes(data, static_cast<int>(bytes.size())) == 1
+               ? bytes
+               : std::string();
+}
+
+/// Files named by the command line, those of directories included. A
+/// directory without settings is kept, and read as a fault.
+std::vector<std::filesystem::path> files_of(const command_line& line)
+{
+    std::vector<std::filesystem::path> files;
+    for (const auto& path : line.paths)
+    {
+        auto inside = settings_files(path);
+        if (inside.empty())
+        {
+            inside.push_back(path);
+        }
+        files.insert(files.end(), inside.begin(), inside.end());
+    }
+    return files;
+}
+
+/// Reads the settings and passes them on, or shows all of their faults.
+template <class Use>
+exit_code with_settings(const command_line& line, Use use)
+{
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<exit_code>
+        {
+            BOOST_LEAF_AUTO(settings, read_settings(files_of(line)));
+            return use(std::move(settings));
+        },
+        [](const settings_faults& faults)
+        {
+            for (const auto& fault : faults.all)
+            {
+                std::cerr << to_text(fault) << '\n';
+            }
+            std::cerr << faults.all.size()
+                      << " faults; nothing was published\n";
+            return exit_code::settings_fault;
+        },
+        [] { return exit_code::settings_fault; });
+}
+
+exit_code no_answer()
+{
+    std::cerr << "the platform gave no usable answer; nothing was changed\n";
+    return exit_code::nothing_published;
+}
+
+exit_code check(const command_line& line, platform_client& /*platform*/)
+{
+    return with_settings(line,
+                         [](const proto::Settings& settings)
+                         {
+                             std::cout
+                                 << "no faults: " << settings.database_size()
+                                 << " databases, " << settings.server_size()
+                                 << " servers, " << settings.workspace_size()
+                                 << " workspaces, " << settings.key_size()
+                                 << " keys, " << settings.route_size()
+                                 << " routes\n";
+                             return exit_code::ok;
+                         });
+}
+
+/// Settings that the head names; empty ones at version 0.
+std::optional<proto::Settings> published(platform_client& platform,
+                                         const proto::SettingsHead& head)
+{
+    if (head.version() == 0)
+    {
+        return proto::Settings();
+    }
+    const auto answer = platform.call(read_object(head.bundle()));
+    return answer.reply ? open_bundle(head.bundle(), answer.reply->value())
+                        : std::nullopt;
+}
+
+exit_code diff(const command_line& line, platform_client& platform)
+{
+    return with_settings(
+        line,
+        [&platform](const proto::Settings& settings)
+        {
+            const auto head = read_head(platform);
+            const auto current = head ? published(platform, *head)
+                                      : std::optional<proto::Settings>();
+            if (!current)
+            {
+                return no_answer();
+            }
+            const auto changes = diff_settings(*current, settings);
+            for (const auto& change : changes)
+            {
+                std::cout << change << '\n';
+            }
+            std::cout << changes.size() << " changes against version "
+                      << head->version() << "; publish with --from "
+                      << head->version() << '\n';
+            return exit_code::ok;
+        });
+}
+
+publish_result carry_out(publish_plan& plan, platform_client& platform)
+{
+    while (const auto call = plan.next())
+    {
+        const auto answer = platform.call(*call);
+        if (answer.reply)
+        {
+            plan.on_reply(*answer.reply);
+            continue;
+        }
+        plan.on_failure(answer.sent);
+        std::this_thread::sleep_for(retry_pause);
+    }
+    return plan.result();
+}
+
+/// Waits until every listed VM has acknowledged `version` or a later one.
+exit_code wait_in_force(std::chrono::seconds wait, platform_client& platform)
+{
+    const auto deadline = steady_clock::now() + wait;
+    std::optional<force_report> report;
+    while (true)
+    {
+        report = read_force(platform);
+        if (report && report->lagging().empty())
+        {
+            std::cout << "in force on every listed VM\n";
+            return exit_code::ok;
+        }
+        if (steady_clock::now() >= deadline)
+        {
+            break;
+        }
+        std::this_thread::sleep_for(retry_pause);
+    }
+    std::cerr << (report ? to_text(*report)
+                         : "not known where it is in force: the platform "
+                           "gave no usable answer\n");
+    return exit_code::not_in_force;
+}
+
+exit_code code_of(publish_outcome outcome)
+{
+    switch (outcome)
+    {
+    case publish_outcome::published:
+        return exit_code::ok;
+    case publish_outcome::conflict:
+        return exit_code::conflict;
+    case publish_outcome::nothing_published:
+        return exit_code::nothing_published;
+    case publish_outcome::unknown:
+        break;
+    }
+    return exit_code::unknown;
+}
+
+exit_code publish(const command_line& line, platform_client& platform)
+{
+    if (!line.from_version)
+    {
+        std::cerr << "publish needs --from VERSION, the version that the files "
+                     "were edited from; diff shows the one in force\n";
+        return exit_code::usage;
+    }
+    return with_settings(line,
+                         [&](proto::Settings settings)
+                         {
+                             publish_order order;
+                             order.settings = std::move(settings);
+                             order.from_version = *line.from_version;
+                             order.publish_id = to_hex(random_text());
+                             order.publisher = line.publisher;
+                             publish_plan plan(std::move(order));
+                             const auto result = carry_out(plan, platform);
+                             const auto code = code_of(result.outcome);
+                             (code == exit_code::ok ? std::cout : std::cerr)
+                                 << to_text(result) << '\n';
+                             return code == exit_code::ok &&
+                                            line.wait.count() > 0
+                                        ? wait_in_force(line.wait, platform)
+                                        : code;
+                         });
+}
+
+exit_code status(const command_line& /*line*/, platform_client& platform)
+{
+    const auto report = read_force(platform);
+    if (!report)
+    {
+        return no_answer();
+    }
+    std::cout << to_text(*report);
+    return report->lagging().empty() ? exit_code::ok : exit_code::not_in_force;
+}
+
+exit_code hash_key(const command_line& /*line*/, platform_client& /*platform*/)
+{
+    std::string secret;
+    std::getline(std::cin, secret);
+    const std::string salt = random_text();
+    if (secret.empty() || salt.empty())
+    {
+        std::cerr << "expected a secret on standard input\n";
+        return exit_code::usage;
+    }
+    std::cout << "salt = " << to_hex(salt) << '\n'
+              << "hash = " << key_hash(salt, secret) << '\n';
+    return exit_code::ok;
+}
+
+struct command
+{
+    std::string_view name;
+    exit_code (*run)(const command_line&, platform_client&);
+};
+
+constexpr std::array<command, 5> commands{{{"check", &check},
+                                           {"diff", &diff},
+                                           {"publish", &publish},
+                                           {"status", &status},
+                                           {"hash-key", &hash_key}}};
+
+} // namespace
+
+exit_code run(const command_line& line, platform_client& platform)
+{
+    const auto* found = std::find_if(commands.begin(), commands.end(),
+                                     [&line](const command& c)
+                                     { return c.name == line.command; });
+    if (found == commands.end())
+    {
+        std::cerr << "unknown command " << line.command << "; see --help\n";
+        return exit_code::usage;
+    }
+    return found->run(line, platform);
+}
+
+} // namespace tanagerhoist::publish
