--- a/include/tanagerhoist/decision/connection_pool.hpp
+++ b/include/tanagerhoist/decision/connection_pool.hpp
@@ -43,10 +43,12 @@
 public:
     explicit connection_pool(connection_pool_options options = {});
 
-    /// Takes the servers from new settings and drains those that left.
+    /// Takes the servers from new settings and drains those that left. One
+    /// that is new has no limit yet and so gives no connection.
     void use_settings(const proto::Settings& settings, outbox& out);
 
-    /// Sets how many connections this VM may hold to `server`. When it has
+    /// Sets how many connections this VM may hold to `server`, until that is
+    /// drained; does nothing for a server that is not served. When it has
     /// more, those being opened and those idle are closed at once.
     void limit(const std::string& server, std::uint64_t connections,
                outbox& out);
@@ -103,10 +105,11 @@
 
     struct pool
     {
-        bool serving = false; ///< in the settings and not leaving
-        std::uint64_t limit = 0;
+        bool serving = false;    ///< in the settings and not leaving
+        std::uint64_t limit = 0; ///< 0 unless serving
         std::uint64_t waiting = 0;
-        bool missed = false; ///< an `acquire` found none since the last did
+        /// An `acquire` found none since the last one or opening did.
+        bool missed = false;
         std::uint64_t failures = 0;
         moment open_after;
         std::set<std::uint64_t> opening;
@@ -118,6 +121,14 @@
         {
             return opening.size() + busy.size() + idle.size();
         }
+        /// Keeps only the connections in use, until they are released.
+        void drain()
+        {
+            serving = false;
+            limit = 0;
+            failures = 0;
+            open_after = {};
+        }
         std::uint64_t demand() const
         {
             return waiting == 0 && missed ? 1 : waiting;
--- a/include/tanagerhoist/decision/queue_order.hpp
+++ b/include/tanagerhoist/decision/queue_order.hpp
@@ -53,6 +53,11 @@
 /// Start-time fair queueing: workspaces that wait are served in proportion to
 /// their weights, and unused shares are not saved up. Within a workspace,
 /// first come is first served.
+std::unique_ptr<queue_order> make_start_time_fair_order();
+
+/// As above, but a workspace that used less than its share may be ahead by a
+/// few requests: its short bursts go before those of one that sends more than
+/// its share. It delays any other by no more than these few.
 std::unique_ptr<queue_order> make_weighted_fair_order();
 
 } // namespace tanagerhoist
--- a/src/decision/connection_pool.cpp
+++ b/src/decision/connection_pool.cpp
@@ -31,17 +31,25 @@
     }
     for (auto it = pools_.begin(); it != pools_.end();)
     {
-        it->second.serving = serving.count(it->first) != 0;
+        if (serving.count(it->first) == 0)
+        {
+            it->second.drain();
+        }
         close_excess(it->second, out);
-        const bool ended = !it->second.serving && it->second.size() == 0;
-        it = ended ? pools_.erase(it) : std::next(it);
+        it = it->second.size() == 0 && !it->second.serving ? pools_.erase(it)
+                                                           : std::next(it);
     }
 }
 
 void connection_pool::limit(const std::string& server,
                             std::uint64_t connections, outbox& out)
 {
-    pool& of = pools_[server];
+    const auto entry = pools_.find(server);
+    if (entry == pools_.end() || !entry->second.serving)
+    {
+        return;
+    }
+    pool& of = entry->second;
     of.limit = connections;
     close_excess(of, out);
 }
@@ -57,7 +65,7 @@
 connection_pool::acquire(moment now, const std::string& server, outbox& out)
 {
     pool& of = pools_[server];
-    if (!of.serving || of.idle.empty())
+    if (of.idle.empty())
     {
         of.missed = true;
         open_for_demand(now, server, out);
@@ -82,7 +90,7 @@
     }
     const std::string server = entry->second.server;
     pool& of = pools_[server];
-    if (!clean || !of.serving || of.size() > of.limit)
+    if (!clean || of.size() > of.limit)
     {
         close(of, connection, out);
         open_for_demand(now, server, out);
@@ -103,6 +111,7 @@
     }
     pool& of = pools_[entry->second.server];
     of.failures = 0;
+    of.missed = false;
     of.opening.erase(connection);
     of.idle.emplace(now, connection);
     entry->second.state = state::idle;
@@ -122,6 +131,7 @@
     if (entry->second.state == state::opening)
     {
         ++of.failures;
+        of.missed = false;
         of.open_after = now + back_off(of.failures);
     }
     remove(of, connection);
@@ -189,12 +199,11 @@
 
 void connection_pool::close_excess(pool& of, outbox& out)
 {
-    const std::uint64_t most = of.serving ? of.limit : 0;
-    while (of.size() > most && !of.opening.empty())
+    while (of.size() > of.limit && !of.opening.empty())
     {
         close(of, *of.opening.rbegin(), out);
     }
-    while (of.size() > most && !of.idle.empty())
+    while (of.size() > of.limit && !of.idle.empty())
     {
         close(of, of.idle.begin()->second, out);
     }
--- a/src/decision/transaction_table.cpp
+++ b/src/decision/transaction_table.cpp
@@ -52,7 +52,7 @@
     opened.begun = now;
     opened.last_used = now;
     by_connection_.emplace(connection, opened.id);
-    const std::string id = opened.id;
+    std::string id = opened.id;
     open_.emplace(id, std::move(opened));
     return id;
 }
--- a/src/decision/weighted_fair_order.cpp
+++ b/src/decision/weighted_fair_order.cpp
@@ -13,6 +13,12 @@
 /// Virtual time that one request of a workspace with weight 1 takes.
 constexpr std::uint64_t request_span = 1'000'000;
 
+/// Requests that a workspace may be ahead by after it used less than its share.
+constexpr std::uint64_t credit_requests = 16;
+
+/// Where virtual time starts: early enough that no credit goes below zero.
+constexpr std::uint64_t first_time = request_span * credit_requests;
+
 /// Start-time fair queueing. A workspace's requests have start tags one span
 /// apart, and the request with the lowest tag runs next. Only the tag of the
 /// first one is kept, so that a request taken out of the middle costs its
@@ -20,13 +26,15 @@
 class weighted_fair_order final : public queue_order
 {
 public:
+    explicit weighted_fair_order(std::uint64_t credit) : credit_(credit) {}
+
     void push(const queued& request) override
     {
         flow& owner = flows_[request.workspace];
         owner.span = span_of(request);
         if (owner.waiting.empty())
         {
-            owner.start = std::max(owner.start, virtual_time_);
+            owner.start = earliest_start(owner);
             heads_.emplace(owner.start, request.workspace);
         }
         owner.waiting.emplace(next_place_, request.id);
@@ -47,7 +55,7 @@
         const std::uint64_t id = first->second;
         owner.waiting.erase(first);
         places_.erase(id);
-        virtual_time_ = owner.start;
+        virtual_time_ = std::max(virtual_time_, owner.start);
         owner.start += owner.span;
         if (!owner.waiting.empty())
         {
@@ -112,13 +120,18 @@
     /// Start tag that `request` would have, were it pushed now.
     std::uint64_t start_of(const queued& request) const
     {
-        const auto owner = flows_.find(request.workspace);
-        if (owner == flows_.end())
-        {
-            return virtual_time_;
-        }
-        return std::max(owner->second.start, virtual_time_) +
-               span_of(request) * owner->second.waiting.size();
+        const auto known = flows_.find(request.workspace);
+        flow owner = known == flows_.end() ? flow() : known->second;
+        owner.span = span_of(request);
+        return owner.waiting.empty()
+                   ? earliest_start(owner)
+                   : owner.start + owner.span * owner.waiting.size();
+    }
+
+    /// Start tag of the first request after a time with none waiting.
+    std::uint64_t earliest_start(const flow& owner) const
+    {
+        return std::max(owner.start, virtual_time_ - credit_ * owner.span);
     }
 
     /// Drops all flows at the end of a busy period: nobody owes anybody.
@@ -127,11 +140,12 @@
         if (places_.empty())
         {
             flows_.clear();
-            virtual_time_ = 0;
+            virtual_time_ = first_time;
         }
     }
 
-    std::uint64_t virtual_time_ = 0;
+    std::uint64_t credit_;
+    std::uint64_t virtual_time_ = first_time;
     std::uint64_t next_place_ = 0;
     std::map<std::string, flow> flows_;
     std::set<std::pair<std::uint64_t, std::string>> heads_;
@@ -142,7 +156,12 @@
 
 std::unique_ptr<queue_order> make_weighted_fair_order()
 {
-    return std::make_unique<weighted_fair_order>();
+    return std::make_unique<weighted_fair_order>(credit_requests);
+}
+
+std::unique_ptr<queue_order> make_start_time_fair_order()
+{
+    return std::make_unique<weighted_fair_order>(0);
 }
 
 } // namespace tanagerhoist
