Hold shares in slices that move between peers

Cause: equal static slices refuse skewed callers inside their rate. Ruled out: asking one owner per request; see docs/design/limits.md. Change: ledger per resource, token bucket per slice, policy that gives, and a limiter that asks peers; reclaiming through the table row.

--- a/include/tanagerhoist/decision/limiter.hpp
+++ b/include/tanagerhoist/decision/limiter.hpp
@@ -7,10 +7,17 @@
 #include "tanagerhoist/decision/membership.hpp"
 #include "tanagerhoist/decision/outbox.hpp"
 #include "tanagerhoist/decision/settings_view.hpp"
+#include "tanagerhoist/decision/share_ledger.hpp"
+#include "tanagerhoist/decision/slice_policy.hpp"
+#include "tanagerhoist/decision/token_bucket.hpp"
 
 #include <cstdint>
 #include <map>
+#include <memory>
+#include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace tanagerhoist
 {
@@ -25,15 +32,34 @@
 
 struct limiter_options
 {
+    /// A longer gap between ticks counts as a freeze.
+    milliseconds freeze_limit{2000};
+    /// Time that this VM is confirmed anew before the table is asked. It has
+    /// to exceed `membership_options::list_limit`.
+    milliseconds return_delay{4000};
+    /// Time that a peer has to answer for a slice.
+    milliseconds ask_timeout{60};
+    /// Time without further asking after all peers had nothing to spare.
+    milliseconds refuse_time{25};
+    /// Demand over this time is kept back from peers and asked for ahead.
+    milliseconds look_ahead{100};
+    share_ledger_options ledger;
 };
 
 /// Fleet-wide limits: the rate and burst of each workspace and the number of
 /// connections to each server, over all VMs together.
+///
+/// Each VM holds a slice of each and spends it without asking. One that runs
+/// short asks peers, the one with most to spare first. While its own place is
+/// in doubt (see `membership::confirmed`), or after a freeze, it uses nothing
+/// until the table has confirmed it.
 class limiter
 {
 public:
     limiter(const identity& self, const membership& members,
-            limiter_options options);
+            limiter_options options,
+            std::unique_ptr<slice_policy> policy =
+                std::make_unique<demand_policy>());
 
     void use_settings(moment now, const settings_view& settings, outbox& out);
 
@@ -68,23 +94,89 @@
     /// Gives all slices to peers.
     void start_leaving(moment now, outbox& out);
 
-    /// Whether nothing is left to hand over.
-    bool handed_over() const { return leaving_; }
+    /// Whether nothing is left to hand over, or nobody to take it.
+    bool handed_over() const;
+
+    /// Whether peers have closed their books on this incarnation. It then
+    /// needs a new number (`enrolment::renew`) to hold anything again.
+    bool expelled() const;
+
+    /// Treats what is held as in doubt, as after a freeze; for the case that a
+    /// clock other than the monotonic one has leapt ahead.
+    void doubt_place();
+
+    /// Parts held of a resource, for checks; 0 if it is not known.
+    std::uint64_t parts(const std::string& resource) const;
 
 private:
-    struct bucket
+    struct peer_hint
     {
-        std::uint64_t rate = 0;
-        std::uint64_t burst = 0;
-        std::uint64_t tokens = 0; ///< millionths of a request
-        moment filled{};
+        std::uint64_t number = 0;
+        std::uint64_t spare = 0;
     };
+    /// One resource, `workspace/NAME` or `server/NAME`.
+    struct resource
+    {
+        resource(const identity& self, const membership& members,
+                 const std::string& name, const share_ledger_options& options)
+            : ledger(self, members, name, options)
+        {
+        }
+
+        share_ledger ledger;
+        bool connections = false;
+        token_bucket bucket;
+        std::uint64_t whole = 0;  ///< parts by the settings
+        std::uint64_t burst = 0;  ///< requests
+        std::uint64_t demand = 0; ///< requests per second, smoothed
+        std::uint64_t asked = 0;  ///< requests since the last tick
+        std::uint64_t wanted = 0; ///< connections
+        std::uint64_t in_use = 0; ///< connections
+        std::uint64_t ask = 0;    ///< of the round in progress; 0: none
+        bool urgent = false;      ///< a request waits for the round
+        bool asked_all = false;
+        moment ask_deadline{};
+        moment refuse_until{};
+        std::set<std::string> pending; ///< VMs asked and not yet heard
+        std::map<std::string, peer_hint> hints;
+    };
+
+    resource& at(const std::string& name);
+    resource* find(const std::string& name);
+    const resource* find(const std::string& name) const;
+    void check_place(moment now);
+    bool in_place(moment now) const;
+    holding held(moment now, const resource& each) const;
+    proto::Slice wish(moment now, const resource& each) const;
+    void follow_demand(moment now, resource& each, microseconds passed);
+    void ask_ahead(moment now, const std::string& name, resource& each,
+                   outbox& out);
+    void begin_round(moment now, const std::string& name, resource& each,
+                     bool urgent, outbox& out);
+    void continue_round(moment now, const std::string& name, resource& each,
+                        outbox& out);
+    void end_round(moment now, resource& each);
+    std::vector<member> peers(moment now) const;
+    void send_ask(moment now, const std::string& name, resource& each,
+                  const member& to, outbox& out);
+    void send_give(moment now, resource& each, const proto::Incarnation& to,
+                   const proto::Slice& slice, std::uint64_t ask, outbox& out);
+    void hand_over(moment now, resource& each, outbox& out);
 
     const identity& self_;
     const membership& members_;
+    limiter_options options_;
+    std::unique_ptr<slice_policy> policy_;
+    std::uint64_t number_ = 0; ///< that the books were begun under
+    std::uint64_t epoch_ = 0;  ///< times that this VM's place was in doubt
+    std::optional<moment> confirmed_since_;
+    moment last_check_{};
+    moment last_tick_{};
+    std::uint64_t next_ask_ = 1;
     bool leaving_ = false;
-    std::map<std::string, bucket> buckets_;
-    std::map<std::string, std::uint64_t> connections_;
+    bool alone_ = false; ///< no peer to hand over to
+    std::uint64_t leave_ticks_ = 0;
+    std::map<std::string, resource> resources_;
 };
 
 } // namespace tanagerhoist
--- a/include/tanagerhoist/decision/membership.hpp
+++ b/include/tanagerhoist/decision/membership.hpp
@@ -31,6 +31,8 @@
     milliseconds heartbeat_timeout{1000};
     milliseconds list_interval{1000};
     milliseconds call_timeout{1000};
+    /// Age up to which the list may show that a VM is absent.
+    milliseconds list_limit{3000};
     /// Age up to which a sign that this incarnation still counts is good.
     milliseconds evidence_limit{3000};
     /// Time between a VM's absence from the list and the end of its claims.
@@ -82,6 +84,9 @@
     /// As above, for an incarnation that was heard since this process began.
     bool gone(std::uint64_t number, moment now) const;
 
+    /// Whether `who` is listed and bears the latest number heard of its VM.
+    bool current(const proto::Incarnation& who) const;
+
     /// Whether nobody can hold this incarnation for gone yet: the platform's
     /// list, or a majority of the listed VMs, has answered a call or heartbeat
     /// sent no longer than `evidence_limit` ago.
--- a/src/decision/limiter.cpp
+++ b/src/decision/limiter.cpp
@@ -1,6 +1,7 @@
 #include "tanagerhoist/decision/limiter.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace tanagerhoist
 {
@@ -8,99 +9,243 @@
 namespace
 {
 
-constexpr std::uint64_t token = 1000000; ///< one request, in millionths
+constexpr milliseconds longest_retry{1000};
+
+std::string workspace_resource(const std::string& name)
+{
+    return "workspace/" + name;
+}
+
+std::string server_resource(const std::string& name)
+{
+    return "server/" + name;
+}
 
 } // namespace
 
 limiter::limiter(const identity& self, const membership& members,
-                 limiter_options /*options*/)
-    : self_(self), members_(members)
+                 limiter_options options, std::unique_ptr<slice_policy> policy)
+    : self_(self),
+      members_(members),
+      options_(options),
+      policy_(std::move(policy))
+{
+}
+
+limiter::resource& limiter::at(const std::string& name)
 {
+    return resources_.try_emplace(name, self_, members_, name, options_.ledger)
+        .first->second;
 }
 
-void limiter::use_settings(moment now, const settings_view& settings, outbox&)
+limiter::resource* limiter::find(const std::string& name)
 {
-    const std::uint64_t count =
-        std::max<std::size_t>(members_.listed().size(), 1);
-    for (const auto& each : settings.settings().workspace())
+    const auto found = resources_.find(name);
+    return found == resources_.end() ? nullptr : &found->second;
+}
+
+const limiter::resource* limiter::find(const std::string& name) const
+{
+    const auto found = resources_.find(name);
+    return found == resources_.end() ? nullptr : &found->second;
+}
+
+void limiter::use_settings(moment now, const settings_view& settings,
+                           outbox& /*out*/)
+{
+    for (auto& [unused, each] : resources_)
+    {
+        each.whole = 0; // unless the settings still have it
+        each.burst = 0;
+        each.bucket.use_share(now, 0, 0, 0);
+    }
+    for (const auto& workspace : settings.settings().workspace())
     {
-        auto& slice = buckets_[each.name()];
-        slice = {each.rate() * token / count, each.burst() * token / count,
-                 each.burst() * token / count, now};
+        auto& each = at(workspace_resource(workspace.name()));
+        each.whole = share_parts;
+        each.burst = workspace.burst();
+        each.ledger.use_whole(each.whole);
+        each.bucket.use_share(now, workspace.rate(), workspace.burst(),
+                              each.ledger.parts());
     }
-    for (const auto& each : settings.settings().server())
+    for (const auto& server : settings.settings().server())
     {
-        const auto* database = settings.database(each.database());
-        connections_[each.name()] =
-            database == nullptr ? 0 : database->connections() / count;
+        const auto* database = settings.database(server.database());
+        auto& each = at(server_resource(server.name()));
+        each.connections = true;
+        each.whole = database == nullptr ? 0 : database->connections();
+        each.ledger.use_whole(each.whole);
     }
 }
 
-allowance limiter::spend(moment now, const std::string& workspace, outbox&)
+void limiter::check_place(moment now)
 {
-    const auto found = buckets_.find(workspace);
-    if (found == buckets_.end())
+    if (number_ != self_.number)
     {
-        return allowance::refused;
+        number_ = self_.number;
+        for (auto& [unused, each] : resources_)
+        {
+            each.ledger.reset();
+            each.bucket.use_parts(now, 0);
+        }
+        epoch_ = 0;
+        confirmed_since_.reset();
+        last_check_ = now;
     }
-    auto& slice = found->second;
-    const std::uint64_t passed = to_us(now) - to_us(slice.filled);
-    slice.filled = now;
-    slice.tokens =
-        std::min(slice.burst, slice.tokens + slice.rate * passed / token);
-    if (slice.tokens < token)
+    const bool frozen = now - last_check_ > options_.freeze_limit;
+    last_check_ = now;
+    if (frozen || !members_.confirmed(now))
     {
-        return allowance::refused;
+        doubt_place();
+    }
+    else if (!confirmed_since_)
+    {
+        confirmed_since_ = now;
     }
-    slice.tokens -= token;
-    return allowance::granted;
 }
 
-void limiter::refund(moment, const std::string& workspace)
+void limiter::doubt_place()
 {
-    const auto found = buckets_.find(workspace);
-    if (found != buckets_.end())
+    const bool empty = std::all_of(resources_.begin(), resources_.end(),
+                                   [](const auto& each)
+                                   { return each.second.ledger.blank(); });
+    if (confirmed_since_ && !empty)
     {
-        auto& slice = found->second;
-        slice.tokens = std::min(slice.burst, slice.tokens + token);
+        ++epoch_;
     }
+    confirmed_since_.reset();
 }
 
-milliseconds limiter::retry_after(moment, const std::string&) const
+bool limiter::in_place(moment now) const
 {
-    return milliseconds(100);
+    return confirmed_since_ &&
+           (epoch_ == 0 || now - *confirmed_since_ >= options_.return_delay);
 }
 
-std::uint64_t limiter::connections(const std::string& server) const
+allowance limiter::spend(moment now, const std::string& workspace, outbox& out)
 {
-    const auto found = connections_.find(server);
-    return found == connections_.end() ? 0 : found->second;
+    const std::string name = workspace_resource(workspace);
+    auto* each = find(name);
+    if (each == nullptr || each->whole == 0)
+    {
+        return allowance::refused;
+    }
+    check_place(now);
+    if (!confirmed_since_ || !each->ledger.usable(epoch_))
+    {
+        return allowance::wait;
+    }
+    if (each->bucket.take(now, token_unit))
+    {
+        ++each->asked;
+        return allowance::granted;
+    }
+    if (each->ask == 0 && now < each->refuse_until)
+    {
+        ++each->asked;
+        return allowance::refused;
+    }
+    if (each->ask == 0)
+    {
+        begin_round(now, name, *each, true, out);
+    }
+    each->urgent = true;
+    if (each->ask != 0 || each->ledger.row_whole() == 0)
+    {
+        return allowance::wait;
+    }
+    ++each->asked;
+    return allowance::refused;
 }
 
-void limiter::want_connections(moment, const std::string&, std::uint64_t,
-                               std::uint64_t, outbox&)
+void limiter::refund(moment now, const std::string& workspace)
 {
+    auto* each = find(workspace_resource(workspace));
+    if (each != nullptr)
+    {
+        each->bucket.add(now, token_unit);
+    }
 }
 
-void limiter::on_slice_ask(moment, const proto::Incarnation&,
-                           const proto::SliceAsk&, outbox&)
+milliseconds limiter::retry_after(moment now,
+                                  const std::string& workspace) const
 {
+    const auto* each = find(workspace_resource(workspace));
+    return each == nullptr
+               ? longest_retry
+               : each->bucket.time_to(now, token_unit, longest_retry);
 }
 
-void limiter::on_slice_give(moment, const proto::Incarnation&,
-                            const proto::SliceGive&, outbox&)
+std::uint64_t limiter::connections(const std::string& server) const
 {
+    const auto* each = find(server_resource(server));
+    if (each == nullptr || !confirmed_since_ || !each->ledger.usable(epoch_))
+    {
+        return 0;
+    }
+    // Settings that lower the number scale what the row accounts for.
+    const std::uint64_t row = each->ledger.row_whole();
+    return row > each->whole ? each->ledger.parts() * each->whole / row
+                             : each->ledger.parts();
 }
 
-void limiter::on_tick(moment, outbox&) {}
+void limiter::want_connections(moment now, const std::string& server,
+                               std::uint64_t wanted, std::uint64_t in_use,
+                               outbox& out)
+{
+    const std::string name = server_resource(server);
+    auto* each = find(name);
+    if (each == nullptr)
+    {
+        return;
+    }
+    check_place(now);
+    each->wanted = wanted;
+    each->in_use = in_use;
+    if (wanted > each->ledger.parts() && each->ask == 0 &&
+        now >= each->refuse_until)
+    {
+        begin_round(now, name, *each, true, out);
+    }
+}
 
-void limiter::hints(proto::Heartbeat&) const {}
+void limiter::on_tick(moment now, outbox& out)
+{
+    check_place(now);
+    const microseconds passed = now - last_tick_;
+    last_tick_ = now;
+    for (auto& [name, each] : resources_)
+    {
+        each.ledger.on_tick(now, epoch_, in_place(now), out);
+        each.bucket.use_parts(now, each.ledger.parts());
+        follow_demand(now, each, passed);
+        if (each.ask != 0 && now >= each.ask_deadline)
+        {
+            continue_round(now, name, each, out);
+        }
+        else if (!leaving_)
+        {
+            ask_ahead(now, name, each, out);
+        }
+        if (leaving_)
+        {
+            hand_over(now, each, out);
+        }
+    }
+    leave_ticks_ += leaving_ ? 1 : 0;
+}
 
-void limiter::on_hints(const proto::Incarnation&, const proto::Heartbeat&) {}
+bool limiter::expelled() const
+{
+    return std::any_of(resources_.begin(), resources_.end(),
+                       [](const auto& each)
+                       { return each.second.ledger.expelled(); });
+}
 
-void limiter::start_leaving(moment, outbox&)
+std::uint64_t limiter::parts(const std::string& name) const
 {
-    leaving_ = true;
+    const auto* each = find(name);
+    return each == nullptr ? 0 : each->ledger.parts();
 }
 
 } // namespace tanagerhoist
--- /dev/null
+++ b/src/decision/limiter_transfer.cpp
@@ -0,0 +1,323 @@
+#include "tanagerhoist/decision/limiter.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace tanagerhoist
+{
+
+namespace
+{
+
+/// Weight of the newest tick in the smoothed demand, as a divisor.
+constexpr std::uint64_t smoothing = 8;
+
+/// Ticks over which a leaving VM repeats its totals against lost messages.
+constexpr std::uint64_t leave_repeats = 4;
+
+constexpr std::uint64_t us_per_second = 1000000;
+
+} // namespace
+
+void limiter::follow_demand(moment /*now*/, resource& each, microseconds passed)
+{
+    if (passed.count() <= 0)
+    {
+        return;
+    }
+    const std::uint64_t now_rate =
+        each.asked * us_per_second / static_cast<std::uint64_t>(passed.count());
+    each.asked = 0;
+    each.demand =
+        (each.demand * (smoothing - 1) + now_rate + smoothing / 2) / smoothing;
+}
+
+holding limiter::held(moment now, const resource& each) const
+{
+    holding has;
+    has.parts = each.ledger.parts();
+    if (each.connections)
+    {
+        has.needed_parts =
+            leaving_ ? each.in_use : std::max(each.wanted, each.in_use);
+        return has;
+    }
+    has.tokens = each.bucket.tokens(now);
+    has.whole_tokens = each.burst * token_unit;
+    if (!leaving_ && each.bucket.rate() != 0)
+    {
+        has.needed_parts = each.demand * share_parts / each.bucket.rate();
+        has.needed_tokens = each.demand * to_us(moment(options_.look_ahead));
+    }
+    return has;
+}
+
+proto::Slice limiter::wish(moment now, const resource& each) const
+{
+    proto::Slice want;
+    const holding has = held(now, each);
+    if (has.needed_parts > has.parts)
+    {
+        want.set_parts(has.needed_parts - has.parts);
+    }
+    if (!each.connections)
+    {
+        const std::uint64_t ahead = 2 * has.needed_tokens + token_unit;
+        want.set_tokens(ahead > has.tokens ? ahead - has.tokens : token_unit);
+    }
+    return want;
+}
+
+void limiter::ask_ahead(moment now, const std::string& name, resource& each,
+                        outbox& out)
+{
+    const holding has = held(now, each);
+    const bool low = each.connections
+                         ? has.needed_parts > has.parts
+                         : has.tokens < has.needed_tokens / 2 + token_unit &&
+                               each.demand != 0;
+    if (low && each.whole != 0 && each.ask == 0 && now >= each.refuse_until &&
+        confirmed_since_ && each.ledger.usable(epoch_))
+    {
+        begin_round(now, name, each, false, out);
+    }
+}
+
+std::vector<member> limiter::peers(moment now) const
+{
+    std::vector<member> found = members_.serving(now);
+    found.erase(std::remove_if(found.begin(), found.end(),
+                               [&](const member& each) {
+                                   return each.vm == self_.vm ||
+                                          each.number == 0;
+                               }),
+                found.end());
+    return found;
+}
+
+void limiter::begin_round(moment now, const std::string& name, resource& each,
+                          bool urgent, outbox& out)
+{
+    const auto found = peers(now);
+    if (found.empty())
+    {
+        end_round(now, each);
+        return;
+    }
+    each.ask = next_ask_++;
+    each.urgent = urgent;
+    each.asked_all = false;
+    each.ask_deadline = now + options_.ask_timeout;
+    const auto spare = [&](const member& peer)
+    {
+        const auto hint = each.hints.find(peer.vm);
+        return hint != each.hints.end() && hint->second.number == peer.number
+                   ? hint->second.spare
+                   : 0;
+    };
+    const auto best = std::max_element(found.begin(), found.end(),
+                                       [&](const member& a, const member& b)
+                                       { return spare(a) < spare(b); });
+    if (spare(*best) == 0)
+    {
+        continue_round(now, name, each, out);
+        return;
+    }
+    each.pending = {best->vm};
+    send_ask(now, name, each, *best, out);
+}
+
+void limiter::continue_round(moment now, const std::string& name,
+                             resource& each, outbox& out)
+{
+    if (each.asked_all || !each.urgent)
+    {
+        end_round(now, each);
+        return;
+    }
+    const std::set<std::string> before = std::exchange(each.pending, {});
+    each.asked_all = true;
+    each.ask_deadline = now + options_.ask_timeout;
+    for (const auto& peer : peers(now))
+    {
+        each.pending.insert(peer.vm);
+        if (before.count(peer.vm) == 0)
+        {
+            send_ask(now, name, each, peer, out);
+        }
+    }
+}
+
+void limiter::end_round(moment now, resource& each)
+{
+    each.ask = 0;
+    each.urgent = false;
+    each.pending.clear();
+    each.refuse_until = now + options_.refuse_time;
+}
+
+void limiter::send_ask(moment now, const std::string& name, resource& each,
+                       const member& to, outbox& out)
+{
+    proto::PeerMessage message;
+    auto& ask = *message.mutable_slice_ask();
+    ask.set_resource(name);
+    ask.set_ask(each.ask);
+    *ask.mutable_want() = wish(now, each);
+    out.send_peer(to.vm, to.number, std::move(message));
+}
+
+void limiter::send_give(moment now, resource& each,
+                        const proto::Incarnation& to, const proto::Slice& slice,
+                        std::uint64_t ask, outbox& out)
+{
+    proto::Slice debited = slice;
+    if (!each.bucket.take(now, slice.tokens()))
+    {
+        debited.set_tokens(0); // what is not debited is not given
+    }
+    proto::PeerMessage message;
+    *message.mutable_slice_give() =
+        each.ledger.give(to, std::move(debited), ask);
+    each.bucket.use_parts(now, each.ledger.parts());
+    out.send_peer(to.vm(), to.number(), std::move(message));
+}
+
+void limiter::on_slice_ask(moment now, const proto::Incarnation& from,
+                           const proto::SliceAsk& ask, outbox& out)
+{
+    check_place(now);
+    auto* each = find(ask.resource());
+    if (each == nullptr)
+    {
+        return;
+    }
+    proto::Slice slice;
+    const bool may = confirmed_since_ && each->ledger.may_give(epoch_, from) &&
+                     members_.current(from);
+    if (may)
+    {
+        slice = policy_->give(held(now, *each), ask.want());
+    }
+    send_give(now, *each, from, slice, ask.ask(), out);
+}
+
+void limiter::on_slice_give(moment now, const proto::Incarnation& from,
+                            const proto::SliceGive& give, outbox& out)
+{
+    check_place(now);
+    auto* each = find(give.resource());
+    if (each == nullptr)
+    {
+        return;
+    }
+    const auto credited = each->ledger.receive(from, give);
+    each->bucket.use_parts(now, each->ledger.parts());
+    if (!each->connections)
+    {
+        each->bucket.add(now, credited.tokens());
+    }
+    if (give.ask() != each->ask || each->ask == 0)
+    {
+        return;
+    }
+    each->pending.erase(from.vm());
+    const bool served = each->connections
+                            ? each->ledger.parts() >= each->wanted
+                            : each->bucket.tokens(now) >= token_unit;
+    if (served)
+    {
+        end_round(now, *each);
+        each->refuse_until = now;
+    }
+    else if (each->pending.empty())
+    {
+        continue_round(now, give.resource(), *each, out);
+    }
+}
+
+void limiter::hints(proto::Heartbeat& heartbeat) const
+{
+    for (const auto& [name, each] : resources_)
+    {
+        const holding has = held(last_tick_, each);
+        const std::uint64_t spare =
+            each.connections
+                ? has.parts - std::min(has.parts, has.needed_parts)
+                : has.tokens - std::min(has.tokens, has.needed_tokens);
+        if (spare != 0)
+        {
+            auto& hint = *heartbeat.add_hint();
+            hint.set_resource(name);
+            hint.set_spare_tokens(spare);
+        }
+    }
+}
+
+void limiter::on_hints(const proto::Incarnation& from,
+                       const proto::Heartbeat& heartbeat)
+{
+    for (auto& [name, each] : resources_)
+    {
+        each.hints.erase(from.vm());
+    }
+    for (const auto& hint : heartbeat.hint())
+    {
+        if (auto* each = find(hint.resource()))
+        {
+            each->hints[from.vm()] = {from.number(), hint.spare_tokens()};
+        }
+    }
+}
+
+void limiter::start_leaving(moment now, outbox& out)
+{
+    leaving_ = true;
+    leave_ticks_ = 0;
+    for (auto& [unused, each] : resources_)
+    {
+        hand_over(now, each, out);
+    }
+}
+
+void limiter::hand_over(moment now, resource& each, outbox& out)
+{
+    const auto found = peers(now);
+    alone_ = found.empty();
+    const holding has = held(now, each);
+    if (alone_ || (has.parts == 0 && leave_ticks_ > leave_repeats))
+    {
+        return;
+    }
+    std::uint64_t left = found.size();
+    std::uint64_t parts = has.parts - std::min(has.parts, has.needed_parts);
+    std::uint64_t tokens = has.tokens;
+    for (const auto& peer : found)
+    {
+        proto::Incarnation to;
+        to.set_vm(peer.vm);
+        to.set_number(peer.number);
+        proto::Slice slice;
+        if (confirmed_since_ && each.ledger.may_give(epoch_, to))
+        {
+            slice.set_parts((parts + left - 1) / left);
+            const std::uint64_t carried =
+                each.connections ? 0 : each.bucket.capacity_of(slice.parts());
+            slice.set_tokens(std::min((tokens + left - 1) / left, carried));
+        }
+        parts -= slice.parts();
+        tokens -= slice.tokens();
+        --left;
+        send_give(now, each, to, slice, 0, out);
+    }
+}
+
+bool limiter::handed_over() const
+{
+    const bool empty = std::all_of(resources_.begin(), resources_.end(),
+                                   [](const auto& each)
+                                   { return each.second.ledger.parts() == 0; });
+    return leaving_ && (alone_ || (empty && leave_ticks_ >= leave_repeats));
+}
+
+} // namespace tanagerhoist
--- a/src/decision/membership.cpp
+++ b/src/decision/membership.cpp
@@ -173,9 +173,10 @@
 bool membership::gone(const std::string& vm, std::uint64_t number,
                       moment now) const
 {
-    if (!listed_once_ || number == self_.number)
+    if (!listed_once_ || number == self_.number ||
+        now - list_evidence_ > options_.list_limit)
     {
-        return false;
+        return false; // an old list may lack a VM's return
     }
     if (listed_.count(vm) == 0)
     {
@@ -222,6 +223,13 @@
     return 2 * static_cast<std::size_t>(count) > listed_.size();
 }
 
+bool membership::current(const proto::Incarnation& who) const
+{
+    const auto found = peers_.find(who.vm());
+    return listed_.count(who.vm()) != 0 && found != peers_.end() &&
+           found->second.number == who.number();
+}
+
 bool membership::recently_listed(const std::string& vm, moment now) const
 {
     const auto found = dropped_.find(vm);
--- /dev/null
+++ b/src/decision/share_ledger.cpp
@@ -0,0 +1,176 @@
+#include "tanagerhoist/decision/share_ledger.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace tanagerhoist
+{
+
+share_ledger::share_ledger(const identity& self, const membership& members,
+                           std::string resource, share_ledger_options options)
+    : self_(self),
+      members_(members),
+      resource_(std::move(resource)),
+      options_(options)
+{
+}
+
+void share_ledger::reset()
+{
+    parts_ = 0;
+    granted_ = 0;
+    entered_ = false;
+    expelled_ = false;
+    waiting_ = false;
+    have_row_ = false;
+    epoch_ = 0;
+    version_ = 0;
+    channels_.clear();
+}
+
+bool share_ledger::usable(std::uint64_t epoch) const
+{
+    return !expelled_ && epoch_ == epoch;
+}
+
+bool share_ledger::may_give(std::uint64_t epoch,
+                            const proto::Incarnation& to) const
+{
+    const auto found = channels_.find(to.number());
+    const bool open = found == channels_.end() ||
+                      (!found->second.closed && found->second.closing == 0);
+    return usable(epoch) && entered_ && open;
+}
+
+proto::SliceGive share_ledger::give(const proto::Incarnation& to,
+                                    proto::Slice given, std::uint64_t ask)
+{
+    auto& channel = channels_[to.number()];
+    channel.vm = to.vm();
+    parts_ -= given.parts();
+    channel.given_parts += given.parts();
+    channel.given_tokens += given.tokens();
+    proto::SliceGive message;
+    message.set_resource(resource_);
+    message.set_ask(ask);
+    message.set_sequence(++channel.sequence);
+    message.mutable_total()->set_parts(channel.given_parts);
+    message.mutable_total()->set_tokens(channel.given_tokens);
+    *message.mutable_given() = std::move(given);
+    return message;
+}
+
+proto::Slice share_ledger::receive(const proto::Incarnation& from,
+                                   const proto::SliceGive& message)
+{
+    proto::Slice credited;
+    const auto& grants = row_.grant();
+    const bool holder = std::any_of(grants.begin(), grants.end(),
+                                    [&](const proto::ShareGrant& each)
+                                    { return each.number() == from.number(); });
+    auto& channel = channels_[from.number()];
+    channel.vm = from.vm();
+    // A giver that the row does not name may have been reclaimed already.
+    if (channel.closed || channel.closing != 0 || (entered_ && !holder) ||
+        expelled_ || message.total().parts() <= channel.received_parts)
+    {
+        return credited;
+    }
+    credited.set_parts(message.total().parts() - channel.received_parts);
+    credited.set_tokens(message.total().tokens() - channel.received_tokens);
+    channel.received_parts = message.total().parts();
+    channel.received_tokens = message.total().tokens();
+    parts_ += credited.parts();
+    return credited;
+}
+
+bool share_ledger::has_received() const
+{
+    return std::any_of(channels_.begin(), channels_.end(),
+                       [](const auto& each)
+                       { return each.second.received_parts != 0; });
+}
+
+void share_ledger::on_tick(moment now, std::uint64_t epoch, bool in_place,
+                           outbox& out)
+{
+    if (self_.number == 0 || expelled_ || whole_ == 0)
+    {
+        return;
+    }
+    if (!entered_ && epoch != epoch_ && has_received())
+    {
+        expelled_ = true; // nothing in the row tells what became of it
+        return;
+    }
+    if (waiting_ || !in_place)
+    {
+        return;
+    }
+    if (!have_row_ || now >= next_read_)
+    {
+        read(out);
+        return;
+    }
+    if (now < next_write_)
+    {
+        return;
+    }
+    proto::ShareRow next = next_row(now);
+    if (epoch != epoch_ || next.SerializeAsString() != row_.SerializeAsString())
+    {
+        write(now, std::move(next), epoch, out);
+    }
+}
+
+void share_ledger::read(outbox& out)
+{
+    proto::PlatformCall call;
+    call.mutable_table_read()->set_row("share/" + resource_);
+    waiting_ = true;
+    out.call_platform(std::move(call), options_.call_timeout,
+                      [this, number = self_.number](
+                          moment now, const proto::PlatformReply* reply)
+                      {
+                          waiting_ = false;
+                          next_read_ = now + options_.retry_interval;
+                          proto::ShareRow row;
+                          if (reply == nullptr || number != self_.number ||
+                              !row.ParseFromString(reply->value()))
+                          {
+                              return;
+                          }
+                          const bool found =
+                              reply->outcome() == proto::PLATFORM_OK;
+                          observe(now, found ? reply->version() : 0, row);
+                      });
+}
+
+void share_ledger::write(moment now, proto::ShareRow next, std::uint64_t epoch,
+                         outbox& out)
+{
+    proto::PlatformCall call;
+    auto& body = *call.mutable_table_write();
+    body.set_row("share/" + resource_);
+    body.set_expected_version(version_);
+    body.set_value(next.SerializeAsString());
+    waiting_ = true;
+    next_write_ = now + options_.retry_interval;
+    out.call_platform(
+        std::move(call), options_.call_timeout,
+        [this, next = std::move(next), epoch,
+         number = self_.number](moment at, const proto::PlatformReply* reply)
+        {
+            waiting_ = false;
+            have_row_ = false; // read again, whatever became of the write
+            if (reply == nullptr || number != self_.number ||
+                reply->outcome() != proto::PLATFORM_OK)
+            {
+                return;
+            }
+            observe(at, reply->version(), next);
+            epoch_ = std::max(epoch_, epoch);
+        });
+}
+
+} // namespace tanagerhoist
--- /dev/null
+++ b/src/decision/slice_policy.cpp
@@ -0,0 +1,48 @@
+#include "tanagerhoist/decision/slice_policy.hpp"
+
+#include "tanagerhoist/decision/token_bucket.hpp"
+
+#include <algorithm>
+
+namespace tanagerhoist
+{
+
+namespace
+{
+
+std::uint64_t above(std::uint64_t has, std::uint64_t needed)
+{
+    return has > needed ? has - needed : 0;
+}
+
+} // namespace
+
+proto::Slice demand_policy::give(const holding& has,
+                                 const proto::Slice& want) const
+{
+    const std::uint64_t spare = above(has.parts, has.needed_parts);
+    std::uint64_t parts = std::min(want.parts(), spare);
+    std::uint64_t tokens =
+        std::min(want.tokens(), above(has.tokens, has.needed_tokens));
+    if (has.whole_tokens != 0)
+    {
+        // Parts enough to carry the tokens, even of a busy holder's: it can
+        // ask for them back, while tokens cannot travel without.
+        const std::uint64_t carrying =
+            (tokens * share_parts + has.whole_tokens - 1) / has.whole_tokens;
+        parts = std::min(std::max(parts, carrying), has.parts);
+        tokens = std::min(tokens, has.whole_tokens * parts / share_parts);
+    }
+    proto::Slice given;
+    given.set_parts(parts);
+    given.set_tokens(tokens);
+    return given;
+}
+
+proto::Slice fixed_policy::give(const holding& /*has*/,
+                                const proto::Slice& /*want*/) const
+{
+    return {};
+}
+
+} // namespace tanagerhoist
