--- a/src/decision/limiter.cpp
+++ b/src/decision/limiter.cpp
@@ -59,7 +59,7 @@
         each.burst = 0;
         each.bucket.use_share(now, 0, 0, 0);
     }
-    for (const auto& workspace : settings.settings().workspace())
+    for (const auto& workspace : settings.all().workspace())
     {
         auto& each = at(workspace_resource(workspace.name()));
         each.whole = share_parts;
@@ -68,7 +68,7 @@
         each.bucket.use_share(now, workspace.rate(), workspace.burst(),
                               each.ledger.parts());
     }
-    for (const auto& server : settings.settings().server())
+    for (const auto& server : settings.all().server())
     {
         const auto* database = settings.database(server.database());
         auto& each = at(server_resource(server.name()));
--- a/src/decision/node.cpp
+++ b/src/decision/node.cpp
@@ -278,7 +278,7 @@
     {
         return;
     }
-    for (const auto& server : view_->settings().server())
+    for (const auto& server : view_->all().server())
     {
         const auto& name = server.name();
         limiter_.want_connections(now, name, pool_.wanted(name),
@@ -298,8 +298,8 @@
     }
     auto next = std::make_unique<const settings_view>(*current);
     limiter_.use_settings(now, *next, out_);
-    primaries_.use_settings(now, next->settings());
-    pool_.use_settings(next->settings(), out_);
+    primaries_.use_settings(now, next->all());
+    pool_.use_settings(next->all(), out_);
     flow_.use_settings(now, *next);
     view_ = std::move(next); // the modules hold no view of the old settings
     proto::Event event;
