Add tanagerhoistd: fibers, RCU settings, HTTP, nng, drain

Cause: the node had no process around it. Ruled out: a fiber per connection (a stack per idle caller); locks on the settings (readers would wait for a replacement). Before: no program.

--- a/include/tanagerhoist/adapter/http_wire.hpp
+++ b/include/tanagerhoist/adapter/http_wire.hpp
@@ -101,9 +101,6 @@
                                     const std::string& body,
                                     milliseconds timeout, bool& sent);
 
-    /// Calls `ended` when the idle connection is closed by the other side.
-    void watch(std::function<void()> ended);
-
     bool is_open() const;
     void close();
 
--- /dev/null
+++ b/include/tanagerhoist/adapter/settings_snapshot.hpp
@@ -0,0 +1,57 @@
+#ifndef TANAGERHOIST_ADAPTER_SETTINGS_SNAPSHOT_HPP
+#define TANAGERHOIST_ADAPTER_SETTINGS_SNAPSHOT_HPP
+
+#include "tanagerhoist/decision/settings_view.hpp"
+
+#include <memory>
+
+namespace tanagerhoist
+{
+
+/// The settings in force, read by many threads and replaced by one, by
+/// read-copy-update. A reader never waits, not even for a replacement.
+class settings_snapshot
+{
+public:
+    settings_snapshot() = default;
+    ~settings_snapshot();
+    settings_snapshot(const settings_snapshot&) = delete;
+    settings_snapshot& operator=(const settings_snapshot&) = delete;
+
+    /// Replaces the settings; the old ones are freed once no reader uses them.
+    void publish(std::unique_ptr<settings_view> next);
+
+    /// Calls `use` with the settings in force, or with null before the first.
+    /// `use` must not suspend its fiber. The thread needs an `rcu_reader`.
+    template <class Use>
+    auto read(Use&& use) const
+    {
+        const section guard;
+        return use(current());
+    }
+
+private:
+    struct section
+    {
+        section();
+        ~section();
+    };
+
+    const settings_view* current() const;
+
+    settings_view* view_ = nullptr; ///< readers see it as const
+};
+
+/// Registers the calling thread as a reader for as long as it lives.
+class rcu_reader
+{
+public:
+    rcu_reader();
+    ~rcu_reader();
+    rcu_reader(const rcu_reader&) = delete;
+    rcu_reader& operator=(const rcu_reader&) = delete;
+};
+
+} // namespace tanagerhoist
+
+#endif
--- /dev/null
+++ b/src/adapter/caller_door.cpp
@@ -0,0 +1,239 @@
+#include "tanagerhoist/adapter/caller_door.hpp"
+
+#include "tanagerhoist/adapter/json_codec.hpp"
+#include "tanagerhoist/core/result_code.hpp"
+#include "tanagerhoist/decision/authenticator.hpp"
+
+#include <boost/fiber/fiber.hpp>
+
+#include <chrono>
+#include <string_view>
+#include <utility>
+
+namespace tanagerhoist
+{
+namespace
+{
+
+constexpr std::size_t body_limit = 64 * 1024; // bytes
+constexpr milliseconds read_timeout{5000};
+constexpr milliseconds write_timeout{5000};
+constexpr unsigned worker_shift = 48; // handles: worker above, count below
+constexpr std::string_view bearer = "Bearer ";
+
+/// Codes for what went wrong while a request was read, by `read_status`.
+result_code code_of(read_status status)
+{
+    switch (status)
+    {
+    case read_status::too_large:
+        return result_code::request_too_large;
+    case read_status::timed_out:
+        return result_code::request_timeout;
+    default:
+        return result_code::malformed_request;
+    }
+}
+
+} // namespace
+
+struct caller_door::session
+{
+    session(std::uint64_t i, boost::asio::ip::tcp::socket socket)
+        : id(i), stream(std::move(socket))
+    {
+    }
+    std::uint64_t id;
+    http_server_stream stream;
+    bool busy = false;   ///< a fiber serves it
+    bool ending = false; ///< to be closed after the answer
+};
+
+caller_door::caller_door(std::uint64_t worker,
+                         const settings_snapshot& settings, metrics& figures,
+                         input_sink inputs)
+    : worker_(worker),
+      settings_(settings),
+      metrics_(figures),
+      inputs_(std::move(inputs))
+{
+}
+
+caller_door::~caller_door() = default;
+
+std::uint64_t caller_door::worker_of(std::uint64_t handle)
+{
+    return handle >> worker_shift;
+}
+
+std::uint64_t caller_door::next_handle()
+{
+    return (worker_ << worker_shift) | next_++;
+}
+
+void caller_door::accept(boost::asio::ip::tcp::socket socket)
+{
+    const auto id = next_handle();
+    auto s = std::make_shared<session>(id, std::move(socket));
+    sessions_.emplace(id, s);
+    arm(s);
+}
+
+/// Waits for bytes without a fiber.
+void caller_door::arm(const session_ptr& s)
+{
+    s->busy = false;
+    s->stream.wait_readable(
+        [this, s](bool ok)
+        {
+            if (!ok || sessions_.count(s->id) == 0)
+            {
+                end(*s);
+                return;
+            }
+            s->busy = true;
+            boost::fibers::fiber([this, s] { serve(s); }).detach();
+        });
+}
+
+void caller_door::serve(const session_ptr& s)
+{
+    bool keep = true;
+    do
+    {
+        keep = serve_one(*s) && !s->ending && !closing_;
+    } while (keep && s->stream.has_buffered());
+    if (keep)
+    {
+        arm(s);
+    }
+    else
+    {
+        end(*s);
+    }
+}
+
+bool caller_door::serve_one(session& s)
+{
+    http_request request;
+    const auto status = s.stream.read(request, body_limit, read_timeout);
+    if (status == read_status::closed)
+    {
+        return false;
+    }
+    bool keep = status == read_status::whole && request.keep_alive;
+    const auto answer = dispatch(s, status, request, keep);
+    keep = keep && !closing_ && !s.ending;
+    return s.stream.write(answer, keep, write_timeout) && keep;
+}
+
+http_answer caller_door::dispatch(session& s, read_status status,
+                                  const http_request& request, bool& keep)
+{
+    if (request.method == "GET" && request.target == "/metrics")
+    {
+        return {200, "text/plain; version=0.0.4", metrics_.text()};
+    }
+    proto::CallerArrived arrived;
+    auto refused = result_code::ok;
+    if (status != read_status::whole)
+    {
+        refused = code_of(status);
+        keep = false;
+    }
+    else if (request.method != "POST" || request.target != "/v1/request" ||
+             !from_json(request.body, *arrived.mutable_request()))
+    {
+        refused = result_code::malformed_request;
+    }
+    else if (!request.authorization.empty())
+    {
+        std::string_view key = request.authorization;
+        key.remove_prefix(key.substr(0, bearer.size()) == bearer ? bearer.size()
+                                                                 : 0);
+        const auto found = settings_.read(
+            [key](const settings_view* view)
+            {
+                return view == nullptr
+                           ? authentication{result_code::settings_missing, {}}
+                           : authenticate(*view, key);
+            });
+        refused = found.code;
+        *arrived.mutable_principal() = found.principal;
+    }
+    arrived.set_refused(static_cast<std::uint32_t>(refused));
+    return ask(s, std::move(arrived));
+}
+
+/// Posts the request to the decision layer and waits for its answer.
+http_answer caller_door::ask(session& s, proto::CallerArrived arrived)
+{
+    const auto began = std::chrono::steady_clock::now();
+    const auto call = next_handle();
+    boost::fibers::promise<proto::CallerReply> promise;
+    auto answered = promise.get_future();
+    waiting_[call] = &promise;
+    arrived.set_call(call);
+    arrived.set_caller(s.id);
+    proto::Input input;
+    *input.mutable_caller_arrived() = std::move(arrived);
+    inputs_(std::move(input));
+    const auto reply = answered.get();
+    waiting_.erase(call);
+    const auto code = static_cast<result_code>(reply.code());
+    metrics_.answered(code, std::chrono::duration_cast<microseconds>(
+                                std::chrono::steady_clock::now() - began));
+    http_answer answer;
+    answer.status = info(code).http_status;
+    answer.body = to_json(reply);
+    return answer;
+}
+
+void caller_door::answer(std::uint64_t call, proto::CallerReply reply)
+{
+    const auto it = waiting_.find(call);
+    if (it != waiting_.end())
+    {
+        it->second->set_value(std::move(reply));
+    }
+}
+
+void caller_door::disconnect(std::uint64_t caller)
+{
+    const auto it = sessions_.find(caller);
+    if (it == sessions_.end())
+    {
+        return;
+    }
+    const auto s = it->second;
+    s->ending = true;
+    if (!s->busy)
+    {
+        s->stream.close(); // its wait fails and ends it
+    }
+}
+
+void caller_door::close_idle()
+{
+    closing_ = true;
+    for (const auto& [id, s] : sessions_)
+    {
+        if (!s->busy)
+        {
+            s->stream.close();
+        }
+    }
+}
+
+void caller_door::end(session& s)
+{
+    s.stream.close();
+    if (sessions_.erase(s.id) > 0)
+    {
+        proto::Input input;
+        input.mutable_caller_gone()->set_caller(s.id);
+        inputs_(std::move(input));
+    }
+}
+
+} // namespace tanagerhoist
--- /dev/null
+++ b/src/adapter/decision_loop.cpp
@@ -0,0 +1,86 @@
+#include "tanagerhoist/adapter/decision_loop.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+
+#include <memory>
+#include <utility>
+
+namespace tanagerhoist
+{
+
+decision_loop::decision_loop(node_options options, performer perform,
+                             record_sink& record, metrics& figures)
+    : timer_(context_),
+      start_(std::chrono::steady_clock::now()),
+      node_(std::move(options)),
+      perform_(std::move(perform)),
+      record_(record),
+      metrics_(figures)
+{
+}
+
+moment decision_loop::now() const
+{
+    return moment(std::chrono::duration_cast<microseconds>(
+        std::chrono::steady_clock::now() - start_));
+}
+
+void decision_loop::post(proto::Input input)
+{
+    boost::asio::post(context_, [this, input = std::move(input)]() mutable
+                      { apply(std::move(input)); });
+}
+
+void decision_loop::run_soon(std::function<void()> task)
+{
+    boost::asio::post(context_, std::move(task));
+}
+
+void decision_loop::apply(proto::Input input)
+{
+    const auto wall = std::chrono::duration_cast<microseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+    const moment at = now();
+    input.set_now_us(to_us(at));
+    input.set_wall_us(static_cast<std::uint64_t>(wall.count()));
+    auto actions = node_.apply(input);
+    record_.decided(input, actions);
+    record_.noted(node_.take_events());
+    metrics_.decided(now() - at);
+    if (input.has_tick())
+    {
+        metrics_.node_state(node_.figures(at));
+    }
+    perform_(std::move(actions));
+}
+
+void decision_loop::arm()
+{
+    timer_.expires_after(node::tick_interval);
+    timer_.async_wait(
+        [this](boost::system::error_code error)
+        {
+            if (!error)
+            {
+                proto::Input input;
+                input.mutable_tick();
+                apply(std::move(input));
+                arm();
+            }
+        });
+}
+
+void decision_loop::run()
+{
+    auto work = boost::asio::make_work_guard(context_);
+    arm();
+    context_.run();
+}
+
+void decision_loop::stop()
+{
+    context_.stop();
+}
+
+} // namespace tanagerhoist
--- a/src/adapter/http_wire.cpp
+++ b/src/adapter/http_wire.cpp
@@ -207,19 +207,6 @@
                  : std::nullopt;
 }
 
-void http_client_stream::watch(std::function<void()> ended)
-{
-    state_->stream.socket().async_wait(
-        asio::ip::tcp::socket::wait_read,
-        [ended = std::move(ended)](error_code error)
-        {
-            if (error != asio::error::operation_aborted)
-            {
-                ended();
-            }
-        });
-}
-
 bool http_client_stream::is_open() const
 {
     return state_->stream.socket().is_open();
--- /dev/null
+++ b/src/adapter/peer_link.cpp
@@ -0,0 +1,139 @@
+#include "tanagerhoist/adapter/peer_link.hpp"
+
+#include <nng/nng.h>
+#include <nng/protocol/pipeline0/pull.h>
+#include <nng/protocol/pipeline0/push.h>
+
+#include <map>
+#include <stdexcept>
+#include <utility>
+
+namespace tanagerhoist
+{
+namespace
+{
+
+constexpr int send_queue = 256;                 // messages to one peer
+constexpr std::size_t message_limit = 4 << 20;  // bytes
+constexpr nng_duration reconnect_first = 50;    // ms
+constexpr nng_duration reconnect_longest = 500; // ms
+
+std::string url(const std::string& address, std::uint16_t port)
+{
+    return "tcp://" + address + ":" + std::to_string(port);
+}
+
+} // namespace
+
+struct peer_link::state
+{
+    explicit state(receiver r) : receive(std::move(r)) {}
+
+    struct peer
+    {
+        std::string where;
+        nng_socket socket = NNG_SOCKET_INITIALIZER;
+    };
+
+    static void received(void* self) { static_cast<state*>(self)->take(); }
+
+    void take()
+    {
+        if (nng_aio_result(aio) != 0)
+        {
+            return; // the socket has been closed
+        }
+        nng_msg* message = nng_aio_get_msg(aio);
+        proto::PeerMessage parsed;
+        const auto size = nng_msg_len(message);
+        if (parsed.ParseFromArray(nng_msg_body(message),
+                                  static_cast<int>(size)))
+        {
+            receive(std::move(parsed), size);
+        }
+        nng_msg_free(message);
+        nng_recv_aio(listener, aio);
+    }
+
+    receiver receive;
+    nng_socket listener = NNG_SOCKET_INITIALIZER;
+    nng_aio* aio = nullptr;
+    std::map<std::string, peer> peers;
+};
+
+peer_link::peer_link(const std::string& address, std::uint16_t port,
+                     receiver receive)
+    : state_(std::make_unique<state>(std::move(receive)))
+{
+    if (nng_pull0_open(&state_->listener) != 0)
+    {
+        throw std::runtime_error("no nng socket for peers");
+    }
+    nng_socket_set_size(state_->listener, NNG_OPT_RECVMAXSZ, message_limit);
+    const auto where = url(address, port);
+    const int error = nng_listen(state_->listener, where.c_str(), nullptr, 0);
+    if (error != 0)
+    {
+        nng_close(state_->listener);
+        throw std::runtime_error("peers: " + where + ": " +
+                                 nng_strerror(error));
+    }
+    nng_aio_alloc(&state_->aio, &state::received, state_.get());
+    nng_recv_aio(state_->listener, state_->aio);
+}
+
+peer_link::~peer_link()
+{
+    nng_close(state_->listener);
+    nng_aio_stop(state_->aio); // waits for a running callback
+    nng_aio_free(state_->aio);
+    for (auto& [vm, peer] : state_->peers)
+    {
+        nng_close(peer.socket);
+    }
+}
+
+void peer_link::learn(const std::string& vm, const std::string& address,
+                      std::uint16_t port)
+{
+    auto& peer = state_->peers[vm];
+    const auto where = url(address, port);
+    if (peer.where == where)
+    {
+        return;
+    }
+    if (!peer.where.empty())
+    {
+        nng_close(peer.socket);
+    }
+    peer.where = where;
+    nng_push0_open(&peer.socket);
+    nng_socket_set_int(peer.socket, NNG_OPT_SENDBUF, send_queue);
+    nng_socket_set_ms(peer.socket, NNG_OPT_RECONNMINT, reconnect_first);
+    nng_socket_set_ms(peer.socket, NNG_OPT_RECONNMAXT, reconnect_longest);
+    nng_dial(peer.socket, where.c_str(), nullptr, NNG_FLAG_NONBLOCK);
+}
+
+std::size_t peer_link::send(const proto::PeerMessage& message)
+{
+    const auto it = state_->peers.find(message.to());
+    if (it == state_->peers.end())
+    {
+        return 0;
+    }
+    const std::string bytes = message.SerializeAsString();
+    nng_msg* out = nullptr;
+    if (nng_msg_alloc(&out, 0) != 0)
+    {
+        return 0;
+    }
+    if (nng_msg_append(out, bytes.data(), bytes.size()) != 0 ||
+        nng_sendmsg(it->second.socket, out, NNG_FLAG_NONBLOCK) != 0)
+    {
+        nng_msg_free(out); // a full queue loses the message
+        return 0;
+    }
+    return bytes.size();
+}
+
+} // namespace tanagerhoist
--- a/src/decision/request_admission.cpp
+++ b/src/decision/request_admission.cpp
@@ -128,7 +128,8 @@
 
 void request_flow::arrive(moment now, const proto::CallerArrived& arrived)
 {
-    const auto code = check(now, arrived);
+    const auto found = static_cast<result_code>(arrived.refused());
+    const auto code = found == result_code::ok ? check(now, arrived) : found;
     if (code != result_code::ok)
     {
         answer_at_once(arrived, code);
--- /dev/null
+++ b/tools/daemon/main.cpp
@@ -0,0 +1,120 @@
+#include "daemon.hpp"
+#include "state_log.hpp"
+#include "tanagerhoist/settings/ini_reader.hpp"
+
+#include <boost/leaf.hpp>
+#include <cxxopts.hpp>
+#include <spdlog/spdlog.h>
+
+#include <exception>
+#include <iostream>
+#include <string>
+
+namespace
+{
+
+// Exit codes, as --help lists them.
+constexpr int exit_drained = 0;
+constexpr int exit_usage = 1;
+constexpr int exit_settings = 2;
+constexpr int exit_start = 3;
+constexpr int exit_cut_off = 4;
+
+constexpr const char* exit_help =
+    "\nExit codes: 0 drained, every request answered; 1 wrong command line; "
+    "2 fault in\nthe settings file; 3 could not start; 4 ended before the "
+    "drain was over.\n";
+
+/// Until a record is wanted, nothing is kept.
+class no_record : public tanagerhoist::record_sink
+{
+public:
+    void decided(const tanagerhoist::proto::Input&,
+                 const std::vector<tanagerhoist::proto::Action>&) override
+    {
+    }
+    void noted(std::vector<tanagerhoist::proto::Event>) override {}
+};
+
+int serve(const tanagerhoist::proto::DaemonSettings& settings)
+{
+    tanagerhoist::metrics figures;
+    no_record none;
+    tanagerhoist::state_log record(none, figures);
+    tanagerhoist::node_options options;
+    options.vm = settings.vm().name();
+    options.data_centre = settings.vm().data_centre();
+    tanagerhoist::daemon_process process(settings, options, record, figures);
+    spdlog::info("{} serving as {} on {}:{}", figures.summary(),
+                 settings.vm().name(), settings.listen().address(),
+                 settings.listen().caller_port());
+    const bool clean = process.run();
+    spdlog::info("{} ended", figures.summary());
+    return clean ? exit_drained : exit_cut_off;
+}
+
+/// Serves with the settings of `file`, or prints all its faults.
+int serve_file(const std::string& file)
+{
+    namespace leaf = boost::leaf;
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<int>
+        {
+            BOOST_LEAF_AUTO(settings, tanagerhoist::read_daemon_settings(file));
+            spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %l " +
+                                settings.vm().name() + " %v");
+            return serve(settings);
+        },
+        [](const tanagerhoist::settings_faults& faults)
+        {
+            for (const auto& fault : faults.all)
+            {
+                std::cerr << to_text(fault) << '\n';
+            }
+            return exit_settings;
+        },
+        [] { return exit_settings; });
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    cxxopts::Options options("tanagerhoistd",
+                             "Database proxy with session consistency.");
+    options.add_options()("settings", "INI file of this VM",
+                          cxxopts::value<std::string>())(
+        "help", "print this help")("version", "print the version");
+    options.parse_positional({"settings"});
+    options.positional_help("SETTINGS.ini");
+    try
+    {
+        const auto given = options.parse(argc, argv);
+        if (given.count("help") > 0)
+        {
+            std::cout << options.help() << exit_help;
+            return exit_drained;
+        }
+        if (given.count("version") > 0)
+        {
+            std::cout << "tanagerhoistd " TANAGERHOIST_VERSION "\n";
+            return exit_drained;
+        }
+        if (given.count("settings") == 0)
+        {
+            std::cerr << options.help() << exit_help;
+            return exit_usage;
+        }
+        return serve_file(given["settings"].as<std::string>());
+    }
+    catch (const cxxopts::exceptions::exception& error)
+    {
+        std::cerr << error.what() << '\n';
+        return exit_usage;
+    }
+    catch (const std::exception& error)
+    {
+        std::cerr << "could not start: " << error.what() << '\n';
+        return exit_start;
+    }
+}
--- /dev/null
+++ b/tools/daemon/state_log.cpp
@@ -0,0 +1,35 @@
+#include "state_log.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <utility>
+
+namespace tanagerhoist
+{
+
+state_log::state_log(record_sink& next, const metrics& figures)
+    : next_(next), metrics_(figures)
+{
+}
+
+void state_log::decided(const proto::Input& input,
+                        const std::vector<proto::Action>& actions)
+{
+    next_.decided(input, actions);
+}
+
+void state_log::noted(std::vector<proto::Event> events)
+{
+    for (const auto& event : events)
+    {
+        if (event.request_id().empty() && event.code() == 0)
+        {
+            spdlog::info("{} {} rule={} database={} server={} {}",
+                         metrics_.summary(), event.kind(), event.rule(),
+                         event.database(), event.server(), event.detail());
+        }
+    }
+    next_.noted(std::move(events));
+}
+
+} // namespace tanagerhoist
