Add the stand-in programs for database server and platform

Cause: process tests and the quickstart need a database group and a platform service that answer over HTTP, with faults that can be set while they run.

A reply that is lost shows as a closed connection.

Conclusion: ready for process tests.

--- /dev/null
+++ b/standin/platform_service.cpp
@@ -0,0 +1,85 @@
+#include "standin/platform_service.hpp"
+
+#include "standin/json.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <utility>
+
+namespace tanagerhoist::standin
+{
+
+platform_service::platform_service(boost::asio::io_context& context,
+                                   const boost::asio::ip::tcp::endpoint& listen,
+                                   const std::vector<proto::ListedVm>& listed)
+    : context_(context),
+      http_(context, listen, [](std::uint64_t /*connection*/) {})
+{
+    for (const auto& vm : listed)
+    {
+        platform_.list(clock_.now(), vm);
+    }
+    http_.route("/call",
+                [this](const http_request& request, answer_function answer)
+                { call(request, std::move(answer)); });
+    http_.route("/fault", [this](const http_request& request,
+                                 const answer_function& answer)
+                { fault(request, answer); });
+    http_.route(
+        "/dump",
+        [this](const http_request& /*request*/, const answer_function& answer) {
+            answer({200, to_json(platform_.dump())});
+        });
+}
+
+void platform_service::call(const http_request& request, answer_function answer)
+{
+    const auto call = from_json<proto::PlatformCall>(request.body);
+    if (!call)
+    {
+        answer({400, "{}"});
+        return;
+    }
+    const auto reply = platform_.handle(clock_.now(), *call);
+    if (reply)
+    {
+        delay({200, to_json(*reply)}, std::move(answer));
+    }
+}
+
+void platform_service::delay(http_answer text, answer_function answer)
+{
+    if (platform_.delay().count() == 0)
+    {
+        answer(std::move(text));
+        return;
+    }
+    const auto timer = delays_.emplace(delays_.end(), context_);
+    timer->expires_after(platform_.delay());
+    timer->async_wait(
+        [this, timer, text = std::move(text),
+         answer = std::move(answer)](const boost::system::error_code& error)
+        {
+            if (!error)
+            {
+                delays_.erase(timer);
+                answer(text);
+            }
+        });
+}
+
+void platform_service::fault(const http_request& request,
+                             const answer_function& answer)
+{
+    const auto fault = from_json<proto::standin::PlatformFault>(request.body);
+    if (!fault)
+    {
+        answer({400, "{}"});
+        return;
+    }
+    platform_.apply(clock_.now(), *fault);
+    spdlog::info("faults set: {}", request.body);
+    answer({200, "{}"});
+}
+
+} // namespace tanagerhoist::standin
--- /dev/null
+++ b/standin/platform_service.hpp
@@ -0,0 +1,45 @@
+#ifndef TANAGERHOIST_STANDIN_PLATFORM_SERVICE_HPP
+#define TANAGERHOIST_STANDIN_PLATFORM_SERVICE_HPP
+
+#include "standin/http_service.hpp"
+#include "standin/platform.hpp"
+#include "standin/process_clock.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <list>
+#include <vector>
+
+namespace tanagerhoist::standin
+{
+
+/// The platform behind HTTP: /call, /fault and /dump. A call that gets no
+/// answer sees its connection closed.
+class platform_service
+{
+public:
+    platform_service(boost::asio::io_context& context,
+                     const boost::asio::ip::tcp::endpoint& listen,
+                     const std::vector<proto::ListedVm>& listed);
+
+    /// Address and port it listens on.
+    boost::asio::ip::tcp::endpoint local() const { return http_.local(); }
+
+private:
+    using answer_function = http_service::answer_function;
+
+    void call(const http_request& request, answer_function answer);
+    void fault(const http_request& request, const answer_function& answer);
+    void delay(http_answer text, answer_function answer);
+
+    boost::asio::io_context& context_;
+    process_clock clock_;
+    platform platform_;
+    std::list<boost::asio::steady_timer> delays_;
+    http_service http_; ///< last, so that it ends first
+};
+
+} // namespace tanagerhoist::standin
+
+#endif
--- /dev/null
+++ b/standin/process_clock.hpp
@@ -0,0 +1,28 @@
+#ifndef TANAGERHOIST_STANDIN_PROCESS_CLOCK_HPP
+#define TANAGERHOIST_STANDIN_PROCESS_CLOCK_HPP
+
+#include "tanagerhoist/core/time.hpp"
+
+#include <chrono>
+
+namespace tanagerhoist::standin
+{
+
+/// Gives the time on the monotonic clock since it was made.
+class process_clock
+{
+public:
+    moment now() const
+    {
+        return moment(std::chrono::duration_cast<microseconds>(
+            std::chrono::steady_clock::now() - start_));
+    }
+
+private:
+    std::chrono::steady_clock::time_point start_ =
+        std::chrono::steady_clock::now();
+};
+
+} // namespace tanagerhoist::standin
+
+#endif
