--- a/fuzz/queues_state.cpp
+++ b/fuzz/queues_state.cpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace
@@ -51,7 +52,7 @@
 {
 public:
     /// @param credit requests that the order lets a workspace be ahead by
-    queue_oracle(queue_order_factory order, std::uint64_t credit)
+    queue_oracle(queue_order_factory order, double credit)
         : queue_(options(order)), credit_(credit)
     {
     }
@@ -166,26 +167,25 @@
         in_a_row_ = taken.emergency ? in_a_row_ + 1 : 0;
     }
 
-    /// A workspace that waits sees every other one served at most its weight's
-    /// worth more often, plus once.
+    /// While two workspaces wait, what they are served, each over its weight,
+    /// differs by no more than one request of each and the credit of each.
     void check_share(const queued& taken)
     {
-        served_since_.erase(taken.workspace);
-        for (const auto& [workspace, weight] : weights)
+        drop_idle_counts();
+        for (const auto& [other, weight] : weights)
         {
-            if (count(false, workspace) == 0)
-            {
-                served_since_.erase(workspace);
-                continue;
-            }
-            if (workspace == taken.workspace)
+            if (other == taken.workspace || count(false, other) == 0 ||
+                count(false, taken.workspace) == 0)
             {
                 continue;
             }
-            const std::uint64_t times =
-                ++served_since_[workspace][taken.workspace];
-            RC_ASSERT(times <=
-                      weights.at(taken.workspace) / weight + 2 + credit_);
+            auto& mine = served_beside_[{taken.workspace, other}];
+            mine += 1.0 / weights.at(taken.workspace);
+            const double others = served_beside_[{other, taken.workspace}];
+            const double most =
+                (1 + credit_) *
+                (1.0 / weight + 1.0 / weights.at(taken.workspace));
+            RC_ASSERT(mine - others <= most + 0.001);
         }
     }
 
@@ -226,12 +226,11 @@
 
     void drop_idle_counts()
     {
-        for (const auto& [workspace, weight] : weights)
+        for (auto it = served_beside_.begin(); it != served_beside_.end();)
         {
-            if (count(false, workspace) == 0)
-            {
-                served_since_.erase(workspace);
-            }
+            const bool both = count(false, it->first.first) > 0 &&
+                              count(false, it->first.second) > 0;
+            it = both ? std::next(it) : served_beside_.erase(it);
         }
     }
 
@@ -242,13 +241,13 @@
         &queue_oracle::finish, &queue_oracle::advance, &queue_oracle::erase};
 
     fair_queue queue_;
-    std::uint64_t credit_;
+    double credit_;
     moment now_;
     std::uint64_t next_id_ = 1;
     std::uint64_t in_a_row_ = 0;
     std::map<std::uint64_t, queued> waiting_;
-    /// Turns of each workspace since another one that waits was served.
-    std::map<std::string, std::map<std::string, std::uint64_t>> served_since_;
+    /// Service of the first, over its weight, while the second waited too.
+    std::map<std::pair<std::string, std::string>, double> served_beside_;
 };
 
 class pool_oracle
