Make the queue benchmark and state test clean for the linter

Cause: narrowing conversions and one RapidCheck hook's name. Change: casts, operator<< in place of showValue; no change in behaviour.

--- a/benchmark/fairness_benchmark.cpp
+++ b/benchmark/fairness_benchmark.cpp
@@ -44,6 +44,11 @@
     double limit = 0; ///< requests per second let through; 0: all
 };
 
+double seconds(microseconds d)
+{
+    return std::chrono::duration<double>(d).count();
+}
+
 struct result
 {
     std::uint64_t asked = 0;
@@ -52,16 +57,19 @@
 
     double share() const
     {
-        return asked == 0 ? 1 : static_cast<double>(served) / asked;
+        return asked == 0
+                   ? 1
+                   : static_cast<double>(served) / static_cast<double>(asked);
     }
-    double p99_ms()
+    double p99_ms() const
     {
         if (waits.empty())
         {
             return 0;
         }
-        std::sort(waits.begin(), waits.end());
-        return waits[waits.size() * 99 / 100].count() / 1000.0;
+        auto sorted = waits;
+        std::sort(sorted.begin(), sorted.end());
+        return seconds(sorted[sorted.size() * 99 / 100]) * 1e3;
     }
 };
 
@@ -80,7 +88,8 @@
     for (const std::uint64_t weight : weights)
     {
         all.push_back({"w" + std::to_string(all.size()), weight,
-                       capacity(slots) * load_inside_rates * weight / 18});
+                       capacity(slots) * load_inside_rates *
+                           static_cast<double>(weight) / 18});
     }
     return all;
 }
@@ -131,7 +140,10 @@
         return chosen;
     }
 
-    double uniform() { return (random_() >> 11U) * (1.0 / 9007199254740992.0); }
+    double uniform()
+    {
+        return static_cast<double>(random_() >> 11U) / 9007199254740992.0;
+    }
 
     void schedule(std::size_t tenant, moment after)
     {
@@ -164,8 +176,7 @@
         const double burst = from.limit * limit_burst_seconds;
         auto& [tokens, at] =
             buckets_.try_emplace(from.name, burst, moment()).first->second;
-        tokens =
-            std::min(burst, tokens + from.limit * (now - at).count() / 1e6);
+        tokens = std::min(burst, tokens + from.limit * seconds(now - at));
         at = now;
         if (tokens < 1)
         {
@@ -219,18 +230,19 @@
 };
 
 /// Worst share served and worst growth of the p99 wait among the others.
-bool compare(const char* title, bool bound, results calm, results flooded)
+bool compare(const char* title, bool bound, const results& calm,
+             const results& flooded)
 {
     double share = 1;
     double growth = 0;
     double calm_p99 = 0;
     double p99 = 0;
-    for (auto& [name, of] : flooded)
+    for (const auto& [name, of] : flooded)
     {
         if (name != "w0")
         {
             share = std::min(share, of.share());
-            const double before = calm[name].p99_ms();
+            const double before = calm.at(name).p99_ms();
             const double after = of.p99_ms();
             if (after / before > growth)
             {
--- a/fuzz/queues_state.cpp
+++ b/fuzz/queues_state.cpp
@@ -32,9 +32,9 @@
     std::uint32_t b = 0;
 };
 
-void showValue(const command& c, std::ostream& os)
+std::ostream& operator<<(std::ostream& os, const command& c)
 {
-    os << '{' << c.kind << ',' << c.a << ',' << c.b << '}';
+    return os << '{' << c.kind << ',' << c.a << ',' << c.b << '}';
 }
 
 rc::Gen<std::vector<command>> sequence_of(std::uint32_t kinds)
@@ -45,7 +45,7 @@
         rc::gen::set(&command::b, rc::gen::inRange(0U, 1000U))));
 }
 
-const std::map<std::string, std::uint64_t> weights = {
+const std::map<std::string, std::uint32_t> weights = {
     {"w0", 1}, {"w1", 2}, {"w2", 3}, {"w3", 5}};
 
 class queue_oracle
