Say plainly when the platform's address is malformed

Ruled out: a resolver, since processes talk by IP number. Change: the command line checks the IP number; settings_diff appends.

--- a/src/settings/settings_diff.cpp
+++ b/src/settings/settings_diff.cpp
@@ -61,8 +61,9 @@
         const std::string new_value = value_of(after, field);
         if (old_value != new_value)
         {
-            lines.push_back("~ " + header + ' ' + key + ": " + old_value +
-                            " -> " + new_value);
+            std::string line = "~ " + header;
+            line.append(" ").append(key).append(": ").append(old_value);
+            lines.push_back(line.append(" -> ").append(new_value));
         }
     }
 }
--- a/tools/publish/command_line.cpp
+++ b/tools/publish/command_line.cpp
@@ -1,5 +1,6 @@
 #include "command_line.hpp"
 
+#include <boost/asio/ip/address.hpp>
 #include <cxxopts.hpp>
 
 #include <charconv>
@@ -65,12 +66,14 @@
         return false;
     }
     line.platform_address = text.substr(0, colon);
+    boost::system::error_code malformed;
+    boost::asio::ip::make_address(line.platform_address, malformed);
     unsigned port = 0;
     const char* end = text.data() + text.size();
     const auto [stop, error] =
         std::from_chars(text.data() + colon + 1, end, port);
     line.platform_port = static_cast<std::uint16_t>(port);
-    return error == std::errc() && stop == end && port != 0 &&
+    return !malformed && error == std::errc() && stop == end && port != 0 &&
            port <= std::numeric_limits<std::uint16_t>::max();
 }
 
@@ -122,7 +125,8 @@
         auto line = collect(result);
         if (!split_platform(result["platform"].as<std::string>(), line))
         {
-            std::cerr << "--platform: expected ADDRESS:PORT\n";
+            std::cerr
+                << "--platform: expected IP number and port, ADDRESS:PORT\n";
             return std::nullopt;
         }
         return line;
