End workers only when no fiber is left; clock that counts suspension

Cause: SIGTERM left one of seven daemons spinning at 100% of a core: its worker had stopped its io_context while a platform call was under way, so the fiber could never wake and the thread's scheduler waited for it for ever. Also, the steady clock stops in a suspended VM, which would hide a freeze from the fence. Ruled out: the drain itself (all seven logged 'drained'); callers (none were connected). Change: a worker closes its lines and ends when no call runs; unanswered callers get outcome_unknown; the decision clock is CLOCK_BOOTTIME; the queue learns service times; lanes and beliefs are looked at only when they change; answers print code 0. Before: 1 of 7 daemons alive and spinning 140 s after SIGTERM.

--- /dev/null
+++ b/include/tanagerhoist/adapter/boot_clock.hpp
@@ -0,0 +1,25 @@
+#ifndef TANAGERHOIST_ADAPTER_BOOT_CLOCK_HPP
+#define TANAGERHOIST_ADAPTER_BOOT_CLOCK_HPP
+
+#include <chrono>
+
+namespace tanagerhoist
+{
+
+/// Monotonic clock that goes on while the VM is suspended, so that a process
+/// notices on resuming how long it was away. The standard steady clock stops
+/// on Linux.
+struct boot_clock
+{
+    using duration = std::chrono::nanoseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<boot_clock>;
+    static constexpr bool is_steady = true;
+
+    static time_point now() noexcept;
+};
+
+} // namespace tanagerhoist
+
+#endif
--- a/include/tanagerhoist/adapter/call_lines.hpp
+++ b/include/tanagerhoist/adapter/call_lines.hpp
@@ -8,7 +8,10 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -55,6 +58,13 @@
     void call_platform(const proto::CallPlatform& call,
                        const remote_address& where);
 
+    /// Fails every call and connection, now and from now on.
+    void close_all();
+
+    /// Fibers that still run a call or open a connection. The worker's thread
+    /// may end only when there are none: nothing would wake them.
+    std::size_t active() const { return active_; }
+
 private:
     using stream_ptr = std::shared_ptr<http_client_stream>;
 
@@ -66,9 +76,13 @@
                                     const std::string& body,
                                     milliseconds timeout, bool& sent);
     void lost(std::uint64_t connection);
+    void launch(std::function<void()> task);
 
     boost::asio::io_context& context_;
     input_sink inputs_;
+    bool closed_ = false;
+    std::size_t active_ = 0;
+    std::set<stream_ptr> in_call_; ///< shared streams with a call
     std::map<std::uint64_t, stream_ptr> numbered_;
     std::map<remote_address, std::vector<stream_ptr>> idle_;
 };
--- a/include/tanagerhoist/adapter/caller_door.hpp
+++ b/include/tanagerhoist/adapter/caller_door.hpp
@@ -46,6 +46,10 @@
     /// Connections of callers.
     std::size_t size() const { return sessions_.size(); }
 
+    /// Answers every waiting call with `outcome_unknown`: the decision layer
+    /// has ended and its answers will not come.
+    void abandon();
+
     /// Index of the worker that gave out a handle.
     static std::uint64_t worker_of(std::uint64_t handle);
 
--- a/include/tanagerhoist/adapter/decision_loop.hpp
+++ b/include/tanagerhoist/adapter/decision_loop.hpp
@@ -1,6 +1,7 @@
 #ifndef TANAGERHOIST_ADAPTER_DECISION_LOOP_HPP
 #define TANAGERHOIST_ADAPTER_DECISION_LOOP_HPP
 
+#include "tanagerhoist/adapter/boot_clock.hpp"
 #include "tanagerhoist/adapter/metrics.hpp"
 #include "tanagerhoist/adapter/record_sink.hpp"
 #include "tanagerhoist/decision/node.hpp"
@@ -8,7 +9,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <chrono>
 #include <functional>
 #include <vector>
 
@@ -43,7 +43,7 @@
 
     boost::asio::io_context context_;
     boost::asio::steady_timer timer_;
-    std::chrono::steady_clock::time_point start_;
+    boot_clock::time_point start_;
     node node_;
     performer perform_;
     record_sink& record_;
--- a/include/tanagerhoist/decision/primary_watch.hpp
+++ b/include/tanagerhoist/decision/primary_watch.hpp
@@ -77,6 +77,9 @@
     /// call of a member that is not const.
     const proto::PrimaryBelief* primary(const std::string& database) const;
 
+    /// Grows with every change of a belief.
+    std::uint64_t changes() const { return changes_; }
+
     /// Adds the beliefs learnt since the last call.
     void take_news(proto::Heartbeat& heartbeat);
 
@@ -118,6 +121,7 @@
     std::set<std::string> watched_;
     std::set<std::string> unsure_; ///< not watched, to be asked about
     std::set<std::string> news_;
+    std::uint64_t changes_ = 0;
 };
 
 } // namespace tanagerhoist
--- a/include/tanagerhoist/decision/request.hpp
+++ b/include/tanagerhoist/decision/request.hpp
@@ -44,6 +44,7 @@
     std::uint64_t weight = 1;
     moment arrived;
     moment deadline;
+    moment sent; ///< when the outstanding call left
 
     request_state state = request_state::admitting;
     lane_kind lane = lane_kind::primary;
--- a/include/tanagerhoist/decision/request_flow.hpp
+++ b/include/tanagerhoist/decision/request_flow.hpp
@@ -19,6 +19,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -108,7 +109,8 @@
     void pump_admission(moment now);
 
     // Dispatch.
-    void pump_lane(moment now, lane& l);
+    bool pump_lane(moment now, lane& l);
+    void pump_lanes(moment now);
     bool dispatch_head(moment now, std::uint64_t id);
     result_code recheck(const request& r) const;
     std::vector<std::string> candidates(moment now, const request& r);
@@ -155,6 +157,8 @@
 
     request* find(std::uint64_t id);
     lane& lane_of(const request& r);
+    void served(moment now, const request& r);
+    std::string primary_of(const request& r) const;
 
     request_flow_options options_;
     request_flow_modules modules_;
@@ -164,6 +168,8 @@
     std::map<std::uint64_t, request> requests_;
     std::map<std::string, std::deque<std::uint64_t>> admitting_;
     std::map<lane_key, lane> lanes_;
+    std::set<lane_key> busy_lanes_; ///< those in which requests wait
+    std::uint64_t primary_changes_ = 0;
     std::map<std::uint64_t, proto::Principal> callers_;
     std::map<std::uint64_t, moment> paused_; ///< request to its next attempt
 };
--- a/src/adapter/call_lines.cpp
+++ b/src/adapter/call_lines.cpp
@@ -36,7 +36,7 @@
 {
     auto stream = std::make_shared<http_client_stream>(context_);
     numbered_[connection] = stream;
-    boost::fibers::fiber(
+    launch(
         [this, connection, where, stream]
         {
             if (!stream->connect(where.ip, where.port, connect_timeout))
@@ -47,10 +47,35 @@
             proto::Input input;
             input.mutable_connection_opened()->set_connection(connection);
             inputs_(std::move(input));
+        });
+}
+
+void call_lines::launch(std::function<void()> task)
+{
+    ++active_;
+    boost::fibers::fiber(
+        [this, task = std::move(task)]
+        {
+            task();
+            --active_;
         })
         .detach();
 }
 
+void call_lines::close_all()
+{
+    closed_ = true;
+    for (const auto& [connection, stream] : numbered_)
+    {
+        stream->close();
+    }
+    for (const auto& stream : in_call_)
+    {
+        stream->close();
+    }
+    idle_.clear();
+}
+
 void call_lines::close(std::uint64_t connection)
 {
     if (const auto stream = find(connection))
@@ -79,10 +104,11 @@
         return stream;
     }
     auto stream = std::make_shared<http_client_stream>(context_);
-    return stream->connect(where.ip, where.port,
-                           std::min(timeout, connect_timeout))
-               ? stream
-               : nullptr;
+    in_call_.insert(stream);
+    const bool connected = stream->connect(where.ip, where.port,
+                                           std::min(timeout, connect_timeout));
+    in_call_.erase(stream);
+    return connected ? stream : nullptr;
 }
 
 void call_lines::give_back(const remote_address& where, stream_ptr stream)
@@ -101,11 +127,13 @@
 {
     auto stream =
         connection == 0 ? shared_stream(where, timeout) : find(connection);
-    if (!stream)
+    if (!stream || closed_)
     {
         return std::nullopt;
     }
+    in_call_.insert(stream);
     auto answer = stream->post(call_target, body, timeout, sent);
+    in_call_.erase(stream);
     if (connection == 0)
     {
         give_back(where, std::move(stream));
@@ -120,7 +148,7 @@
 void call_lines::call_database(const proto::CallDatabase& call,
                                const remote_address& where)
 {
-    boost::fibers::fiber(
+    launch(
         [this, call, where]
         {
             bool sent = false;
@@ -137,14 +165,13 @@
                 failed.set_sent(sent);
             }
             inputs_(std::move(input));
-        })
-        .detach();
+        });
 }
 
 void call_lines::call_platform(const proto::CallPlatform& call,
                                const remote_address& where)
 {
-    boost::fibers::fiber(
+    launch(
         [this, call, where]
         {
             bool sent = false;
@@ -158,8 +185,7 @@
                 input.mutable_platform_failed()->set_tag(call.tag());
             }
             inputs_(std::move(input));
-        })
-        .detach();
+        });
 }
 
 } // namespace tanagerhoist
--- a/src/adapter/caller_door.cpp
+++ b/src/adapter/caller_door.cpp
@@ -185,7 +185,7 @@
                                 std::chrono::steady_clock::now() - began));
     http_answer answer;
     answer.status = info(code).http_status;
-    answer.body = to_json(reply);
+    answer.body = to_full_json(reply);
     return answer;
 }
 
@@ -225,6 +225,23 @@
     }
 }
 
+void caller_door::abandon()
+{
+    proto::CallerReply reply;
+    const auto& row = info(result_code::outcome_unknown);
+    reply.set_code(static_cast<std::uint32_t>(row.code));
+    reply.set_message(std::string(row.message));
+    reply.set_outcome(std::string(name(row.outcome)));
+    for (const auto& [call, promise] : std::exchange(waiting_, {}))
+    {
+        promise->set_value(reply);
+    }
+    for (const auto& [id, s] : sessions_)
+    {
+        s->stream.close();
+    }
+}
+
 void caller_door::end(session& s)
 {
     s.stream.close();
--- a/src/adapter/decision_loop.cpp
+++ b/src/adapter/decision_loop.cpp
@@ -12,7 +12,7 @@
 decision_loop::decision_loop(node_options options, performer perform,
                              record_sink& record, metrics& figures)
     : timer_(context_),
-      start_(std::chrono::steady_clock::now()),
+      start_(boot_clock::now()),
       node_(std::move(options)),
       perform_(std::move(perform)),
       record_(record),
@@ -22,8 +22,8 @@
 
 moment decision_loop::now() const
 {
-    return moment(std::chrono::duration_cast<microseconds>(
-        std::chrono::steady_clock::now() - start_));
+    return moment(
+        std::chrono::duration_cast<microseconds>(boot_clock::now() - start_));
 }
 
 void decision_loop::post(proto::Input input)
--- a/src/adapter/json_codec.cpp
+++ b/src/adapter/json_codec.cpp
@@ -5,10 +5,14 @@
 namespace tanagerhoist
 {
 
-std::string to_json(const google::protobuf::Message& message)
+namespace
+{
+
+std::string print(const google::protobuf::Message& message, bool defaults)
 {
     google::protobuf::util::JsonPrintOptions options;
     options.preserve_proto_field_names = true;
+    options.always_print_primitive_fields = defaults;
     std::string text;
     // Printing fails only for messages with google.protobuf.Any.
     const auto status =
@@ -16,6 +20,18 @@
     return status.ok() ? text : std::string("{}");
 }
 
+} // namespace
+
+std::string to_json(const google::protobuf::Message& message)
+{
+    return print(message, false);
+}
+
+std::string to_full_json(const google::protobuf::Message& message)
+{
+    return print(message, true);
+}
+
 bool from_json(std::string_view text, google::protobuf::Message& message)
 {
     return google::protobuf::util::JsonStringToMessage(
--- a/src/decision/primary_watch.cpp
+++ b/src/decision/primary_watch.cpp
@@ -262,6 +262,7 @@
         return;
     }
     state.belief = belief;
+    ++changes_;
     unsure_.erase(belief.database());
     news_.insert(belief.database());
     if (state.watch)
--- a/src/decision/request_admission.cpp
+++ b/src/decision/request_admission.cpp
@@ -259,6 +259,12 @@
     entry.emergency = says_yes(r.route.emergency());
     entry.enqueued = now;
     entry.deadline = r.deadline;
+    if (r.is_begin() &&
+        !modules_.transactions.may_begin(entry.workspace, primary_of(r)))
+    {
+        answer(now, r.id, result_code::queue_full);
+        return;
+    }
     lane& l = lane_of(r);
     const auto code = l.queue.push(now, entry);
     if (code != result_code::ok)
@@ -266,7 +272,8 @@
         answer(now, r.id, code);
         return;
     }
-    pump_lane(now, l);
+    busy_lanes_.insert(lane_key(r.route.database(), r.lane));
+    pump_lanes(now);
 }
 
 void request_flow::caller_gone(moment now, std::uint64_t caller)
--- a/src/decision/request_answers.cpp
+++ b/src/decision/request_answers.cpp
@@ -35,6 +35,7 @@
         return;
     }
     r->tag = 0;
+    served(now, *r);
     if (reply == nullptr || !reply->has_execute())
     {
         modules_.replicas.failed(now, r->server);
--- a/src/decision/request_dispatch.cpp
+++ b/src/decision/request_dispatch.cpp
@@ -13,13 +13,21 @@
 {
     abandon_superseded(now);
     pump_admission(now);
-    for (auto& [key, l] : lanes_)
+    pump_lanes(now);
+}
+
+void request_flow::pump_lanes(moment now)
+{
+    for (auto it = busy_lanes_.begin(); it != busy_lanes_.end();)
     {
-        pump_lane(now, l);
+        const bool empty = pump_lane(now, lanes_.find(*it)->second);
+        it = empty ? busy_lanes_.erase(it) : std::next(it);
     }
 }
 
-void request_flow::pump_lane(moment now, lane& l)
+/// Dispatches what it can.
+/// @return whether no request waits in the lane any more
+bool request_flow::pump_lane(moment now, lane& l)
 {
     while (true)
     {
@@ -29,12 +37,12 @@
         }
         if (!l.head)
         {
-            return;
+            return l.queue.size() == 0;
         }
         const auto id = *l.head;
         if (find(id) != nullptr && !dispatch_head(now, id))
         {
-            return;
+            return false;
         }
         l.head.reset();
     }
@@ -110,8 +118,7 @@
 
 std::vector<std::string> request_flow::candidates(moment now, const request& r)
 {
-    const auto* belief = modules_.primaries.primary(r.route.database());
-    const std::string primary = belief == nullptr ? "" : belief->server();
+    const std::string primary = primary_of(r);
     if (r.lane == lane_kind::primary)
     {
         return primary.empty() ? std::vector<std::string>()
@@ -133,6 +140,7 @@
 void request_flow::send(moment now, request& r)
 {
     r.state = request_state::running;
+    r.sent = now;
     ++r.attempts;
     proto::DatabaseCall call;
     auto& execute = *call.mutable_execute();
@@ -164,6 +172,11 @@
 /// Frees requests that hang at a server which is no longer the primary.
 void request_flow::abandon_superseded(moment now)
 {
+    if (primary_changes_ == modules_.primaries.changes())
+    {
+        return;
+    }
+    primary_changes_ = modules_.primaries.changes();
     std::vector<std::uint64_t> stuck;
     for (const auto& [id, r] : requests_)
     {
@@ -180,6 +193,7 @@
         if (request* r = find(id))
         {
             modules_.out.forget(r->tag);
+            served(now, *r);
             on_failure(now, *r, true);
         }
     }
@@ -215,15 +229,19 @@
     {
         const auto& [database, kind] = key;
         const auto* belief = modules_.primaries.primary(database);
+        const std::string primary = belief == nullptr ? "" : belief->server();
+        const auto& servers = view_->servers_of(database);
         const std::uint64_t waiting = l.queue.size() + (l.head ? 1 : 0);
-        for (const auto* server : view_->servers_of(database))
+        const std::uint64_t replicas =
+            std::max<std::uint64_t>(servers.size(), 2) - 1;
+        const bool at_primary = kind == lane_kind::primary;
+        const std::uint64_t each =
+            at_primary ? waiting : (waiting + replicas - 1) / replicas;
+        for (const auto* server : servers)
         {
-            const bool is_primary =
-                belief != nullptr && belief->server() == server->name();
-            if (is_primary == (kind == lane_kind::primary))
+            if ((server->name() == primary) == at_primary)
             {
-                modules_.pool.waiting(now, server->name(), waiting,
-                                      modules_.out);
+                modules_.pool.waiting(now, server->name(), each, modules_.out);
             }
         }
     }
@@ -285,6 +303,7 @@
 void request_flow::on_expired_call(moment now, request& r)
 {
     modules_.out.forget(r.tag);
+    served(now, r);
     const bool rolled_back =
         r.in_transaction() && r.wire.step() != proto::TRANSACTION_COMMIT;
     r.maybe_ran = r.maybe_ran || (r.is_write() && !rolled_back);
@@ -295,6 +314,21 @@
     release(now, r, false);
 }
 
+/// Tells the queue that a request no longer occupies the database.
+void request_flow::served(moment now, const request& r)
+{
+    if (!r.continues_transaction())
+    {
+        lane_of(r).queue.finished(now, now - r.sent);
+    }
+}
+
+std::string request_flow::primary_of(const request& r) const
+{
+    const auto* belief = modules_.primaries.primary(r.route.database());
+    return belief == nullptr ? std::string() : belief->server();
+}
+
 /// The truest code for a request whose deadline has passed.
 result_code request_flow::expiry_code(const request& r) const
 {
--- a/tools/daemon/worker.cpp
+++ b/tools/daemon/worker.cpp
@@ -53,6 +53,11 @@
 void worker::await_callers(std::chrono::steady_clock::time_point latest)
 {
     if (door_.size() == 0 || std::chrono::steady_clock::now() >= latest)
+    {
+        door_.abandon();
+        lines_.close_all();
+    }
+    if (door_.size() == 0 && lines_.active() == 0)
     {
         context_.stop();
         return;
