--- /dev/null
+++ b/fuzz/failover_state.cpp
@@ -0,0 +1,355 @@
+// State test of failover: several VMs watch one database group while servers,
+// VMs and messages fail at random. The oracle is a handful of plain maps.
+#include "standin/failover_scene.hpp"
+#include "tanagerhoist/decision/term.hpp"
+
+#include <rapidcheck.h>
+#include <rapidcheck/state.h>
+
+#include <array>
+#include <cstdlib>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <ostream>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace
+{
+
+using namespace tanagerhoist;
+using standin::failover_scene;
+using standin::write_result;
+
+const char* const fixed_parameters = "seed=20261204 max_success=150";
+const std::string database = "ledger";
+const std::vector<std::string> servers{"server-a", "server-b", "server-c"};
+const std::vector<std::string> vms{"vm-1", "vm-2", "vm-3", "vm-4"};
+constexpr milliseconds write_deadline{1500};
+constexpr milliseconds recovery{6000};
+constexpr milliseconds final_deadline{1000};
+
+std::uint64_t commands_run = 0;
+std::uint64_t writes_confirmed = 0;
+std::uint64_t terms_begun = 0;
+
+/// What a sequence of commands is checked against.
+struct oracle
+{
+    std::set<std::string> confirmed;                ///< request ids
+    std::map<std::uint64_t, std::string> acked;     ///< server by term
+    std::map<std::uint64_t, std::uint64_t> sealers; ///< incarnation by term
+    std::string violation;
+
+    void expect(bool condition, const std::string& what)
+    {
+        if (!condition && violation.empty())
+        {
+            violation = what;
+        }
+    }
+};
+
+/// The scene, its message faults and its oracle.
+class world
+{
+public:
+    explicit world(std::uint64_t seed)
+        : random_(seed | 1),
+          scene_(vms, {{database, servers}},
+                 [this](const auto& from, const auto& to)
+                 { return delay(from, to); })
+    {
+        scene_.observe_calls(
+            [this](const identity& self, const proto::CallDatabase& call)
+            { on_call(self, call); });
+        scene_.group(database).set_lag(milliseconds(2));
+        scene_.run_for(milliseconds(700));
+    }
+
+    failover_scene& scene() { return scene_; }
+    void set_lossy(bool lossy) { lossy_ = lossy; }
+    const std::string& violation() const { return oracle_.violation; }
+    std::uint64_t ids() const { return ids_; }
+
+    void write(const std::string& vm, std::uint64_t repeat)
+    {
+        const bool again = repeat % 3 == 0 && ids_ > 0;
+        const std::uint64_t number = again ? repeat % ids_ : ids_++;
+        const std::string id = "w" + std::to_string(number);
+        scene_.write(vm, database, id, "APPEND log " + id, write_deadline,
+                     [this, id](moment, write_result result,
+                                const proto::LogPoint& point)
+                     {
+                         if (result == write_result::confirmed)
+                         {
+                             on_confirmed(id, point);
+                         }
+                     });
+    }
+
+    void run(milliseconds duration)
+    {
+        scene_.run_for(duration);
+        check_leaders();
+    }
+
+    /// Ends all faults and compares the final log with the oracle.
+    void finish()
+    {
+        recover();
+        check_leaders();
+        const auto* belief = scene_.vm(vms.front()).watch->primary(database);
+        oracle_.expect(belief != nullptr, "no primary after recovery");
+        if (belief == nullptr)
+        {
+            return;
+        }
+        const auto& log = scene_.group(database).server(belief->server()).log();
+        std::map<std::string, int> count;
+        for (std::uint64_t position = 1; position <= log.size(); ++position)
+        {
+            ++count[log.at(position).request_id()];
+        }
+        for (std::uint64_t i = 0; i < ids_; ++i)
+        {
+            const std::string id = "w" + std::to_string(i);
+            const bool promised = oracle_.confirmed.count(id) != 0;
+            oracle_.expect(count[id] <= 1, id + " is doubled");
+            oracle_.expect(!promised || count[id] == 1, id + " is lost");
+        }
+    }
+
+private:
+    std::uint64_t random()
+    {
+        random_ ^= random_ << 13;
+        random_ ^= random_ >> 7;
+        random_ ^= random_ << 17;
+        return random_;
+    }
+
+    std::optional<microseconds> delay(const std::string&, const std::string&)
+    {
+        const auto draw = random() % 100;
+        if (lossy_ && draw < 10)
+        {
+            return std::nullopt;
+        }
+        if (lossy_ && draw < 20)
+        {
+            return microseconds(random() % 700000);
+        }
+        return microseconds(200 + random() % 3000);
+    }
+
+    void on_call(const identity& self, const proto::CallDatabase& call)
+    {
+        if (call.call().has_seal())
+        {
+            const auto term = call.call().seal().term();
+            const auto entry = oracle_.sealers.emplace(term, self.number).first;
+            oracle_.expect(entry->second == self.number,
+                           "a term has two makers");
+        }
+    }
+
+    void on_confirmed(const std::string& id, const proto::LogPoint& point)
+    {
+        writes_confirmed += oracle_.confirmed.insert(id).second;
+        std::size_t holders = 0;
+        for (const auto& server : servers)
+        {
+            holders += scene_.group(database).server(server).holds(point);
+        }
+        oracle_.expect(holders >= 2, id + " confirmed without a majority");
+    }
+
+    void check_leaders()
+    {
+        for (const auto& name : servers)
+        {
+            const auto& server = scene_.group(database).server(name);
+            if (server.primary())
+            {
+                const auto term = server.sealed_term();
+                const auto [entry, fresh] = oracle_.acked.emplace(term, name);
+                terms_begun += fresh;
+                oracle_.expect(entry->second == name, "a term has two leaders");
+            }
+        }
+    }
+
+    void recover()
+    {
+        lossy_ = false;
+        scene_.heal();
+        scene_.service().set_down(false);
+        for (const auto& server : servers)
+        {
+            scene_.group(database).set_frozen(server, false);
+            if (!scene_.group(database).responds(server))
+            {
+                scene_.restart_server(server);
+            }
+        }
+        for (const auto& vm : vms)
+        {
+            if (!scene_.vm(vm).alive)
+            {
+                scene_.restart_vm(vm);
+            }
+            scene_.set_vm_frozen(vm, false);
+        }
+        scene_.run_for(recovery);
+        bool served = false;
+        scene_.write(
+            vms.front(), database, "last", "APPEND log last", final_deadline,
+            [&served](moment, write_result result, const proto::LogPoint&)
+            { served = result == write_result::confirmed; });
+        scene_.run_for(2 * final_deadline);
+        oracle_.expect(served, "no write is confirmed after recovery");
+    }
+
+    std::uint64_t random_;
+    bool lossy_ = false;
+    std::uint64_t ids_ = 0;
+    oracle oracle_;
+    failover_scene scene_;
+};
+
+struct model
+{
+};
+
+/// One fault or one use, with operands that `steps` interprets.
+struct step
+{
+    const char* name;
+    void (*run)(world&, std::uint64_t a, std::uint64_t b);
+};
+
+const std::string& pick(const std::vector<std::string>& of, std::uint64_t n)
+{
+    return of[n % of.size()];
+}
+
+const std::string& endpoint(std::uint64_t n)
+{
+    return n % 2 == 0 ? pick(servers, n / 2) : pick(vms, n / 2);
+}
+
+void burst(world& at, std::uint64_t a, std::uint64_t b)
+{
+    for (std::uint64_t i = 0; i < 5; ++i)
+    {
+        at.write(pick(vms, a + i), b + i);
+        at.run(milliseconds(1 + b % 5));
+    }
+}
+
+void revive(world& at, std::uint64_t a, std::uint64_t)
+{
+    const auto& server = pick(servers, a);
+    at.scene().group(database).set_frozen(server, false);
+    at.scene().restart_server(server);
+}
+
+const std::array<step, 17> steps{{
+    {"write", [](world& at, std::uint64_t a, std::uint64_t b)
+     { at.write(pick(vms, a), b); }},
+    {"burst", burst},
+    {"burst", burst},
+    {"run", [](world& at, std::uint64_t a, std::uint64_t)
+     { at.run(milliseconds(1 + a % 60)); }},
+    {"run", [](world& at, std::uint64_t a, std::uint64_t)
+     { at.run(milliseconds(1 + a % 900)); }},
+    {"run", [](world& at, std::uint64_t a, std::uint64_t)
+     { at.run(milliseconds(600 + a % 900)); }},
+    {"cut", [](world& at, std::uint64_t a, std::uint64_t b)
+     { at.scene().cut(endpoint(a), endpoint(b)); }},
+    {"cut servers", [](world& at, std::uint64_t a, std::uint64_t b)
+     { at.scene().cut(pick(servers, a), pick(servers, b)); }},
+    {"isolate", [](world& at, std::uint64_t a, std::uint64_t)
+     { at.scene().isolate(pick(servers, a)); }},
+    {"heal",
+     [](world& at, std::uint64_t, std::uint64_t) { at.scene().heal(); }},
+    {"kill server", [](world& at, std::uint64_t a, std::uint64_t)
+     { at.scene().kill_server(pick(servers, a)); }},
+    {"revive server", revive},
+    {"freeze server", [](world& at, std::uint64_t a, std::uint64_t)
+     { at.scene().group(database).set_frozen(pick(servers, a), true); }},
+    {"freeze vm", [](world& at, std::uint64_t a, std::uint64_t)
+     { at.scene().set_vm_frozen(pick(vms, a), true); }},
+    {"thaw vm", [](world& at, std::uint64_t a, std::uint64_t)
+     { at.scene().set_vm_frozen(pick(vms, a), false); }},
+    {"replace vm", [](world& at, std::uint64_t a, std::uint64_t)
+     { at.scene().restart_vm(pick(vms, a)); }},
+    {"lossy", [](world& at, std::uint64_t a, std::uint64_t)
+     { at.set_lossy(a % 3 != 0); }},
+}};
+
+class command : public rc::state::Command<model, world>
+{
+public:
+    command()
+        : kind_(*rc::gen::inRange<std::size_t>(0, steps.size())),
+          a_(*rc::gen::inRange<std::uint64_t>(0, 10000)),
+          b_(*rc::gen::inRange<std::uint64_t>(0, 10000))
+    {
+    }
+
+    void run(const model&, world& at) const override
+    {
+        ++commands_run;
+        steps[kind_].run(at, a_, b_);
+        if (!at.violation().empty())
+        {
+            RC_FAIL(at.violation());
+        }
+    }
+
+    void show(std::ostream& os) const override
+    {
+        os << steps[kind_].name << ' ' << a_ << ' ' << b_;
+    }
+
+private:
+    std::size_t kind_;
+    std::uint64_t a_;
+    std::uint64_t b_;
+};
+
+void run_sequence()
+{
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    world at(seed);
+    rc::state::check(model{}, at, rc::state::gen::execOneOfWithArgs<command>());
+    at.finish();
+    if (!at.violation().empty())
+    {
+        RC_FAIL(at.violation());
+    }
+}
+
+} // namespace
+
+int main()
+{
+    setenv("RC_PARAMS", fixed_parameters, 0);
+    std::uint64_t sequences = 0;
+    const bool passed = rc::check("failover keeps every confirmed write",
+                                  [&sequences]
+                                  {
+                                      ++sequences;
+                                      run_sequence();
+                                  });
+    std::cout << sequences << " sequences, " << commands_run << " commands, "
+              << writes_confirmed << " writes confirmed, " << terms_begun
+              << " terms\n"
+              << (passed ? "1 passed, 0 failed" : "0 passed, 1 failed") << '\n';
+    return passed ? 0 : 1;
+}
--- a/standin/failover_scene.cpp
+++ b/standin/failover_scene.cpp
@@ -120,6 +120,10 @@
 void failover_scene::call_database(scene_vm& vm,
                                    const proto::CallDatabase& call)
 {
+    if (observer_)
+    {
+        observer_(vm.self, call);
+    }
     const std::string name = vm.self.vm;
     const auto life = vm.life;
     const auto finish = [this, name, life, tag = call.tag()](
--- a/standin/failover_scene.hpp
+++ b/standin/failover_scene.hpp
@@ -62,6 +62,14 @@
     failover_scene(const failover_scene&) = delete;
     failover_scene& operator=(const failover_scene&) = delete;
 
+    /// Sees every database call that a VM makes.
+    using call_observer =
+        std::function<void(const identity&, const proto::CallDatabase&)>;
+    void observe_calls(call_observer observer)
+    {
+        observer_ = std::move(observer);
+    }
+
     moment now() const { return now_; }
     void run_for(milliseconds duration);
 
@@ -128,6 +136,7 @@
     std::map<std::string, std::unique_ptr<database_group>> groups_;
     platform platform_;
     delay_rule delay_;
+    call_observer observer_;
     primary_watch_options options_;
     std::map<std::string, scene_vm> vms_;
     std::uint64_t next_number_ = 1;
