--- a/fuzz/failover_state.cpp
+++ b/fuzz/failover_state.cpp
@@ -335,21 +335,33 @@
     }
 }
 
-} // namespace
+std::uint64_t sequences = 0;
+bool passed = false;
 
-int main()
+void print_counts()
 {
-    setenv("RC_PARAMS", fixed_parameters, 0);
-    std::uint64_t sequences = 0;
-    const bool passed = rc::check("failover keeps every confirmed write",
-                                  [&sequences]
-                                  {
-                                      ++sequences;
-                                      run_sequence();
-                                  });
     std::cout << sequences << " sequences, " << commands_run << " commands, "
               << writes_confirmed << " writes confirmed, " << terms_begun
               << " terms\n"
-              << (passed ? "1 passed, 0 failed" : "0 passed, 1 failed") << '\n';
+              << (passed ? "1 passed, 0 failed" : "0 passed, 1 failed")
+              << std::endl;
+}
+
+} // namespace
+
+int main()
+{
+    // RapidCheck prints how to reproduce a failure at exit; ours goes after it.
+    if (std::atexit(print_counts) != 0)
+    {
+        return 1;
+    }
+    setenv("RC_PARAMS", fixed_parameters, 0);
+    passed = rc::check("failover keeps every confirmed write",
+                       []
+                       {
+                           ++sequences;
+                           run_sequence();
+                       });
     return passed ? 0 : 1;
 }
