--- a/include/tanagerhoist/decision/write_confirmer.hpp
+++ b/include/tanagerhoist/decision/write_confirmer.hpp
@@ -50,8 +50,9 @@
     /// before this returns.
     /// @pre the outbox outlives the confirmer's outstanding questions
     void confirm(moment now, const std::string& database,
-                 std::vector<std::string> others, const proto::LogPoint& point,
-                 moment deadline, outbox& out, handler done);
+                 const std::vector<std::string>& others,
+                 const proto::LogPoint& point, moment deadline, outbox& out,
+                 handler done);
 
     /// Confirms everything that `primary` holds now: asks it for the end of
     /// its log, then confirms that. For answers whose own point does not tell
--- a/src/decision/promotion.cpp
+++ b/src/decision/promotion.cpp
@@ -84,24 +84,18 @@
     }
     auto& entry = servers_[server];
     entry.asked = false;
-    if (reply == nullptr)
-    {
-        entry.repeat = now + options_.repeat_pause;
-    }
-    else if (reply->sealed_term() > term_)
+    if (reply != nullptr && reply->sealed_term() > term_)
     {
         back_off(now, reply->sealed_term());
         return;
     }
-    else if (reply->accepted())
-    {
-        entry.sealed = true;
-        entry.last = reply->last();
-    }
-    else
+    if (reply == nullptr || !reply->accepted())
     {
         entry.repeat = now + options_.repeat_pause;
+        return;
     }
+    entry.sealed = true;
+    entry.last = reply->last();
     choose(now, out);
 }
 
--- a/src/decision/rendezvous.cpp
+++ b/src/decision/rendezvous.cpp
@@ -57,6 +57,7 @@
         }
     }
     std::vector<std::string> names;
+    names.reserve(best.size());
     for (const auto& entry : best)
     {
         names.push_back(*entry.second);
--- a/src/decision/replica_view.cpp
+++ b/src/decision/replica_view.cpp
@@ -135,6 +135,7 @@
                      [](const choice& a, const choice& b)
                      { return a.first < b.first; });
     std::vector<std::string> names;
+    names.reserve(choices.size() + 1);
     for (auto& [wait, server] : choices)
     {
         names.push_back(std::move(server));
--- a/src/decision/write_confirmer.cpp
+++ b/src/decision/write_confirmer.cpp
@@ -14,7 +14,7 @@
 }
 
 void write_confirmer::confirm(moment now, const std::string& database,
-                              std::vector<std::string> others,
+                              const std::vector<std::string>& others,
                               const proto::LogPoint& point, moment deadline,
                               outbox& out, handler done)
 {
