Share connections only for servers in use

Cause: a tick walked all servers of the settings to share connection permits. Ruled out: a longer tick (deadlines and waits hang on it). Change: the pool knows which servers have connections or waiting requests, and which lacked one since the last input; only these are shared.

--- a/benchmark/cost_benchmark.cpp
+++ b/benchmark/cost_benchmark.cpp
@@ -298,8 +298,9 @@
     std::size_t i = 0;
     for (auto _ : state)
     {
-        bench.request("database" + std::to_string(i++ % databases),
+        bench.request("database" + std::to_string(i % databases),
                       "workspace" + std::to_string(i % 8));
+        ++i;
     }
     state.counters["served"] = static_cast<double>(bench.answered());
 }
--- a/include/tanagerhoist/decision/connection_pool.hpp
+++ b/include/tanagerhoist/decision/connection_pool.hpp
@@ -84,6 +84,12 @@
     /// limit, so that more can be asked for.
     std::uint64_t wanted(const std::string& server) const;
 
+    /// Servers with connections or with requests that wait for one.
+    const std::set<std::string>& active() const { return active_; }
+
+    /// Takes the servers that lacked a connection since the last call.
+    std::set<std::string> take_pressed();
+
     /// Closes connections idle for too long; opens those that back-off or the
     /// limit held up.
     void on_tick(moment now, outbox& out);
@@ -144,6 +150,8 @@
     connection_pool_options options_;
     std::uint64_t next_id_ = 1;
     std::map<std::string, pool> pools_;
+    std::set<std::string> active_;
+    std::set<std::string> pressed_;
     std::map<std::uint64_t, connection> connections_;
 };
 
--- a/include/tanagerhoist/decision/node.hpp
+++ b/include/tanagerhoist/decision/node.hpp
@@ -9,6 +9,7 @@
 #include "tanagerhoist/decision/settings_follower.hpp"
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -85,7 +86,7 @@
     void on_drain(moment now, const proto::Input& input);
 
     void adopt_settings(moment now);
-    void share_connections(moment now);
+    void share_connections(moment now, const std::set<std::string>& servers);
     void go_on_draining(moment now);
     proto::Heartbeat news();
     std::vector<std::string> serving_vms(moment now) const;
--- a/src/decision/connection_pool.cpp
+++ b/src/decision/connection_pool.cpp
@@ -1,6 +1,7 @@
 #include "tanagerhoist/decision/connection_pool.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace tanagerhoist
 {
@@ -58,6 +59,10 @@
                               std::uint64_t requests, outbox& out)
 {
     pools_[server].waiting = requests;
+    if (requests > 0)
+    {
+        active_.insert(server);
+    }
     open_for_demand(now, server, out);
 }
 
@@ -65,9 +70,11 @@
 connection_pool::acquire(moment now, const std::string& server, outbox& out)
 {
     pool& of = pools_[server];
+    active_.insert(server);
     if (of.idle.empty())
     {
         of.missed = true;
+        pressed_.insert(server);
         open_for_demand(now, server, out);
         return std::nullopt;
     }
@@ -163,17 +170,26 @@
 
 void connection_pool::on_tick(moment now, outbox& out)
 {
-    for (auto& [server, of] : pools_)
+    for (auto it = active_.begin(); it != active_.end();)
     {
+        const std::string server = *it;
+        pool& of = pools_[server];
         while (!of.idle.empty() && of.size() > options_.floor &&
                of.idle.begin()->first + options_.idle_time <= now)
         {
             close(of, of.idle.begin()->second, out);
         }
         open_for_demand(now, server, out);
+        const bool quiet = of.size() == 0 && of.demand() == 0;
+        it = quiet ? active_.erase(it) : std::next(it);
     }
 }
 
+std::set<std::string> connection_pool::take_pressed()
+{
+    return std::exchange(pressed_, {});
+}
+
 void connection_pool::open_for_demand(moment now, const std::string& server,
                                       outbox& out)
 {
--- a/src/decision/node.cpp
+++ b/src/decision/node.cpp
@@ -70,6 +70,7 @@
         (this->*handle)(now, input);
     }
     adopt_settings(now);
+    share_connections(now, pool_.take_pressed());
     for (auto& event : out_.take_events())
     {
         event.set_hybrid_time(clock_.tick());
@@ -240,7 +241,7 @@
     primaries_.on_tick(now, out_);
     confirmer_.on_tick(now, out_);
     registry_.on_tick(now);
-    share_connections(now);
+    share_connections(now, pool_.active());
     pool_.on_tick(now, out_);
     flow_.on_tick(now);
     go_on_draining(now);
@@ -272,15 +273,10 @@
 }
 
 /// Moves connection permits to the VMs that have use for them.
-void node::share_connections(moment now)
+void node::share_connections(moment now, const std::set<std::string>& servers)
 {
-    if (!view_)
+    for (const auto& name : servers)
     {
-        return;
-    }
-    for (const auto& server : view_->all().server())
-    {
-        const auto& name = server.name();
         limiter_.want_connections(now, name, pool_.wanted(name),
                                   pool_.open(name), out_);
         pool_.limit(name, limiter_.connections(name), out_);
