--- a/benchmark/cost_benchmark.cpp
+++ b/benchmark/cost_benchmark.cpp
@@ -241,13 +241,19 @@
 
 void tick_by_databases(benchmark::State& state)
 {
-    lone_node bench({static_cast<std::size_t>(state.range(0)), 8}, 7);
+    lone_node bench({static_cast<std::size_t>(state.range(0)), 8},
+                    static_cast<std::size_t>(state.range(1)));
     for (auto _ : state)
     {
         benchmark::DoNotOptimize(bench.tick());
     }
 }
-BENCHMARK(tick_by_databases)->Arg(3)->Arg(300)->Arg(4000);
+BENCHMARK(tick_by_databases)
+    ->Args({3, 7})
+    ->Args({300, 7})
+    ->Args({300, 120})
+    ->Args({4000, 7})
+    ->Args({4000, 1600});
 
 void tick_by_workspaces(benchmark::State& state)
 {
