--- a/benchmark/read_routing_benchmark.cpp
+++ b/benchmark/read_routing_benchmark.cpp
@@ -67,7 +67,8 @@
 {
     const auto ms = to_us(now) / 1000;
     const bool spell = server == "c" && ms % 10000 < 1500;
-    const auto swing = microseconds((ms * 37 + server[0] * 11) % 7 * 1000);
+    const auto swing = microseconds(
+        (ms * 37 + static_cast<std::uint64_t>(server[0]) * 11) % 7 * 1000);
     return spell ? microseconds(2000000) : base + swing;
 }
 
@@ -112,7 +113,7 @@
         tally_.eligible += eligible;
         moment at = now_;
         for (const auto& server :
-             view.candidates(now_, servers_, "a", token, true, no_age_))
+             view.candidates(now_, servers_, "a", token, true, no_age))
         {
             if (server != "a")
             {
@@ -124,7 +125,7 @@
             const auto reply = serve(server, at);
             view.observed(at, server, reply.point(),
                           milliseconds(reply.age_ms()));
-            if (acceptable(reply, token, true, no_age_, server == "a"))
+            if (acceptable(reply, token, true, no_age, server == "a"))
             {
                 tally_.by_replica += eligible && server != "a";
                 tally_.wrong += !covers(reply.point(), token);
@@ -160,7 +161,7 @@
         return reply;
     }
 
-    static constexpr milliseconds no_age_{0};
+    static constexpr milliseconds no_age{0};
     const std::vector<std::string> servers_{"a", "b", "c"};
     microseconds lag_;
     std::vector<replica_view> views_;
