Take a new incarnation number once the old one's slices are given away

Cause: a VM that was dropped from the platform's list and came back found its slices reclaimed and held nothing for the rest of its life. Change: the node renews its enrolment when the limiter reports the expulsion.

--- a/src/decision/node.cpp
+++ b/src/decision/node.cpp
@@ -228,6 +228,10 @@
 
 void node::on_tick(moment now, const proto::Input& /*input*/)
 {
+    if (limiter_.expelled())
+    {
+        enrolment_.renew(); // the old number's slices were given to others
+    }
     enrolment_.on_tick(now, out_);
     self_.number = enrolment_.number();
     // News are taken only for a heartbeat that leaves, or they would be lost.
