Note the waits, retries and changes of state that explain a request

Cause: between arrival and answer only the dispatch was noted, so no event said why a request was delayed; isolation, enrolment and drain left no event. Change: waiting, queued, delayed, retried and confirming are noted by the request flow; enrolled, serving, isolated and draining by the node. Not done: a VM that only learns of a new primary notes nothing; the promoting VM does.

--- a/include/tanagerhoist/decision/node.hpp
+++ b/include/tanagerhoist/decision/node.hpp
@@ -91,6 +91,7 @@
     proto::Heartbeat news();
     std::vector<std::string> serving_vms(moment now) const;
     void stamp(proto::Action& action);
+    void note(const char* kind, const char* rule, std::string detail);
 
     node_options options_;
     identity self_;
@@ -98,6 +99,7 @@
     std::uint64_t wall_us_ = 0;
     std::uint64_t event_sequence_ = 0;
     bool draining_ = false;
+    bool may_serve_ = false; ///< as noted last
     bool drain_reported_ = false;
 
     outbox out_;
--- a/src/decision/node.cpp
+++ b/src/decision/node.cpp
@@ -229,7 +229,11 @@
 void node::on_tick(moment now, const proto::Input& /*input*/)
 {
     enrolment_.on_tick(now, out_);
-    self_.number = enrolment_.number();
+    if (self_.number != enrolment_.number())
+    {
+        self_.number = enrolment_.number();
+        note("enrolled", "number_allotted", std::to_string(self_.number));
+    }
     // News are taken only for a heartbeat that leaves, or they would be lost.
     const bool due = membership_.heartbeat_due(now);
     membership_.on_tick(now, due ? news() : proto::Heartbeat(), out_);
@@ -237,6 +241,11 @@
                       microseconds(wall_us_));
     fence_.on_tick(now, follower_.last_platform_contact(),
                    membership_.majority_heard(now));
+    if (may_serve_ != fence_.may_serve(now))
+    {
+        may_serve_ = !may_serve_;
+        note(may_serve_ ? "serving" : "isolated", "fence", "");
+    }
     limiter_.on_tick(now, out_);
     primaries_.on_tick(now, out_);
     confirmer_.on_tick(now, out_);
@@ -250,6 +259,7 @@
 void node::on_drain(moment now, const proto::Input& /*input*/)
 {
     draining_ = true;
+    note("draining", "asked", "");
     flow_.drain();
     go_on_draining(now);
 }
@@ -298,10 +308,16 @@
     pool_.use_settings(next->all(), out_);
     flow_.use_settings(now, *next);
     view_ = std::move(next); // the modules hold no view of the old settings
+    note("settings_adopted", "version_rises",
+         std::to_string(current->version()));
+}
+
+void node::note(const char* kind, const char* rule, std::string detail)
+{
     proto::Event event;
-    event.set_kind("settings_adopted");
-    event.set_rule("version_rises");
-    event.set_detail(std::to_string(current->version()));
+    event.set_kind(kind);
+    event.set_rule(rule);
+    event.set_detail(std::move(detail));
     out_.note(std::move(event));
 }
 
--- a/src/decision/request_admission.cpp
+++ b/src/decision/request_admission.cpp
@@ -197,6 +197,7 @@
     if (!unlimited && waiting != admitting_.end() && !waiting->second.empty())
     {
         waiting->second.push_back(id); // behind those that came first
+        note(r, "waiting", "behind_earlier", result_code::ok);
         return;
     }
     const auto verdict =
@@ -210,6 +211,7 @@
     if (verdict == allowance::wait)
     {
         admitting_[workspace].push_back(id);
+        note(r, "waiting", "allowance_asked", result_code::ok);
         return;
     }
     r.charged = !unlimited;
@@ -272,6 +274,8 @@
         answer(now, r.id, code);
         return;
     }
+    note(r, "queued", r.lane == lane_kind::primary ? "primary" : "replica",
+         result_code::ok, std::to_string(l.queue.size()));
     busy_lanes_.insert(lane_key(r.route.database(), r.lane));
     pump_lanes(now);
 }
--- a/src/decision/request_answers.cpp
+++ b/src/decision/request_answers.cpp
@@ -221,6 +221,7 @@
                            const proto::ExecuteReply& reply)
 {
     r.state = request_state::confirming;
+    note(r, "confirming", r.is_write() ? "write" : "read", result_code::ok);
     std::vector<std::string> others;
     for (const auto* server : view_->servers_of(r.route.database()))
     {
--- a/src/decision/request_dispatch.cpp
+++ b/src/decision/request_dispatch.cpp
@@ -98,6 +98,7 @@
     }
     r.waited_for_replica = true;
     paused_[r.id] = now + *wait;
+    note(r, "delayed", "replica_expected", result_code::ok, server);
     return true;
 }
 
@@ -206,6 +207,8 @@
         answer(now, r.id, expiry_code(r));
         return;
     }
+    note(r, "retried", r.lane == lane ? "same_lane" : "at_primary",
+         result_code::ok);
     r.lane = lane;
     r.state = request_state::queued;
     paused_[r.id] = now + options_.retry_pause;
