Record events and inputs in bounded memory, and replay them

Cause: the daemon dropped its inputs and events (no_record). Change: a recorder keeps both within constant bounds (2 MiB and 4 MiB) and writes numbered batches from a thread of its own; replay feeds them to a new node. The daemon builds its node from the recorded start, so a record lacks no option. Schema, additive: RecordStart.wall_us, RecordIndex, [vm] record. The state log tells steps of requests by their kind now: a read without a request id was taken for a change of state. Ruled out: batches named by incarnation (events before enrolment have none); a probe over all incarnations instead of an index (one read per number).

--- /dev/null
+++ b/include/tanagerhoist/record/event_buffer.hpp
@@ -0,0 +1,51 @@
+#ifndef TANAGERHOIST_RECORD_EVENT_BUFFER_HPP
+#define TANAGERHOIST_RECORD_EVENT_BUFFER_HPP
+
+#include "messages.pb.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <string>
+
+namespace tanagerhoist
+{
+
+/// Events that wait to be stored, within a bound of memory. When it is full,
+/// the oldest steps of served requests go first, then the oldest of the rest.
+class event_buffer
+{
+public:
+    /// @param limit bytes of serialized events, bookkeeping included
+    explicit event_buffer(std::size_t limit) : limit_(limit) {}
+
+    /// Adds `event`; events come in the order of their sequence.
+    /// @return number of events dropped to make room
+    std::uint64_t push(const proto::Event& event);
+
+    /// Takes the oldest events, about `batch_bytes` of them, in order.
+    proto::EventBatch take(std::size_t batch_bytes);
+
+    bool empty() const { return expendable_.empty() && lasting_.empty(); }
+    std::size_t bytes() const { return bytes_; }
+
+private:
+    struct held
+    {
+        std::uint64_t place; ///< in order of arrival
+        std::string event;   ///< serialized
+    };
+
+    held pop(std::deque<held>& line);
+
+    std::size_t limit_;
+    std::size_t bytes_ = 0;
+    std::uint64_t next_place_ = 0;
+    std::uint64_t dropped_ = 0; ///< since the last batch
+    std::deque<held> expendable_;
+    std::deque<held> lasting_;
+};
+
+} // namespace tanagerhoist
+
+#endif
--- a/tools/daemon/main.cpp
+++ b/tools/daemon/main.cpp
@@ -1,11 +1,15 @@
 #include "daemon.hpp"
 #include "state_log.hpp"
+#include "tanagerhoist/adapter/http_platform_client.hpp"
+#include "tanagerhoist/adapter/record_uploader.hpp"
+#include "tanagerhoist/record/replay.hpp"
 #include "tanagerhoist/settings/ini_reader.hpp"
 
 #include <boost/leaf.hpp>
 #include <cxxopts.hpp>
 #include <spdlog/spdlog.h>
 
+#include <chrono>
 #include <exception>
 #include <iostream>
 #include <string>
@@ -25,25 +29,35 @@
     "2 fault in\nthe settings file; 3 could not start; 4 ended before the "
     "drain was over.\n";
 
-/// Until a record is wanted, nothing is kept.
-class no_record : public tanagerhoist::record_sink
+constexpr tanagerhoist::milliseconds record_timeout{1000};
+constexpr tanagerhoist::milliseconds record_interval{1000};
+
+tanagerhoist::proto::RecordStart
+start_of(const tanagerhoist::proto::DaemonSettings& settings)
 {
-public:
-    void decided(const tanagerhoist::proto::Input&,
-                 const std::vector<tanagerhoist::proto::Action>&) override
-    {
-    }
-    void noted(std::vector<tanagerhoist::proto::Event>) override {}
-};
+    const auto wall = std::chrono::duration_cast<tanagerhoist::microseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+    tanagerhoist::proto::RecordStart start;
+    start.set_vm(settings.vm().name());
+    start.set_data_centre(settings.vm().data_centre());
+    start.set_program_version(TANAGERHOIST_VERSION);
+    start.set_wall_us(static_cast<std::uint64_t>(wall.count()));
+    return start;
+}
 
 int serve(const tanagerhoist::proto::DaemonSettings& settings)
 {
     tanagerhoist::metrics figures;
-    no_record none;
-    tanagerhoist::state_log record(none, figures);
-    tanagerhoist::node_options options;
-    options.vm = settings.vm().name();
-    options.data_centre = settings.vm().data_centre();
+    const auto start = start_of(settings);
+    tanagerhoist::http_platform_client store(
+        settings.platform().address(),
+        static_cast<std::uint16_t>(settings.platform().port()), record_timeout);
+    tanagerhoist::recorder_options bounds;
+    bounds.inputs = settings.vm().record() != "no";
+    tanagerhoist::recorder kept(bounds, start, store, figures);
+    const tanagerhoist::record_uploader uploader(kept, record_interval);
+    tanagerhoist::state_log record(kept, figures);
+    const auto options = tanagerhoist::options_of(start);
     tanagerhoist::daemon_process process(settings, options, record, figures);
     spdlog::info("{} serving as {} on {}:{}", figures.summary(),
                  settings.vm().name(), settings.listen().address(),
--- a/tools/daemon/state_log.cpp
+++ b/tools/daemon/state_log.cpp
@@ -1,5 +1,7 @@
 #include "state_log.hpp"
 
+#include "tanagerhoist/record/event_kind.hpp"
+
 #include <spdlog/spdlog.h>
 
 #include <utility>
@@ -22,7 +24,7 @@
 {
     for (const auto& event : events)
     {
-        if (event.request_id().empty() && event.code() == 0)
+        if (!is_request_step(event))
         {
             spdlog::info("{} {} rule={} database={} server={} {}",
                          metrics_.summary(), event.kind(), event.rule(),
