Add tanagerhoist-timeline and tanagerhoist-replay

Merge, filter, explanation and picture are pure functions; the programs read the store or saved batches and print.

--- /dev/null
+++ b/include/tanagerhoist/adapter/platform_address.hpp
@@ -0,0 +1,19 @@
+#ifndef TANAGERHOIST_ADAPTER_PLATFORM_ADDRESS_HPP
+#define TANAGERHOIST_ADAPTER_PLATFORM_ADDRESS_HPP
+
+#include "tanagerhoist/settings/platform_client.hpp"
+
+#include <memory>
+#include <string>
+
+namespace tanagerhoist
+{
+
+/// Client of the platform service at `address`, which is ADDRESS:PORT.
+/// @throws std::invalid_argument if it is not
+std::unique_ptr<platform_client>
+make_http_platform_client(const std::string& address);
+
+} // namespace tanagerhoist
+
+#endif
--- /dev/null
+++ b/tools/replay/main.cpp
@@ -0,0 +1,177 @@
+#include "tanagerhoist/adapter/json_codec.hpp"
+#include "tanagerhoist/adapter/platform_address.hpp"
+#include "tanagerhoist/adapter/run_reader.hpp"
+#include "tanagerhoist/record/replay.hpp"
+
+#include <cxxopts.hpp>
+
+#include <exception>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+using namespace tanagerhoist;
+
+// Exit codes, as --help lists them.
+constexpr int exit_equal = 0;
+constexpr int exit_usage = 1;
+constexpr int exit_unreadable = 2;
+constexpr int exit_difference = 3;
+constexpr int exit_gap = 4;
+
+constexpr const char* exit_help =
+    "\nExit codes: 0 every recorded input gave the recorded actions; 1 wrong "
+    "command\nline; 2 the record could not be read; 3 the actions differ, the "
+    "first difference is\nprinted; 4 the record lacks an input, the first "
+    "missing index is printed.\n";
+
+using texts = std::vector<std::string>;
+
+/// Gives batch `number` of the run that is replayed.
+using batch_source =
+    std::function<store_read(std::uint64_t number, proto::RecordBatch& batch)>;
+
+cxxopts::Options describe()
+{
+    cxxopts::Options options("tanagerhoist-replay",
+                             "Feeds a recorded run to the decision layer and "
+                             "compares its actions.");
+    options.add_options()("platform", "platform service as ADDRESS:PORT",
+                          cxxopts::value<std::string>())(
+        "vm", "VM whose run is replayed", cxxopts::value<std::string>())(
+        "run", "start of the run as its index lists it; the last if absent",
+        cxxopts::value<std::uint64_t>()->default_value("0"))(
+        "file", "saved batch, in order; may be repeated",
+        cxxopts::value<texts>())("help", "print this help")(
+        "version", "print the version");
+    return options;
+}
+
+batch_source files(texts names)
+{
+    return [names = std::move(names)](std::uint64_t number,
+                                      proto::RecordBatch& batch)
+    {
+        if (number >= names.size())
+        {
+            return store_read::absent;
+        }
+        std::ifstream file(names[number], std::ios::binary);
+        return file && batch.ParseFromIstream(&file) ? store_read::done
+                                                     : store_read::unavailable;
+    };
+}
+
+int report(const replay_stop& stop)
+{
+    if (stop.why == replay_stop::reason::gap)
+    {
+        std::cout << "input " << stop.index
+                  << " is missing: the record can't be replayed past it\n";
+        return exit_gap;
+    }
+    std::cout << "difference at input " << stop.index << "\ninput "
+              << to_json(stop.expected.input()) << "\nexpected "
+              << stop.expected.action_count() << " actions, digest "
+              << stop.expected.actions_digest() << "\ngot "
+              << stop.actions.size() << " actions, digest "
+              << stop.actions_digest << '\n';
+    for (const auto& action : stop.actions)
+    {
+        std::cout << "action " << to_json(action) << '\n';
+    }
+    return exit_difference;
+}
+
+int run(const batch_source& batch_of)
+{
+    std::unique_ptr<replay> again;
+    for (std::uint64_t number = 0;; ++number)
+    {
+        proto::RecordBatch batch;
+        const auto result = batch_of(number, batch);
+        if (result == store_read::unavailable ||
+            (result == store_read::absent && number == 0))
+        {
+            std::cerr << "batch " << number << " could not be read\n";
+            return exit_unreadable;
+        }
+        if (result == store_read::absent)
+        {
+            std::cout << again->equal() << " inputs replayed equal\n";
+            return exit_equal;
+        }
+        if (!again)
+        {
+            again = std::make_unique<replay>(batch.start());
+        }
+        if (const auto stop = again->feed(batch))
+        {
+            std::cout << again->equal() << " inputs replayed equal\n";
+            return report(*stop);
+        }
+    }
+}
+
+int run_from_store(const cxxopts::ParseResult& given)
+{
+    const auto client =
+        make_http_platform_client(given["platform"].as<std::string>());
+    run_reader reader(*client);
+    const auto vm = given["vm"].as<std::string>();
+    auto start = given["run"].as<std::uint64_t>();
+    if (start == 0)
+    {
+        std::vector<std::uint64_t> starts;
+        if (reader.runs(vm, starts) != store_read::done || starts.empty())
+        {
+            std::cerr << "the index of " << vm << " could not be read\n";
+            return exit_unreadable;
+        }
+        start = starts.back();
+    }
+    return run([&](std::uint64_t number, proto::RecordBatch& batch)
+               { return reader.inputs(vm, start, number, batch); });
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    auto options = describe();
+    try
+    {
+        const auto given = options.parse(argc, argv);
+        if (given.count("help") > 0)
+        {
+            std::cout << options.help() << exit_help;
+            return exit_equal;
+        }
+        if (given.count("version") > 0)
+        {
+            std::cout << "tanagerhoist-replay " TANAGERHOIST_VERSION "\n";
+            return exit_equal;
+        }
+        if (given.count("file") > 0)
+        {
+            return run(files(given["file"].as<texts>()));
+        }
+        if (given.count("platform") > 0 && given.count("vm") > 0)
+        {
+            return run_from_store(given);
+        }
+        std::cerr << "give --file, or --platform and --vm; see --help\n";
+        return exit_usage;
+    }
+    catch (const std::exception& error)
+    {
+        std::cerr << "tanagerhoist-replay: " << error.what() << '\n';
+        return exit_usage;
+    }
+}
--- /dev/null
+++ b/tools/timeline/main.cpp
@@ -0,0 +1,220 @@
+#include "tanagerhoist/adapter/json_codec.hpp"
+#include "tanagerhoist/adapter/platform_address.hpp"
+#include "tanagerhoist/adapter/run_reader.hpp"
+#include "tanagerhoist/record/explanation.hpp"
+#include "tanagerhoist/record/timeline.hpp"
+#include "tanagerhoist/record/timeline_picture.hpp"
+
+#include <cxxopts.hpp>
+
+#include <exception>
+#include <fstream>
+#include <iostream>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+using namespace tanagerhoist;
+
+// Exit codes, as --help lists them.
+constexpr int exit_ok = 0;
+constexpr int exit_usage = 1;
+constexpr int exit_unreadable = 2;
+constexpr int exit_nothing = 3;
+
+constexpr const char* exit_help =
+    "\nWithout --vm, the VMs of the platform's list are read; name those that "
+    "are gone.\n--from and --to are wall times in microseconds since 1970, "
+    "UTC.\n\nExit codes: 0 done; 1 wrong command line; 2 a batch could not be "
+    "read, what could\nbe is shown; 3 no event fits.\n";
+
+using texts = std::vector<std::string>;
+
+cxxopts::Options describe()
+{
+    cxxopts::Options options("tanagerhoist-timeline",
+                             "Shows the events of all processes in one order.");
+    options.add_options()("platform", "platform service as ADDRESS:PORT",
+                          cxxopts::value<std::string>())(
+        "vm", "VM to read; may be repeated", cxxopts::value<texts>())(
+        "file", "saved batch to read instead; may be repeated",
+        cxxopts::value<texts>())("request", "only this request",
+                                 cxxopts::value<std::string>())(
+        "session", "only this session", cxxopts::value<std::string>())(
+        "workspace", "only this workspace", cxxopts::value<std::string>())(
+        "database", "only this database", cxxopts::value<std::string>())(
+        "from", "only from this time on", cxxopts::value<std::int64_t>())(
+        "to", "only before this time", cxxopts::value<std::int64_t>())(
+        "json", "print JSON lines")("svg", "write a picture to this file",
+                                    cxxopts::value<std::string>())(
+        "explain", "say why this request was answered as it was",
+        cxxopts::value<std::string>())("help", "print this help")(
+        "version", "print the version");
+    return options;
+}
+
+std::string text_of(const cxxopts::ParseResult& given, const char* name)
+{
+    return given.count(name) > 0 ? given[name].as<std::string>()
+                                 : std::string();
+}
+
+event_filter filter_of(const cxxopts::ParseResult& given)
+{
+    event_filter filter;
+    filter.request = text_of(given, "request");
+    filter.session = text_of(given, "session");
+    filter.workspace = text_of(given, "workspace");
+    filter.database = text_of(given, "database");
+    if (given.count("from") > 0)
+    {
+        filter.from = microseconds(given["from"].as<std::int64_t>());
+    }
+    if (given.count("to") > 0)
+    {
+        filter.to = microseconds(given["to"].as<std::int64_t>());
+    }
+    return filter;
+}
+
+/// Batches as far as they could be read.
+struct collected
+{
+    std::vector<proto::EventBatch> batches;
+    bool whole = true;
+
+    void missing(const std::string& what)
+    {
+        std::cerr << "could not read " << what << '\n';
+        whole = false;
+    }
+};
+
+void read_files(const texts& names, collected& all)
+{
+    for (const auto& name : names)
+    {
+        std::ifstream file(name, std::ios::binary);
+        proto::EventBatch batch;
+        if (!file || !batch.ParseFromIstream(&file))
+        {
+            all.missing(name);
+            continue;
+        }
+        all.batches.push_back(std::move(batch));
+    }
+}
+
+void read_store(run_reader& reader, texts vms, collected& all)
+{
+    if (vms.empty() && reader.listed_vms(vms) != store_read::done)
+    {
+        all.missing("the platform's list");
+    }
+    for (const auto& vm : vms)
+    {
+        std::vector<std::uint64_t> starts;
+        if (reader.runs(vm, starts) != store_read::done)
+        {
+            all.missing("the index of " + vm);
+        }
+        for (const auto start : starts)
+        {
+            if (reader.events(vm, start, all.batches) != store_read::done)
+            {
+                all.missing("all batches of " + vm);
+            }
+        }
+    }
+}
+
+collected collect(const cxxopts::ParseResult& given)
+{
+    collected all;
+    if (given.count("file") > 0)
+    {
+        read_files(given["file"].as<texts>(), all);
+    }
+    if (given.count("platform") > 0)
+    {
+        const auto client =
+            make_http_platform_client(given["platform"].as<std::string>());
+        run_reader reader(*client);
+        read_store(reader,
+                   given.count("vm") > 0 ? given["vm"].as<texts>() : texts(),
+                   all);
+    }
+    return all;
+}
+
+int show(const cxxopts::ParseResult& given)
+{
+    const auto all = collect(given);
+    const auto merged = merge(all.batches);
+    if (merged.dropped > 0)
+    {
+        std::cerr << merged.dropped << " events were dropped by their VMs\n";
+    }
+    const int done = all.whole ? exit_ok : exit_unreadable;
+    if (given.count("explain") > 0)
+    {
+        for (const auto& line :
+             explain(merged.events, given["explain"].as<std::string>()))
+        {
+            std::cout << line << '\n';
+        }
+        return done;
+    }
+    const auto events = select(merged.events, filter_of(given));
+    if (given.count("svg") > 0)
+    {
+        std::ofstream file(given["svg"].as<std::string>());
+        if (!(file << to_svg(events)))
+        {
+            std::cerr << "could not write the picture\n";
+            return exit_usage;
+        }
+        return done;
+    }
+    for (const auto& event : events)
+    {
+        std::cout << (given.count("json") > 0 ? to_json(event) : to_text(event))
+                  << '\n';
+    }
+    return events.empty() && all.whole ? exit_nothing : done;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    auto options = describe();
+    try
+    {
+        const auto given = options.parse(argc, argv);
+        if (given.count("help") > 0)
+        {
+            std::cout << options.help() << exit_help;
+            return exit_ok;
+        }
+        if (given.count("version") > 0)
+        {
+            std::cout << "tanagerhoist-timeline " TANAGERHOIST_VERSION "\n";
+            return exit_ok;
+        }
+        if (given.count("platform") + given.count("file") == 0)
+        {
+            std::cerr << "give --platform or --file; see --help\n";
+            return exit_usage;
+        }
+        return show(given);
+    }
+    catch (const std::exception& error)
+    {
+        std::cerr << "tanagerhoist-timeline: " << error.what() << '\n';
+        return exit_usage;
+    }
+}
