Add tanagerhoist-load and the quickstart

Until now no program showed a caller's session or counted its outcomes. tanagerhoist-load has the commands session, run, wait, ask, dump and fault; scripts/quickstart runs a fleet of seven daemons on loopback through them. The client side of HTTP gives status and sends a key: http_client_stream gains exchange(), and post() is now made of it.

--- a/include/tanagerhoist/adapter/http_wire.hpp
+++ b/include/tanagerhoist/adapter/http_wire.hpp
@@ -78,8 +78,8 @@
     std::unique_ptr<state> state_;
 };
 
-/// Client side of one HTTP/1.1 connection. `connect` and `post` suspend the
-/// calling fiber; at most one of them runs at a time.
+/// Client side of one HTTP/1.1 connection. `connect`, `exchange` and `post`
+/// suspend the calling fiber; at most one of them runs at a time.
 class http_client_stream
 {
 public:
@@ -92,11 +92,19 @@
     bool connect(const std::string& address, std::uint16_t port,
                  milliseconds timeout);
 
-    /// Posts `body` and waits for the whole answer.
+    /// Sends a request and waits for the whole answer, whatever its status.
+    /// `keep_alive` of the request is not looked at.
     /// @param sent set to true once bytes may have left
-    /// @return the answer's body, or nothing if there was none in time; the
+    /// @return the answer, or nothing if there was none in time; the
     ///         connection is then closed, since a late answer could be taken
     ///         for that of a later call
+    std::optional<http_answer> exchange(const http_request& request,
+                                        milliseconds timeout, bool& sent);
+
+    /// Posts `body` and waits for the whole answer.
+    /// @param sent set to true once bytes may have left
+    /// @return the body of an answer with status 200; the connection is closed
+    ///         if there was none in time or another status
     std::optional<std::string> post(const std::string& target,
                                     const std::string& body,
                                     milliseconds timeout, bool& sent);
--- a/src/adapter/http_wire.cpp
+++ b/src/adapter/http_wire.cpp
@@ -19,7 +19,9 @@
 using boost::system::error_code;
 
 constexpr int http_version = 11;
-constexpr std::size_t header_limit = 8 * 1024; // bytes
+constexpr std::size_t header_limit = 8 * 1024;                          // bytes
+constexpr std::uint64_t answer_limit = std::uint64_t{64} * 1024 * 1024; // bytes
+constexpr unsigned http_ok = 200;
 
 read_status status_of(const error_code& error, bool has_bytes)
 {
@@ -168,34 +170,37 @@
     return true;
 }
 
-std::optional<std::string> http_client_stream::post(const std::string& target,
-                                                    const std::string& body,
-                                                    milliseconds timeout,
-                                                    bool& sent)
+std::optional<http_answer>
+http_client_stream::exchange(const http_request& request, milliseconds timeout,
+                             bool& sent)
 {
-    http::request<http::string_body> message(http::verb::post, target,
-                                             http_version);
+    http::request<http::string_body> message(
+        http::string_to_verb(request.method), request.target, http_version);
     message.set(http::field::host, "database");
     message.set(http::field::content_type, "application/json");
-    message.body() = body;
+    if (!request.authorization.empty())
+    {
+        message.set(http::field::authorization, request.authorization);
+    }
+    message.body() = request.body;
     message.prepare_payload();
     state_->stream.expires_after(timeout);
     sent = is_open();
     auto error = await(
         [&](auto handler)
         { http::async_write(state_->stream, message, std::move(handler)); });
-    http::response<http::string_body> answer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(answer_limit);
     if (!error)
     {
         error = await(
             [&](auto handler)
             {
-                http::async_read(state_->stream, state_->buffer, answer,
+                http::async_read(state_->stream, state_->buffer, parser,
                                  std::move(handler));
             });
     }
-    const bool whole = !error && answer.result() == http::status::ok;
-    if (!whole || !answer.keep_alive())
+    if (error || !parser.get().keep_alive())
     {
         close();
     }
@@ -203,8 +208,29 @@
     {
         state_->stream.expires_never();
     }
-    return whole ? std::optional<std::string>(std::move(answer.body()))
-                 : std::nullopt;
+    if (error)
+    {
+        return std::nullopt;
+    }
+    auto answer = parser.release();
+    return http_answer{answer.result_int(),
+                       std::string(answer[http::field::content_type]),
+                       std::move(answer.body())};
+}
+
+std::optional<std::string> http_client_stream::post(const std::string& target,
+                                                    const std::string& body,
+                                                    milliseconds timeout,
+                                                    bool& sent)
+{
+    auto answer = exchange({"POST", target, "", body}, timeout, sent);
+    const bool whole = answer && answer->status == http_ok;
+    if (!whole)
+    {
+        close();
+        return std::nullopt;
+    }
+    return std::move(answer->body);
 }
 
 bool http_client_stream::is_open() const
--- /dev/null
+++ b/tools/load/commands.hpp
@@ -0,0 +1,31 @@
+#ifndef TANAGERHOIST_TOOLS_LOAD_COMMANDS_HPP
+#define TANAGERHOIST_TOOLS_LOAD_COMMANDS_HPP
+
+#include "caller.hpp"
+#include "command_line.hpp"
+#include "fleet.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+namespace tanagerhoist::load
+{
+
+/// What a command works with. All commands run on a fiber.
+struct command_context
+{
+    boost::asio::io_context& io;
+    caller& calls;
+    const command_line& line;
+    const fleet& all; ///< empty for commands whose target is a process
+};
+
+exit_code ask(command_context& context);
+exit_code dump(command_context& context);
+exit_code fault(command_context& context);
+exit_code wait(command_context& context);
+exit_code session(command_context& context);
+exit_code run(command_context& context);
+
+} // namespace tanagerhoist::load
+
+#endif
--- /dev/null
+++ b/tools/load/fleet.cpp
@@ -0,0 +1,100 @@
+#include "fleet.hpp"
+
+#include "tanagerhoist/settings/ini_reader.hpp"
+
+#include <algorithm>
+#include <fstream>
+
+namespace tanagerhoist::load
+{
+namespace
+{
+
+/// Files each key of `keys_file` under the workspace that it acts for.
+void add_keys(const std::filesystem::path& keys_file, fleet& all)
+{
+    std::ifstream lines(keys_file);
+    for (std::string line; std::getline(lines, line);)
+    {
+        const auto id = line.substr(0, line.find('.'));
+        for (const auto& key : all.settings.key())
+        {
+            if (key.name() == id)
+            {
+                all.keys.emplace(key.workspace(), line);
+            }
+        }
+    }
+}
+
+} // namespace
+
+std::string fleet::key_of(const std::string& workspace) const
+{
+    const auto it = keys.find(workspace);
+    return it == keys.end() ? std::string() : it->second;
+}
+
+const proto::RouteSettings*
+fleet::find_route(std::string_view database,
+                  bool (*fits)(const proto::RouteSettings&)) const
+{
+    const auto& routes = settings.route();
+    const auto it =
+        std::find_if(routes.begin(), routes.end(),
+                     [&](const proto::RouteSettings& route)
+                     { return route.database() == database && fits(route); });
+    return it == routes.end() ? nullptr : &*it;
+}
+
+std::vector<endpoint> fleet::servers_of(std::string_view database) const
+{
+    std::vector<endpoint> servers;
+    for (const auto& server : settings.server())
+    {
+        if (server.database() == database)
+        {
+            servers.push_back({server.name(), server.address(),
+                               static_cast<std::uint16_t>(server.port())});
+        }
+    }
+    return servers;
+}
+
+const endpoint* fleet::daemon(std::string_view name) const
+{
+    const auto it =
+        std::find_if(daemons.begin(), daemons.end(),
+                     [&](const endpoint& at) { return at.name == name; });
+    return it == daemons.end() ? nullptr : &*it;
+}
+
+bool is_booking(const proto::RouteSettings& route)
+{
+    return route.kind() == "write" && route.idempotent() != "yes" &&
+           route.emergency() != "yes" && route.open() != "yes";
+}
+
+bool is_exact_read(const proto::RouteSettings& route)
+{
+    return route.kind() == "read" && route.open() != "yes" &&
+           route.tolerated_age_ms() == 0;
+}
+
+boost::leaf::result<fleet> read_fleet(const std::filesystem::path& directory,
+                                      const std::filesystem::path& keys_file)
+{
+    fleet all;
+    BOOST_LEAF_ASSIGN(all.settings, read_settings(settings_files(directory)));
+    for (const auto& file : settings_files(directory / "vm"))
+    {
+        BOOST_LEAF_AUTO(vm, read_daemon_settings(file));
+        all.daemons.push_back(
+            {vm.vm().name(), vm.listen().address(),
+             static_cast<std::uint16_t>(vm.listen().caller_port())});
+    }
+    add_keys(keys_file, all);
+    return all;
+}
+
+} // namespace tanagerhoist::load
--- /dev/null
+++ b/tools/load/main.cpp
@@ -0,0 +1,108 @@
+#include "commands.hpp"
+#include "tanagerhoist/adapter/fiber_loop.hpp"
+#include "tanagerhoist/settings/settings_fault.hpp"
+
+#include <boost/fiber/fiber.hpp>
+#include <boost/leaf.hpp>
+
+#include <algorithm>
+#include <exception>
+#include <iostream>
+#include <iterator>
+
+namespace tanagerhoist::load
+{
+namespace
+{
+
+struct command_row
+{
+    const char* name;
+    bool on_fleet; ///< its target is a directory of settings
+    exit_code (*run)(command_context&);
+};
+
+constexpr command_row commands[] = {
+    {"ask", true, &ask},         {"dump", false, &dump},
+    {"fault", false, &fault},    {"wait", true, &wait},
+    {"session", true, &session}, {"run", true, &run}};
+
+/// Runs a command on a fiber of its own until it has ended.
+exit_code run_command(const command_row& row, const command_line& line,
+                      const fleet& all)
+{
+    boost::asio::io_context io(1);
+    caller calls(io);
+    command_context context{io, calls, line, all};
+    auto code = exit_code::usage;
+    boost::asio::post(io,
+                      [&]
+                      {
+                          boost::fibers::fiber(
+                              [&]
+                              {
+                                  code = row.run(context);
+                                  io.stop();
+                              })
+                              .detach();
+                      });
+    run_fiber_loop(io);
+    return code;
+}
+
+exit_code run_on_fleet(const command_row& row, const command_line& line)
+{
+    namespace leaf = boost::leaf;
+    return leaf::try_handle_all(
+        [&]() -> leaf::result<exit_code>
+        {
+            BOOST_LEAF_AUTO(all, read_fleet(line.target, line.keys_file));
+            return run_command(row, line, all);
+        },
+        [](const settings_faults& faults)
+        {
+            for (const auto& fault : faults.all)
+            {
+                std::cerr << to_text(fault) << '\n';
+            }
+            return exit_code::settings;
+        },
+        [] { return exit_code::settings; });
+}
+
+exit_code dispatch(const command_line& line)
+{
+    const auto* row =
+        std::find_if(std::begin(commands), std::end(commands),
+                     [&](const auto& at) { return line.command == at.name; });
+    if (row == std::end(commands))
+    {
+        std::cerr << "no command named " << line.command << "; see --help\n";
+        return exit_code::usage;
+    }
+    return row->on_fleet ? run_on_fleet(*row, line)
+                         : run_command(*row, line, fleet());
+}
+
+} // namespace
+} // namespace tanagerhoist::load
+
+/// Load and experiments against a fleet of daemons.
+int main(int argc, char** argv)
+{
+    using namespace tanagerhoist::load;
+    auto code = exit_code::usage;
+    try
+    {
+        if (const auto line = parse(argc, argv, code))
+        {
+            code = dispatch(*line);
+        }
+    }
+    catch (const std::exception& error)
+    {
+        std::cerr << "tanagerhoist-load: " << error.what() << '\n';
+        return static_cast<int>(exit_code::usage);
+    }
+    return static_cast<int>(code);
+}
--- /dev/null
+++ b/tools/load/single_commands.cpp
@@ -0,0 +1,126 @@
+// Commands that make one call, or the same call until it succeeds.
+#include "commands.hpp"
+#include "fiber_sleep.hpp"
+#include "tanagerhoist/adapter/json_codec.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <charconv>
+#include <iostream>
+
+namespace tanagerhoist::load
+{
+namespace
+{
+
+constexpr milliseconds call_timeout{15000};
+constexpr milliseconds wait_pause{50};
+
+/// Takes ADDRESS:PORT apart; port 0 if it is malformed.
+endpoint endpoint_of(const std::string& text)
+{
+    endpoint at;
+    const auto colon = text.rfind(':');
+    if (colon != std::string::npos)
+    {
+        at.address = text.substr(0, colon);
+        std::from_chars(text.data() + colon + 1, text.data() + text.size(),
+                        at.port);
+    }
+    return at;
+}
+
+exit_code print_exchange(command_context& context, const http_request& request)
+{
+    const auto answer = context.calls.exchange(endpoint_of(context.line.target),
+                                               request, call_timeout);
+    if (!answer)
+    {
+        std::cerr << "no answer from " << context.line.target << '\n';
+        return exit_code::no_answer;
+    }
+    std::cout << answer->body << '\n';
+    return exit_code::ok;
+}
+
+/// Whether `daemon` answers a read that only the primary may serve.
+bool serves(command_context& context, const endpoint& daemon,
+            const proto::RouteSettings& route)
+{
+    proto::CallerRequest request;
+    request.set_route(route.name());
+    request.set_statement("GET none");
+    request.set_session("wait");
+    const auto key = context.all.keys.begin()->second;
+    const auto reply = context.calls.ask(daemon, key, request, call_timeout);
+    return reply && reply->code() == 0;
+}
+
+} // namespace
+
+exit_code dump(command_context& context)
+{
+    return print_exchange(context, {"GET", "/dump", "", ""});
+}
+
+exit_code fault(command_context& context)
+{
+    return print_exchange(context, {"POST", "/fault", "", context.line.body});
+}
+
+exit_code ask(command_context& context)
+{
+    const auto& line = context.line;
+    const auto* daemon = context.all.daemon(line.daemon);
+    if (daemon == nullptr)
+    {
+        std::cerr << "no VM named " << line.daemon << '\n';
+        return exit_code::usage;
+    }
+    proto::CallerRequest request;
+    request.set_route(line.route);
+    request.set_statement(line.statement);
+    request.set_request_id(line.request_id);
+    request.set_session(line.session);
+    request.set_deadline_ms(line.deadline_ms);
+    const auto reply =
+        context.calls.ask(*daemon, line.key, request, call_timeout);
+    if (!reply)
+    {
+        std::cerr << "no answer from " << line.daemon << '\n';
+        return exit_code::no_answer;
+    }
+    std::cout << to_json(*reply) << '\n';
+    return reply->code() == line.expect ? exit_code::ok : exit_code::violation;
+}
+
+exit_code wait(command_context& context)
+{
+    const auto latest = std::chrono::steady_clock::now() + context.line.time;
+    if (context.all.keys.empty())
+    {
+        std::cerr << "wait needs --keys\n";
+        return exit_code::usage;
+    }
+    for (const auto& daemon : context.all.daemons)
+    {
+        for (const auto& database : context.all.settings.database())
+        {
+            const auto* route =
+                context.all.find_route(database.name(), &is_exact_read);
+            while (route != nullptr && !serves(context, daemon, *route))
+            {
+                if (std::chrono::steady_clock::now() >= latest)
+                {
+                    spdlog::error("{} does not serve {}", daemon.name,
+                                  database.name());
+                    return exit_code::no_answer;
+                }
+                sleep_for(context.io, wait_pause);
+            }
+        }
+    }
+    return exit_code::ok;
+}
+
+} // namespace tanagerhoist::load
