--- /dev/null
+++ b/benchmark/bench_traffic.cpp
@@ -0,0 +1,282 @@
+#include "bench_traffic.hpp"
+
+#include "tanagerhoist/core/log_point.hpp"
+#include "tanagerhoist/decision/token_bucket.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace tanagerhoist::bench
+{
+
+namespace
+{
+
+constexpr std::size_t sessions_per_workspace = 6;
+constexpr milliseconds clock_pace{100};
+constexpr milliseconds last_answers{8000};
+
+} // namespace
+
+traffic::traffic(standin::fleet& fleet, const deployment& user,
+                 traffic_options options)
+    : fleet_(fleet),
+      user_(user),
+      options_(options),
+      random_(options.seed),
+      end_(fleet.now() + options.run_time)
+{
+    for (std::size_t i = 0; i < user.workspaces.size(); ++i)
+    {
+        for (std::size_t j = 0; j < sessions_per_workspace; ++j)
+        {
+            session made;
+            made.workspace = i;
+            made.vm = draw_vm(i);
+            made.caller = fleet.connect(vm_name(made.vm));
+            made.token.set_session("s" + std::to_string(sessions_.size()));
+            sessions_.push_back(made);
+        }
+    }
+}
+
+double traffic::uniform()
+{
+    constexpr double parts = 1ULL << 53U;
+    return (static_cast<double>(random_() >> 11U) + 0.5) / parts;
+}
+
+/// Callers of a workspace crowd at few VMs, those of each at others.
+std::size_t traffic::draw_vm(std::size_t workspace)
+{
+    double total = 0;
+    for (std::size_t i = 0; i < vm_count; ++i)
+    {
+        total += 1.0 / static_cast<double>(i + 1);
+    }
+    double left = uniform() * total;
+    std::size_t rank = 0;
+    while (rank + 1 < vm_count && left > 1.0 / static_cast<double>(rank + 1))
+    {
+        left -= 1.0 / static_cast<double>(++rank);
+    }
+    return (workspace + rank) % vm_count;
+}
+
+std::string traffic::database_of(std::size_t workspace) const
+{
+    constexpr const char* names[] = {"one", "two", "three"};
+    return options_.one_database ? names[0]
+                                 : names[workspace % std::size(names)];
+}
+
+std::vector<sample> traffic::run()
+{
+    for (std::size_t i = 0; i < user_.workspaces.size(); ++i)
+    {
+        arrive(i);
+        const auto first = milliseconds(500 + 370 * i);
+        fleet_.later(first, [this, i] { burst(i); });
+    }
+    move();
+    write_clock();
+    fleet_.run_for(options_.run_time + last_answers);
+    mark_inside();
+    return std::move(samples_);
+}
+
+void traffic::arrive(std::size_t workspace)
+{
+    if (fleet_.now() >= end_)
+    {
+        return;
+    }
+    double rate = static_cast<double>(user_.workspaces[workspace].rate);
+    rate *=
+        options_.flooding == workspace ? options_.flood_factor : options_.load;
+    const auto pause = microseconds(
+        static_cast<std::int64_t>(-std::log(uniform()) / rate * 1e6));
+    fleet_.later(pause, [this, workspace] { arrive(workspace); });
+    const auto first = workspace * sessions_per_workspace;
+    auto& from = sessions_[first + random_() % sessions_per_workspace];
+    const bool writes = uniform() < options_.write_share;
+    const bool aged = uniform() < 0.5;
+    send(from, writes ? request_kind::write
+               : aged ? request_kind::aged_read
+                      : request_kind::token_read);
+}
+
+void traffic::burst(std::size_t workspace)
+{
+    if (fleet_.now() >= end_)
+    {
+        return;
+    }
+    fleet_.later(options_.burst_pace, [this, workspace] { burst(workspace); });
+    const auto size = static_cast<double>(user_.workspaces[workspace].burst());
+    auto& from = sessions_[workspace * sessions_per_workspace];
+    for (int i = 0; i < size * options_.burst_share; ++i)
+    {
+        send(from, request_kind::aged_read);
+    }
+}
+
+void traffic::move()
+{
+    if (fleet_.now() >= end_)
+    {
+        return;
+    }
+    fleet_.later(options_.move_pace, [this] { move(); });
+    for (auto& each : sessions_)
+    {
+        each.vm = draw_vm(each.workspace);
+        fleet_.hang_up(each.caller);
+        each.caller = fleet_.connect(vm_name(each.vm));
+    }
+}
+
+/// Keeps writing the time into each database, outside of all measures but the
+/// age of what others read.
+void traffic::write_clock()
+{
+    if (fleet_.now() >= end_)
+    {
+        return;
+    }
+    fleet_.later(clock_pace, [this] { write_clock(); });
+    for (const std::string database : {"one", "two", "three"})
+    {
+        const auto value = to_us(fleet_.now());
+        auto& group = fleet_.group(database);
+        for (const auto& name : group.servers())
+        {
+            if (!group.server(name).primary())
+            {
+                continue;
+            }
+            proto::DatabaseCall call;
+            auto& execute = *call.mutable_execute();
+            execute.set_request_id("clock" + std::to_string(value));
+            execute.set_kind(proto::STATEMENT_WRITE);
+            execute.set_statement("PUT clock " + std::to_string(value));
+            execute.set_term(group.server(name).sealed_term());
+            group.handle(fleet_.now(), name, 0, call);
+            clocks_[database].push_back({value, fleet_.now()});
+        }
+    }
+}
+
+void traffic::send(session& from, request_kind kind)
+{
+    constexpr const char* routes[] = {"write-", "read-", "aged-"};
+    const auto number = samples_.size();
+    const auto id = "r" + std::to_string(number);
+    const std::string key = kind == request_kind::write ? id : from.last_key;
+    proto::CallerRequest request;
+    request.set_request_id(id);
+    request.set_route(routes[static_cast<std::size_t>(kind)] +
+                      database_of(from.workspace));
+    request.set_statement(kind == request_kind::write ? "PUT " + key + " x"
+                          : kind == request_kind::aged_read ? "GET clock"
+                                                            : "GET " + key);
+    *request.mutable_token() = from.token;
+    sample made;
+    made.workspace = from.workspace;
+    made.vm = from.vm;
+    made.kind = kind;
+    made.arrived = fleet_.now() + user_.to_clients;
+    made.bound = !key.empty();
+    samples_.push_back(made);
+    fleet_.request(from.caller, key_of(user_.workspaces[from.workspace]),
+                   request,
+                   [this, &from, number, key](const proto::CallerReply* reply)
+                   { on_reply(from, number, key, reply); });
+}
+
+void traffic::on_reply(session& from, std::size_t number,
+                       const std::string& key, const proto::CallerReply* reply)
+{
+    auto& of = samples_[number];
+    of.answered = fleet_.now() - user_.to_clients;
+    if (reply == nullptr)
+    {
+        return;
+    }
+    of.reply = *reply;
+    if (reply->code() != 0)
+    {
+        return;
+    }
+    for (const auto& [database, point] : reply->token().seen())
+    {
+        auto& seen = (*from.token.mutable_seen())[database];
+        seen = seen < point ? point : seen;
+    }
+    switch (of.kind)
+    {
+    case request_kind::write:
+        from.last_key = key;
+        break;
+    case request_kind::token_read:
+        of.stale = of.bound && reply->value().empty();
+        break;
+    case request_kind::aged_read:
+        of.stale = older_than_limit(of);
+        break;
+    }
+}
+
+bool traffic::older_than_limit(const sample& of) const
+{
+    const auto writes = clocks_.find(database_of(of.workspace));
+    if (writes == clocks_.end() || of.answered.time_since_epoch() < aged_limit)
+    {
+        return false;
+    }
+    const auto value =
+        of.reply->value().empty() ? 0 : std::stoull(of.reply->value());
+    return std::any_of(writes->second.begin(), writes->second.end(),
+                       [&](const clock_write& each) {
+                           return each.value > value &&
+                                  each.acknowledged < of.arrived - aged_limit;
+                       });
+}
+
+/// Marks what one exact bucket per workspace over the whole fleet would admit.
+void traffic::mark_inside()
+{
+    std::vector<std::size_t> order(samples_.size());
+    for (std::size_t i = 0; i < order.size(); ++i)
+    {
+        order[i] = i;
+    }
+    std::stable_sort(order.begin(), order.end(),
+                     [this](std::size_t a, std::size_t b)
+                     { return samples_[a].arrived < samples_[b].arrived; });
+    struct bucket
+    {
+        double tokens = 0;
+        moment at{};
+    };
+    std::map<std::size_t, bucket> buckets;
+    for (const auto i : order)
+    {
+        auto& of = samples_[i];
+        const auto& size = user_.workspaces[of.workspace];
+        auto [found, first] = buckets.try_emplace(of.workspace);
+        auto& b = found->second;
+        const std::chrono::duration<double> passed = of.arrived - b.at;
+        const auto burst = static_cast<double>(size.burst());
+        b.tokens =
+            first ? burst
+                  : std::min(burst,
+                             b.tokens + passed.count() *
+                                            static_cast<double>(size.rate));
+        b.at = of.arrived;
+        of.inside = b.tokens >= 1;
+        b.tokens -= of.inside ? 1 : 0;
+    }
+}
+
+} // namespace tanagerhoist::bench
--- /dev/null
+++ b/fuzz/node_state.cpp
@@ -0,0 +1,54 @@
+// The whole decision layer under random requests and faults, against an oracle
+// of plain maps: the same nodes that run in tanagerhoistd.
+#include "fuzz/node_world.hpp"
+
+#include <rapidcheck.h>
+
+#include <cstdlib>
+#include <iostream>
+#include <vector>
+
+namespace
+{
+
+using namespace tanagerhoist::fuzz;
+
+constexpr char fixed_parameters[] =
+    "seed=20261204 max_success=150 max_size=80 verbose_progress=0";
+
+std::uint64_t sequences = 0;
+std::uint64_t commands = 0;
+
+rc::Gen<std::vector<command>> any_sequence()
+{
+    return rc::gen::container<std::vector<command>>(rc::gen::build<command>(
+        rc::gen::set(&command::kind, rc::gen::inRange(0U, node_world::kinds())),
+        rc::gen::set(&command::a, rc::gen::inRange(0U, 1000U)),
+        rc::gen::set(&command::b, rc::gen::inRange(0U, 1000U))));
+}
+
+void check_world()
+{
+    const auto sequence = *any_sequence();
+    ++sequences;
+    node_world world;
+    for (const auto& each : sequence)
+    {
+        ++commands;
+        world.run(each);
+    }
+    world.finish();
+}
+
+} // namespace
+
+int main()
+{
+    setenv("RC_PARAMS", fixed_parameters, 0);
+    const bool passed =
+        rc::check("what must always hold, holds over the fleet", check_world);
+    std::cout << sequences << " sequences, " << commands << " commands\n"
+              << (passed ? 1 : 0) << " passed, " << (passed ? 0 : 1)
+              << " failed\n";
+    return passed ? 0 : 1;
+}
--- /dev/null
+++ b/fuzz/node_world.hpp
@@ -0,0 +1,125 @@
+#ifndef TANAGERHOIST_FUZZ_NODE_WORLD_HPP
+#define TANAGERHOIST_FUZZ_NODE_WORLD_HPP
+
+#include "fuzz/node_oracle.hpp"
+#include "standin/fleet.hpp"
+
+#include <cstdint>
+#include <map>
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace tanagerhoist::fuzz
+{
+
+/// One random command; what the numbers mean depends on the kind.
+struct command
+{
+    std::uint32_t kind = 0;
+    std::uint32_t a = 0;
+    std::uint32_t b = 0;
+};
+
+std::ostream& operator<<(std::ostream& os, const command& c);
+
+/// A caller that carries its token from VM to VM, one request at a time.
+struct session
+{
+    std::string name;
+    std::size_t key = 0;
+    std::string vm;
+    std::map<std::string, std::uint64_t> callers; ///< by VM
+    proto::SessionToken token;
+    bool busy = false;
+    /// Marks acknowledged to it, by database and key.
+    std::map<std::string, std::map<std::string, std::vector<std::string>>> own;
+    std::string transaction; ///< open one
+    std::string database;    ///< of the transaction
+    write_record pending;    ///< what its commit would write
+    proto::CallerRequest last_write;
+};
+
+/// A small fleet under random requests and faults.
+class node_world
+{
+public:
+    node_world();
+
+    void run(const command& c);
+
+    /// Ends all faults, waits and checks what must have become of everything.
+    void finish();
+
+    static const char* name_of(std::uint32_t kind);
+    static std::uint32_t kinds();
+
+private:
+    using step = void (node_world::*)(const command&);
+    struct step_row
+    {
+        const char* name;
+        step run;
+    };
+    static const std::vector<step_row>& steps();
+
+    // Requests.
+    void read(const command& c);
+    void write(const command& c);
+    void begin(const command& c);
+    void go_on(const command& c);
+    void commit(const command& c);
+    void roll_back(const command& c);
+    void repeat(const command& c);
+    void move(const command& c);
+    void burst(const command& c);
+
+    // Faults.
+    void kill_vm(const command& c);
+    void freeze_vm(const command& c);
+    void cut_vm(const command& c);
+    void cut_replicas(const command& c);
+    void kill_server(const command& c);
+    void platform_fault(const command& c);
+    void peer_faults(const command& c);
+    void drain_vm(const command& c);
+    void heal(const command& c);
+    void wait(const command& c);
+
+    // Settings.
+    void change_settings(const command& c);
+    void publish_twice(const command& c);
+    void withdraw(const command& c);
+
+    void heal_all();
+    void check();
+    session& free_session(const command& c);
+    std::uint64_t caller_of(session& from);
+    proto::CallerRequest make(session& from, const std::string& route,
+                              const std::string& statement);
+    void send(session& from, const proto::CallerRequest& request,
+              standin::fleet::answer_handler done);
+    void send_write(session& from, const proto::CallerRequest& request);
+    void on_write(session& from, const std::string& id,
+                  const proto::CallerReply* reply);
+    void on_step(session& from, const std::string& mark,
+                 const proto::CallerReply* reply);
+    void abandon(session& from);
+    void take_token(session& from, const proto::CallerReply& reply);
+    void note_head();
+    proto::Settings changed(const command& c) const;
+    std::string vm_of(std::uint32_t number) const;
+    std::string server_of(std::uint32_t number) const;
+    void check_service();
+    void refuse_everywhere();
+
+    standin::fleet fleet_;
+    node_oracle oracle_;
+    std::vector<session> sessions_;
+    std::uint64_t next_id_ = 1;
+    std::uint64_t head_ = 0;
+};
+
+} // namespace tanagerhoist::fuzz
+
+#endif
--- a/include/tanagerhoist/decision/request_flow.hpp
+++ b/include/tanagerhoist/decision/request_flow.hpp
@@ -104,6 +104,7 @@
     request make_request(moment now, const proto::CallerArrived& arrived);
     void read_token(request& r) const;
     void admit(moment now, std::uint64_t id);
+    void charge(request& r, bool charged);
     void enqueue(moment now, request& r);
     void enqueue_in_transaction(moment now, request& r);
     void pump_admission(moment now);
--- a/src/decision/request_admission.cpp
+++ b/src/decision/request_admission.cpp
@@ -212,7 +212,7 @@
         admitting_[workspace].push_back(id);
         return;
     }
-    r.charged = !unlimited;
+    charge(r, !unlimited);
     enqueue(now, r);
 }
 
@@ -237,13 +237,23 @@
                 continue;
             }
             request& r = *find(id);
-            r.charged = true;
+            charge(r, true);
             enqueue(now, r);
         }
         it = waiting.empty() ? admitting_.erase(it) : std::next(it);
     }
 }
 
+/// @param charged whether the workspace's allowance was debited
+void request_flow::charge(request& r, bool charged)
+{
+    r.charged = charged;
+    if (charged)
+    {
+        note(r, "admitted", "allowance_debited", result_code::ok);
+    }
+}
+
 void request_flow::enqueue(moment now, request& r)
 {
     r.state = request_state::queued;
