--- a/fuzz/node_world.cpp
+++ b/fuzz/node_world.cpp
@@ -657,6 +657,16 @@
 {
     heal_all();
     fleet_.run_for(healing);
+    for (const auto& vm : vms)
+    {
+        if (fleet_.running(vm) &&
+            fleet_.decisions(vm)->figures(fleet_.now()).draining)
+        {
+            oracle_.fail("drain has not finished at " + vm);
+        }
+    }
+    heal_all(); // starts those that have drained
+    fleet_.run_for(settling);
     check();
     check_service();
     check();
--- a/include/tanagerhoist/decision/node.hpp
+++ b/include/tanagerhoist/decision/node.hpp
@@ -97,6 +97,7 @@
     std::uint64_t wall_us_ = 0;
     std::uint64_t event_sequence_ = 0;
     bool draining_ = false;
+    bool leaving_ = false; ///< drained, hands its shares over
     bool drain_reported_ = false;
 
     outbox out_;
--- a/src/decision/node.cpp
+++ b/src/decision/node.cpp
@@ -260,8 +260,12 @@
     {
         return;
     }
-    membership_.start_leaving();
-    limiter_.start_leaving(now, out_);
+    if (!leaving_)
+    {
+        leaving_ = true;
+        membership_.start_leaving();
+        limiter_.start_leaving(now, out_);
+    }
     if (limiter_.handed_over())
     {
         drain_reported_ = true;
