Let a drained VM hand its shares over and end

Cause: node::go_on_draining called limiter::start_leaving at each tick, which set the count of repeats back to zero, so handed_over() never held; and idle connections kept by the pool's floor counted as in use, so their permits could not be given away. A drain ended by its time limit only. Ruled out: the platform's list and lost messages (fleet healthy, no loss). Before: state test shrank to drain_vm(0,0), then to read(0,3) drain_vm(0,0), 'drain has not finished'.

--- a/src/decision/node.cpp
+++ b/src/decision/node.cpp
@@ -281,9 +281,13 @@
 {
     for (const auto& name : servers)
     {
-        limiter_.want_connections(now, name, pool_.wanted(name),
-                                  pool_.open(name), out_);
-        pool_.limit(name, limiter_.connections(name), out_);
+        if (leaving_) // even the connections that are kept while idle
+        {
+            pool_.limit(name, 0, out_);
+        }
+        const auto wanted = leaving_ ? 0 : pool_.wanted(name);
+        limiter_.want_connections(now, name, wanted, pool_.open(name), out_);
+        pool_.limit(name, leaving_ ? 0 : limiter_.connections(name), out_);
     }
 }
 
