Take the service rate only from intervals in which requests waited

Cause: the first interval between completions set the estimate even when the queue had been empty in between, so sparse traffic looked like a slow database and a burst was refused as deadline_too_short. Ruled out: real overload (86 of 6128 requests refused at 4 ms service time and a load of one tenth). Change: intervals in which the queue ran empty count only once an estimate exists and if they are shorter. Conclusion: refusals for the deadline rest on measured waiting only.

--- a/include/tanagerhoist/decision/service_rate.hpp
+++ b/include/tanagerhoist/decision/service_rate.hpp
@@ -30,6 +30,8 @@
     std::optional<microseconds> answer_after(std::size_t ahead) const;
 
 private:
+    void observe(std::int64_t interval_ns, std::int64_t service_ns);
+
     std::uint64_t samples_ = 0;
     bool backlogged_ = false;
     std::optional<moment> last_;
--- a/src/decision/service_rate.cpp
+++ b/src/decision/service_rate.cpp
@@ -27,27 +27,32 @@
 {
     if (last_)
     {
-        const std::int64_t interval = nanoseconds(now - *last_);
-        const std::int64_t service = nanoseconds(service_time);
-        if (samples_ == 0)
-        {
-            interval_ns_ = interval;
-            service_ns_ = service;
-        }
-        else if (backlogged_ || interval < interval_ns_)
-        {
-            const std::int64_t most =
-                std::max<std::int64_t>(interval_ns_, 1'000) * outlier_factor;
-            interval_ns_ +=
-                (std::min(interval, most) - interval_ns_) / smoothing;
-        }
-        service_ns_ += (service - service_ns_) / smoothing;
-        ++samples_;
+        observe(nanoseconds(now - *last_), nanoseconds(service_time));
     }
     last_ = now;
     backlogged_ = true;
 }
 
+void service_rate::observe(std::int64_t interval, std::int64_t service)
+{
+    // Of an interval in which the queue ran empty, only a short one tells.
+    const bool tells =
+        backlogged_ || (samples_ != 0 && interval < interval_ns_);
+    if (samples_ == 0 && tells)
+    {
+        interval_ns_ = interval;
+        service_ns_ = service;
+    }
+    else if (tells)
+    {
+        const std::int64_t most =
+            std::max<std::int64_t>(interval_ns_, 1'000) * outlier_factor;
+        interval_ns_ += (std::min(interval, most) - interval_ns_) / smoothing;
+    }
+    service_ns_ += (service - service_ns_) / smoothing;
+    samples_ += tells ? 1 : 0;
+}
+
 std::optional<microseconds> service_rate::answer_after(std::size_t ahead) const
 {
     if (samples_ < samples_needed)
--- a/tests/fair_queue_test.cpp
+++ b/tests/fair_queue_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(push_late_by_measured_rate_refused);
     CPPUNIT_TEST(push_empty_queue_never_refused_for_rate);
     CPPUNIT_TEST(push_after_pause_not_refused);
+    CPPUNIT_TEST(push_after_sparse_requests_not_refused);
     CPPUNIT_TEST(push_after_recovery_estimate_falls);
     CPPUNIT_TEST(expire_due_request_leaves_once);
     CPPUNIT_TEST(erase_middle_costs_workspace_nothing);
@@ -161,6 +162,24 @@
                        result_code::ok);
     }
 
+    /// The time between requests that never waited tells nothing of the rate.
+    void push_after_sparse_requests_not_refused()
+    {
+        fair_queue queue;
+        for (int i = 0; i < 50; ++i)
+        {
+            push(queue, "a");
+            queue.pop(now_);
+            now_ += milliseconds(4);
+            queue.finished(now_, milliseconds(4));
+            now_ += milliseconds(300);
+        }
+        for (int i = 0; i < 200; ++i)
+        {
+            CPPUNIT_ASSERT(push(queue, "a") == result_code::ok);
+        }
+    }
+
     void push_after_recovery_estimate_falls()
     {
         fair_queue queue;
