Refuse for the rate only when every peer has nothing to spare

Cause: (1) a round of asking ahead, which asks one peer or none, set refuse_until, so requests were refused although no other peer had been asked; (2) a VM that had a burst kept 100 ms of its smoothed demand back from requests that waited elsewhere; (3) parts given away cut the giver's bucket and lost tokens. Change: only a round that asked all peers sets refuse_until; a waiting request goes before expected ones; tokens that no longer fit go with the parts.

--- a/include/tanagerhoist/decision/limiter.hpp
+++ b/include/tanagerhoist/decision/limiter.hpp
@@ -136,7 +136,8 @@
         bool urgent = false;      ///< a request waits for the round
         bool asked_all = false;
         moment ask_deadline{};
-        moment refuse_until{};
+        moment refuse_until{};         ///< no peer had any to spare
+        moment ask_ahead_after{};      ///< pause between rounds without need
         std::set<std::string> pending; ///< VMs asked and not yet heard
         std::map<std::string, peer_hint> hints;
     };
--- a/src/decision/limiter_transfer.cpp
+++ b/src/decision/limiter_transfer.cpp
@@ -76,8 +76,9 @@
                          ? has.needed_parts > has.parts
                          : has.tokens < has.needed_tokens / 2 + token_unit &&
                                each.demand != 0;
-    if (low && each.whole != 0 && each.ask == 0 && now >= each.refuse_until &&
-        confirmed_since_ && each.ledger.usable(epoch_))
+    if (low && each.whole != 0 && each.ask == 0 &&
+        now >= each.ask_ahead_after && confirmed_since_ &&
+        each.ledger.usable(epoch_))
     {
         begin_round(now, name, each, false, out);
     }
@@ -99,6 +100,7 @@
                           bool urgent, outbox& out)
 {
     const auto found = peers(now);
+    each.asked_all = found.empty();
     if (found.empty())
     {
         end_round(now, each);
@@ -106,7 +108,6 @@
     }
     each.ask = next_ask_++;
     each.urgent = urgent;
-    each.asked_all = false;
     each.ask_deadline = now + options_.ask_timeout;
     const auto spare = [&](const member& peer)
     {
@@ -148,12 +149,17 @@
     }
 }
 
+/// Only a round that has asked every peer shows that the whole share is spent.
 void limiter::end_round(moment now, resource& each)
 {
     each.ask = 0;
     each.urgent = false;
     each.pending.clear();
-    each.refuse_until = now + options_.refuse_time;
+    each.ask_ahead_after = now + options_.refuse_time;
+    if (each.asked_all)
+    {
+        each.refuse_until = each.ask_ahead_after;
+    }
 }
 
 void limiter::send_ask(moment now, const std::string& name, resource& each,
@@ -229,6 +235,7 @@
     {
         end_round(now, *each);
         each->refuse_until = now;
+        each->ask_ahead_after = now;
     }
     else if (each->pending.empty())
     {
--- a/src/decision/slice_policy.cpp
+++ b/src/decision/slice_policy.cpp
@@ -22,8 +22,10 @@
 {
     const std::uint64_t spare = above(has.parts, has.needed_parts);
     std::uint64_t parts = std::min(want.parts(), spare);
-    std::uint64_t tokens =
-        std::min(want.tokens(), above(has.tokens, has.needed_tokens));
+    // A request that waits at the asker goes before those to come here.
+    const std::uint64_t idle = std::max(above(has.tokens, has.needed_tokens),
+                                        std::min(has.tokens, token_unit));
+    std::uint64_t tokens = std::min(want.tokens(), idle);
     if (has.whole_tokens != 0)
     {
         // Parts enough to carry the tokens, even of a busy holder's: it can
@@ -31,6 +33,10 @@
         const std::uint64_t carrying =
             (tokens * share_parts + has.whole_tokens - 1) / has.whole_tokens;
         parts = std::min(std::max(parts, carrying), has.parts);
+        // What the parts left here could no longer hold goes with them.
+        const std::uint64_t held =
+            has.whole_tokens * (has.parts - parts) / share_parts;
+        tokens = std::max(tokens, above(has.tokens, held));
         tokens = std::min(tokens, has.whole_tokens * parts / share_parts);
     }
     proto::Slice given;
