Leave the primary to the writes while a replica's connection is due

Cause: a read whose replicas had no connection free at this moment went to the primary at once, so every burst spilled over. Ruled out: lag and tokens (aged reads spilled more than token reads). Change: such a read waits up to 100 ms (request_flow_options) for a replica's connection before it takes one of the primary's.

--- a/include/tanagerhoist/decision/request_flow.hpp
+++ b/include/tanagerhoist/decision/request_flow.hpp
@@ -35,6 +35,9 @@
     milliseconds write_timeout{3000};
     /// Pause before a read that no server could answer freshly is tried again.
     milliseconds retry_pause{20};
+    /// Time from which a read that waits for a replica's connection takes one
+    /// of the primary's.
+    milliseconds replica_patience{100};
 };
 
 /// What the path of a request asks of the other modules.
@@ -115,6 +118,8 @@
     bool dispatch_head(moment now, std::uint64_t id);
     result_code recheck(const request& r) const;
     std::vector<std::string> candidates(moment now, const request& r);
+    bool spares_primary(moment now, const request& r, const std::string& server,
+                        const std::vector<std::string>& servers) const;
     bool await_replica(moment now, request& r, const std::string& server);
     void send(moment now, request& r);
 
--- a/src/decision/request_dispatch.cpp
+++ b/src/decision/request_dispatch.cpp
@@ -66,6 +66,10 @@
     }
     for (const auto& server : servers)
     {
+        if (spares_primary(now, r, server, servers))
+        {
+            continue;
+        }
         const auto connection =
             modules_.pool.acquire(now, server, modules_.out);
         if (connection)
@@ -79,6 +83,17 @@
     return false;
 }
 
+/// Whether a read leaves the primary to the writes, since a replica that may
+/// serve it has no connection free but may have one soon.
+bool request_flow::spares_primary(moment now, const request& r,
+                                  const std::string& server,
+                                  const std::vector<std::string>& servers) const
+{
+    return r.lane == lane_kind::replica && servers.size() > 1 &&
+           server == servers.back() && server == primary_of(r) &&
+           now - r.arrived < options_.replica_patience;
+}
+
 /// Pauses a read once for a replica that is expected to hold its token soon.
 /// @return whether it has been paused
 bool request_flow::await_replica(moment now, request& r,
