--- a/include/tanagerhoist/decision/request_flow.hpp
+++ b/include/tanagerhoist/decision/request_flow.hpp
@@ -43,8 +43,8 @@
 /// What the path of a request asks of the other modules.
 struct request_flow_modules
 {
-    fence& fence_;
-    limiter& limiter_;
+    fence& fencing;
+    limiter& limits;
     primary_watch& primaries;
     replica_view& replicas;
     write_confirmer& confirmer;
--- a/src/decision/request_admission.cpp
+++ b/src/decision/request_admission.cpp
@@ -79,7 +79,7 @@
     {
         return result_code::draining;
     }
-    if (!modules_.fence_.may_serve(now))
+    if (!modules_.fencing.may_serve(now))
     {
         return result_code::isolated;
     }
@@ -202,7 +202,7 @@
     }
     const auto verdict =
         unlimited ? allowance::granted
-                  : modules_.limiter_.spend(now, workspace, modules_.out);
+                  : modules_.limits.spend(now, workspace, modules_.out);
     if (verdict == allowance::refused)
     {
         answer(now, id, result_code::over_rate);
@@ -226,7 +226,7 @@
         while (!waiting.empty())
         {
             const auto verdict =
-                modules_.limiter_.spend(now, workspace, modules_.out);
+                modules_.limits.spend(now, workspace, modules_.out);
             if (verdict == allowance::wait)
             {
                 break;
--- a/src/decision/request_answers.cpp
+++ b/src/decision/request_answers.cpp
@@ -286,7 +286,7 @@
     }
     else if (claims_no_effect && r.charged)
     {
-        modules_.limiter_.refund(now, r.principal.workspace());
+        modules_.limits.refund(now, r.principal.workspace());
     }
     auto reply = make_reply(r.wire.request_id(), code, message);
     if (code == result_code::ok)
@@ -299,7 +299,7 @@
     if (code == result_code::over_rate)
     {
         reply.set_retry_after_ms(
-            to_ms(modules_.limiter_.retry_after(now, r.principal.workspace())));
+            to_ms(modules_.limits.retry_after(now, r.principal.workspace())));
     }
     const bool keep = code == result_code::ok && r.is_write();
     const auto calls = modules_.registry.finish(now, r.call, reply, keep);
