Finish the drain of a daemon whose peers serve on

SIGTERM to one daemon of seven ended with 4 after drain_ms, '10 s: drain took too long', with no request in flight; all seven at once ended with 0, since a VM without serving peers has nothing to hand over.

- node::go_on_draining calls limiter::start_leaving on every tick, and that reset leave_ticks_, so that handed_over never saw leave_repeats ticks;
- idle connections kept their permits (limit = parts = connections in use), so the parts of servers never became 0.

Ruled out: requests in flight (in_flight=0 in the last line of the log).

start_leaving now does nothing the second time, and a leaving node closes its idle connections. tests/process/drain_under_load: 16 passed, 0 failed.

--- a/include/tanagerhoist/decision/node.hpp
+++ b/include/tanagerhoist/decision/node.hpp
@@ -88,6 +88,7 @@
     void adopt_settings(moment now);
     void share_connections(moment now, const std::set<std::string>& servers);
     void go_on_draining(moment now);
+    void give_up_connections(moment now);
     proto::Heartbeat news();
     std::vector<std::string> serving_vms(moment now) const;
     void stamp(proto::Action& action);
--- a/src/decision/limiter_transfer.cpp
+++ b/src/decision/limiter_transfer.cpp
@@ -288,6 +288,10 @@
 
 void limiter::start_leaving(moment now, outbox& out)
 {
+    if (leaving_)
+    {
+        return; // each tick hands over what is left
+    }
     leaving_ = true;
     leave_ticks_ = 0;
     for (auto& [unused, each] : resources_)
--- a/src/decision/node.cpp
+++ b/src/decision/node.cpp
@@ -276,6 +276,7 @@
         return;
     }
     membership_.start_leaving();
+    give_up_connections(now);
     limiter_.start_leaving(now, out_);
     if (limiter_.handed_over())
     {
@@ -286,6 +287,21 @@
     }
 }
 
+/// Closes the idle connections, whose permits could not be handed over.
+void node::give_up_connections(moment now)
+{
+    if (!view_)
+    {
+        return;
+    }
+    for (const auto& server : view_->all().server())
+    {
+        pool_.limit(server.name(), 0, out_);
+        limiter_.want_connections(now, server.name(), 0,
+                                  pool_.open(server.name()), out_);
+    }
+}
+
 /// Moves connection permits to the VMs that have use for them.
 void node::share_connections(moment now, const std::set<std::string>& servers)
 {
