Visit idle resources in rotation and read calm rows rarely

Cause: every tick walked the ledger and bucket of every resource, built and serialised its next row twice, and copied the lists of members for each; each heartbeat of a peer walked all resources to erase hints; every row was read each 2 s by every VM.

Ruled out: activating a ledger only at its first use. A gone holder is reclaimed only when every listed VM has an entry in the row, so a VM without one would block that, and the first users would find most parts untaken.

Change: `membership::serving` is computed once per time and input. A ledger looks for something to write only after something was told or while the VMs or the row are not calm, and its read interval doubles up to 64 s while row and VMs stay the same. `limiter` visits those awake in each tick and the others in rotation, 64 or a 128th per tick; up to 64 resources all are visited as before. Hints are kept by VM. Demand below the rounding of its smoothing ends after 10 s. The reads only serve liveness: safety rests on `confirmed` and the compare-and-set, which are unchanged.

limits-state also runs with one resource visited per tick (sequences of odd length).

--- a/fuzz/limits_state.cpp
+++ b/fuzz/limits_state.cpp
@@ -147,10 +147,15 @@
 void run_sequence(const std::vector<command>& sequence)
 {
     ++sequences;
+    limiter_options visits;
+    if (sequence.size() % 2 != 0)
+    {
+        visits.least_visited = 1; // as with more resources than one tick visits
+    }
     limits_scene scene({vms, 2, milliseconds(1), microseconds(200),
                         milliseconds(100), sequence.size() + 1,
                         [] { return std::make_unique<demand_policy>(); },
-                        settings()});
+                        settings(), visits});
     run_load(scene, 3000, 0);
     for (const auto& each : sequence)
     {
--- a/include/tanagerhoist/decision/limiter.hpp
+++ b/include/tanagerhoist/decision/limiter.hpp
@@ -47,6 +47,8 @@
     std::size_t fan_out = 6;
     /// Demand over this time is kept back from peers and asked for ahead.
     milliseconds look_ahead{100};
+    /// Resources without demand that a tick visits in rotation, at least.
+    std::size_t least_visited = 64;
     share_ledger_options ledger;
 };
 
@@ -113,10 +115,11 @@
     std::uint64_t parts(const std::string& resource) const;
 
 private:
-    struct peer_hint
+    /// What one peer could spare, by resource.
+    struct peer_hints
     {
         std::uint64_t number = 0;
-        std::uint64_t spare = 0;
+        std::map<std::string, std::uint64_t> spare;
     };
     /// One resource, `workspace/NAME` or `server/NAME`.
     struct resource
@@ -144,11 +147,18 @@
         moment refuse_until{};
         moment ahead_after{};          ///< when to ask ahead of need again
         std::set<std::string> pending; ///< VMs asked and not yet heard
-        std::map<std::string, peer_hint> hints;
+        moment last_asked{};           ///< when a tick last found requests
+        bool awake = false;            ///< in `awake_`
     };
+    using entry = std::map<std::string, resource>::value_type;
 
     resource& at(const std::string& name);
     resource* find(const std::string& name);
+    void wake(const std::string& name, resource& each);
+    void wake_all();
+    bool idle(const resource& each) const;
+    std::vector<entry*> due();
+    void visit(moment now, entry& of, microseconds passed, outbox& out);
     const resource* find(const std::string& name) const;
     void check_place(moment now);
     bool in_place(moment now) const;
@@ -162,7 +172,7 @@
     void continue_round(moment now, const std::string& name, resource& each,
                         outbox& out);
     void end_round(moment now, resource& each, bool served);
-    static std::uint64_t spare_of(const resource& each, const member& peer);
+    std::uint64_t spare_of(const std::string& name, const member& peer) const;
     std::vector<member> peers(moment now) const;
     void send_ask(moment now, const std::string& name, resource& each,
                   const member& to, outbox& out);
@@ -183,7 +193,11 @@
     bool leaving_ = false;
     bool alone_ = false; ///< no peer to hand over to
     std::uint64_t leave_ticks_ = 0;
+    bool expelled_ = false;
     std::map<std::string, resource> resources_;
+    std::set<std::string> awake_; ///< resources that each tick has to visit
+    std::string visited_;         ///< last one visited in rotation
+    std::map<std::string, peer_hints> hints_; ///< by VM
 };
 
 } // namespace tanagerhoist
--- a/include/tanagerhoist/decision/membership.hpp
+++ b/include/tanagerhoist/decision/membership.hpp
@@ -64,14 +64,18 @@
                       const proto::Heartbeat& heartbeat);
 
     /// Announces with the next heartbeats that this VM takes no new work.
-    void start_leaving() { leaving_ = true; }
+    void start_leaving();
 
     /// VMs that are listed and heard, self included unless leaving, in
-    /// ascending order of VM.
-    std::vector<member> serving(moment now) const;
+    /// ascending order of VM. Good until the next call or input.
+    const std::vector<member>& serving(moment now) const;
 
-    /// VMs of the platform's list, in ascending order of VM.
-    std::vector<member> listed() const;
+    /// Number of VMs of the platform's list.
+    std::size_t listed_count() const { return listed_.size(); }
+
+    /// When the list or a VM's incarnation last changed, or the list came back
+    /// after it was too old to tell; moment zero if never.
+    moment last_change() const { return last_change_; }
 
     /// Whether a majority of the listed VMs is heard; self counts.
     bool majority_heard(moment now) const;
@@ -118,12 +122,26 @@
     {
         std::string data_centre;
         bool leaving = false;
+
+        bool operator==(const listing& other) const
+        {
+            return data_centre == other.data_centre && leaving == other.leaving;
+        }
+    };
+    /// The result of `serving`, for as long as what it rests on stays.
+    struct serving_cache
+    {
+        bool valid = false;
+        moment at{};
+        std::uint64_t own_number = 0;
+        std::vector<member> members;
     };
 
     void read_list(moment now, outbox& out);
     void use_list(moment now, moment sent, const proto::PlatformReply& reply);
     void send_heartbeats(moment now, const proto::Heartbeat& news, outbox& out);
     bool heard(const std::string& vm, moment now) const;
+    std::vector<member> listed() const;
 
     const identity& self_;
     membership_options options_;
@@ -134,6 +152,8 @@
     moment list_evidence_{};
     moment next_list_{};
     moment next_heartbeat_{};
+    moment last_change_{};
+    mutable serving_cache serving_;
     std::map<std::string, listing> listed_;
     std::map<std::string, moment> dropped_;
     std::map<std::string, peer> peers_;
--- a/include/tanagerhoist/decision/share_ledger.hpp
+++ b/include/tanagerhoist/decision/share_ledger.hpp
@@ -18,6 +18,8 @@
 struct share_ledger_options
 {
     milliseconds refresh_interval{2000};
+    /// The interval doubles up to this while neither row nor VMs change.
+    milliseconds longest_refresh_interval{64000};
     milliseconds retry_interval{100};
     milliseconds call_timeout{1000};
     /// Time since a holder's entry was first seen before it may be reclaimed.
@@ -47,7 +49,11 @@
                  std::string resource, share_ledger_options options);
 
     /// Sets the number of parts of the whole.
-    void use_whole(std::uint64_t whole) { whole_ = whole; }
+    void use_whole(std::uint64_t whole);
+
+    /// Whether `on_tick` has nothing to do soon, unless something else is
+    /// called in between.
+    bool idle(std::uint64_t epoch) const;
 
     /// Reads or writes the row if something calls for it. `epoch` counts the
     /// times that this incarnation's place was in doubt; `in_place` is false
@@ -107,6 +113,7 @@
     void write(moment now, proto::ShareRow next, std::uint64_t epoch,
                outbox& out);
     void observe(moment now, std::uint64_t version, const proto::ShareRow& row);
+    bool calm(moment now) const;
     void observe_own(const proto::ShareRow& row);
     bool believes(std::uint64_t number, const channel& from) const;
     proto::Slice credit(channel& from);
@@ -137,7 +144,10 @@
     std::uint64_t epoch_ = 0; ///< in which the row confirmed this holder
     std::uint64_t version_ = 0;
     proto::ShareRow row_;
+    bool considered_ = false; ///< nothing to write since the last look
+    milliseconds refresh_{0};
     moment next_read_{};
+    moment next_look_{}; ///< when to look again though nothing was told
     moment next_write_{};
     std::map<std::uint64_t, channel> channels_;
     std::map<std::uint64_t, moment> first_seen_;
--- a/src/decision/limiter.cpp
+++ b/src/decision/limiter.cpp
@@ -11,6 +11,9 @@
 
 constexpr milliseconds longest_retry{1000};
 
+/// Part of all resources that a tick visits in rotation, as a divisor.
+constexpr std::size_t visited_divisor = 128;
+
 std::string workspace_resource(const std::string& name)
 {
     return "workspace/" + name;
@@ -76,6 +79,35 @@
         each.whole = database == nullptr ? 0 : database->connections();
         each.ledger.use_whole(each.whole);
     }
+    wake_all();
+}
+
+void limiter::wake(const std::string& name, resource& each)
+{
+    if (!each.awake)
+    {
+        each.awake = true;
+        awake_.insert(name);
+    }
+}
+
+void limiter::wake_all()
+{
+    for (auto& [name, each] : resources_)
+    {
+        wake(name, each);
+    }
+}
+
+/// Whether a tick changes nothing of it but what time brings about, for which
+/// the rotation is often enough.
+bool limiter::idle(const resource& each) const
+{
+    const bool short_of =
+        each.connections &&
+        std::max(each.wanted, each.in_use) > each.ledger.parts();
+    return each.ask == 0 && each.asked == 0 && each.demand == 0 && !short_of &&
+           each.ledger.idle(epoch_);
 }
 
 void limiter::check_place(moment now)
@@ -89,6 +121,8 @@
             each.bucket.use_parts(now, 0);
         }
         epoch_ = 0;
+        expelled_ = false;
+        wake_all();
         confirmed_since_.reset();
         last_check_ = now;
     }
@@ -106,12 +140,17 @@
 
 void limiter::doubt_place()
 {
+    if (!confirmed_since_)
+    {
+        return;
+    }
     const bool empty = std::all_of(resources_.begin(), resources_.end(),
                                    [](const auto& each)
                                    { return each.second.ledger.blank(); });
-    if (confirmed_since_ && !empty)
+    if (!empty)
     {
         ++epoch_;
+        wake_all();
     }
     confirmed_since_.reset();
 }
@@ -131,6 +170,7 @@
         return allowance::refused;
     }
     check_place(now);
+    wake(name, *each);
     if (!confirmed_since_ || !each->ledger.usable(epoch_))
     {
         return allowance::wait;
@@ -202,6 +242,10 @@
     check_place(now);
     each->wanted = wanted;
     each->in_use = in_use;
+    if (std::max(wanted, in_use) > each->ledger.parts())
+    {
+        wake(name, *each);
+    }
     if (wanted > each->ledger.parts() && each->ask == 0 &&
         now >= each->refuse_until)
     {
@@ -214,32 +258,70 @@
     check_place(now);
     const microseconds passed = now - last_tick_;
     last_tick_ = now;
-    for (auto& [name, each] : resources_)
+    for (entry* each : due())
     {
-        each.ledger.on_tick(now, epoch_, in_place(now), out);
-        each.bucket.use_parts(now, each.ledger.parts());
-        follow_demand(now, each, passed);
-        if (each.ask != 0 && now >= each.ask_deadline)
-        {
-            continue_round(now, name, each, out);
-        }
-        else if (!leaving_)
-        {
-            ask_ahead(now, name, each, out);
-        }
-        if (leaving_)
+        visit(now, *each, passed, out);
+    }
+    leave_ticks_ += leaving_ ? 1 : 0;
+}
+
+/// Those awake and the next ones in rotation, by name.
+std::vector<limiter::entry*> limiter::due()
+{
+    std::vector<entry*> found;
+    if (leaving_ || resources_.size() <= options_.least_visited)
+    {
+        for (auto& each : resources_)
         {
-            hand_over(now, each, out);
+            found.push_back(&each);
         }
+        return found;
+    }
+    std::size_t left =
+        std::max(options_.least_visited, resources_.size() / visited_divisor);
+    for (auto next = resources_.upper_bound(visited_); left != 0; --left)
+    {
+        next = next == resources_.end() ? resources_.begin() : next;
+        visited_ = next->first;
+        wake(next->first, next->second);
+        ++next;
+    }
+    for (const auto& name : awake_)
+    {
+        found.push_back(&*resources_.find(name));
+    }
+    return found;
+}
+
+void limiter::visit(moment now, entry& of, microseconds passed, outbox& out)
+{
+    auto& [name, each] = of;
+    each.ledger.on_tick(now, epoch_, in_place(now), out);
+    each.bucket.use_parts(now, each.ledger.parts());
+    follow_demand(now, each, passed);
+    if (each.ask != 0 && now >= each.ask_deadline)
+    {
+        continue_round(now, name, each, out);
+    }
+    else if (!leaving_)
+    {
+        ask_ahead(now, name, each, out);
+    }
+    if (leaving_)
+    {
+        hand_over(now, each, out);
+    }
+    expelled_ = expelled_ || each.ledger.expelled();
+    if (each.awake && idle(each))
+    {
+        each.awake = false;
+        awake_.erase(name);
     }
-    leave_ticks_ += leaving_ ? 1 : 0;
 }
 
 bool limiter::expelled() const
 {
-    return std::any_of(resources_.begin(), resources_.end(),
-                       [](const auto& each)
-                       { return each.second.ledger.expelled(); });
+    return expelled_;
 }
 
 std::uint64_t limiter::parts(const std::string& name) const
--- a/src/decision/limiter_transfer.cpp
+++ b/src/decision/limiter_transfer.cpp
@@ -12,6 +12,9 @@
 /// Weight of the newest tick in the smoothed demand, as a divisor.
 constexpr std::uint64_t smoothing = 8;
 
+/// Time without requests after which a workspace is no longer in demand.
+constexpr milliseconds demand_memory{10000};
+
 /// Ticks over which a leaving VM repeats its totals against lost messages.
 constexpr std::uint64_t leave_repeats = 4;
 
@@ -22,7 +25,7 @@
 
 } // namespace
 
-void limiter::follow_demand(moment /*now*/, resource& each, microseconds passed)
+void limiter::follow_demand(moment now, resource& each, microseconds passed)
 {
     if (passed.count() <= 0)
     {
@@ -30,6 +33,15 @@
     }
     const std::uint64_t now_rate =
         each.asked * us_per_second / static_cast<std::uint64_t>(passed.count());
+    if (each.asked != 0)
+    {
+        each.last_asked = now;
+    }
+    else if (now - each.last_asked > demand_memory)
+    {
+        each.demand = 0; // which rounding would keep above 0 for ever
+        return;
+    }
     each.asked = 0;
     each.demand =
         (each.demand * (smoothing - 1) + now_rate + smoothing / 2) / smoothing;
@@ -102,12 +114,16 @@
     return found;
 }
 
-std::uint64_t limiter::spare_of(const resource& each, const member& peer)
+std::uint64_t limiter::spare_of(const std::string& name,
+                                const member& peer) const
 {
-    const auto hint = each.hints.find(peer.vm);
-    return hint != each.hints.end() && hint->second.number == peer.number
-               ? hint->second.spare
-               : 0;
+    const auto found = hints_.find(peer.vm);
+    if (found == hints_.end() || found->second.number != peer.number)
+    {
+        return 0;
+    }
+    const auto spare = found->second.spare.find(name);
+    return spare == found->second.spare.end() ? 0 : spare->second;
 }
 
 void limiter::begin_round(moment now, const std::string& name, resource& each,
@@ -135,8 +151,8 @@
     }
     std::stable_sort(left.begin(), left.end(),
                      [&](const member& a, const member& b)
-                     { return spare_of(each, a) > spare_of(each, b); });
-    const bool one = first && spare_of(each, left.front()) != 0;
+                     { return spare_of(name, a) > spare_of(name, b); });
+    const bool one = first && spare_of(name, left.front()) != 0;
     if (!each.urgent && !one)
     {
         each.ask = 0; // not worth asking all ahead of need
@@ -209,6 +225,7 @@
     {
         return;
     }
+    wake(ask.resource(), *each);
     proto::Slice slice;
     const bool may = confirmed_since_ && each->ledger.may_give(epoch_, from) &&
                      members_.current(from);
@@ -228,6 +245,7 @@
     {
         return;
     }
+    wake(give.resource(), *each);
     const auto credited = each->ledger.receive(from, give);
     each->bucket.use_parts(now, each->ledger.parts());
     if (!each->connections)
@@ -273,16 +291,11 @@
 void limiter::on_hints(const proto::Incarnation& from,
                        const proto::Heartbeat& heartbeat)
 {
-    for (auto& [name, each] : resources_)
-    {
-        each.hints.erase(from.vm());
-    }
+    auto& known = hints_[from.vm()];
+    known = {from.number(), {}};
     for (const auto& hint : heartbeat.hint())
     {
-        if (auto* each = find(hint.resource()))
-        {
-            each->hints[from.vm()] = {from.number(), hint.spare_tokens()};
-        }
+        known.spare[hint.resource()] = hint.spare_tokens();
     }
 }
 
@@ -330,10 +343,14 @@
 
 bool limiter::handed_over() const
 {
+    if (!leaving_)
+    {
+        return false;
+    }
     const bool empty = std::all_of(resources_.begin(), resources_.end(),
                                    [](const auto& each)
                                    { return each.second.ledger.parts() == 0; });
-    return leaving_ && (alone_ || (empty && leave_ticks_ >= leave_repeats));
+    return (alone_ || (empty && leave_ticks_ >= leave_repeats));
 }
 
 } // namespace tanagerhoist
--- a/src/decision/membership.cpp
+++ b/src/decision/membership.cpp
@@ -65,7 +65,12 @@
         first_list_ = now;
         listed_once_ = true;
     }
+    if (fresh != listed_ || sent - list_evidence_ > options_.list_limit)
+    {
+        last_change_ = now;
+    }
     listed_ = std::move(fresh);
+    serving_.valid = false;
     last_list_ = now;
     list_evidence_ = sent;
 }
@@ -105,8 +110,10 @@
         peer = {};
         peer.number = from.number();
         peer.since = now;
+        last_change_ = now;
         vm_of_[from.number()] = from.vm();
     }
+    serving_.valid = false;
     peer.heard = now;
     peer.leaving = heartbeat.leaving();
     peer.sent_us = std::max(peer.sent_us, heartbeat.sent_us());
@@ -117,6 +124,12 @@
     }
 }
 
+void membership::start_leaving()
+{
+    leaving_ = true;
+    serving_.valid = false;
+}
+
 bool membership::heard(const std::string& vm, moment now) const
 {
     if (vm == self_.vm)
@@ -150,8 +163,13 @@
     return members;
 }
 
-std::vector<member> membership::serving(moment now) const
+const std::vector<member>& membership::serving(moment now) const
 {
+    if (serving_.valid && serving_.at == now &&
+        serving_.own_number == self_.number)
+    {
+        return serving_.members;
+    }
     std::vector<member> members = listed();
     members.erase(std::remove_if(members.begin(), members.end(),
                                  [&](const member& each) {
@@ -159,7 +177,8 @@
                                             !heard(each.vm, now);
                                  }),
                   members.end());
-    return members;
+    serving_ = {true, now, self_.number, std::move(members)};
+    return serving_.members;
 }
 
 bool membership::majority_heard(moment now) const
--- a/src/decision/share_ledger.cpp
+++ b/src/decision/share_ledger.cpp
@@ -15,8 +15,23 @@
 {
 }
 
+void share_ledger::use_whole(std::uint64_t whole)
+{
+    considered_ = considered_ && whole == whole_;
+    whole_ = whole;
+}
+
+bool share_ledger::idle(std::uint64_t epoch) const
+{
+    const bool settled = entered_ && have_row_ && !waiting_ && considered_;
+    return self_.number == 0 || expelled_ || whole_ == 0 ||
+           (settled && epoch == epoch_);
+}
+
 void share_ledger::reset()
 {
+    considered_ = false;
+    refresh_ = options_.refresh_interval;
     parts_ = 0;
     granted_ = 0;
     entered_ = false;
@@ -47,6 +62,7 @@
 {
     auto& channel = channels_[to.number()];
     channel.vm = to.vm();
+    considered_ = false;
     parts_ -= given.parts();
     channel.given_parts += given.parts();
     channel.given_tokens += given.tokens();
@@ -65,6 +81,7 @@
 {
     auto& channel = channels_[from.number()];
     channel.vm = from.vm();
+    considered_ = false;
     if (message.total().parts() > channel.offered_parts)
     {
         channel.offered_parts = message.total().parts();
@@ -128,10 +145,14 @@
         read(out);
         return;
     }
-    if (now < next_write_)
+    if (now < next_write_ ||
+        (considered_ && epoch == epoch_ && now < next_look_))
     {
         return;
     }
+    considered_ = true;
+    next_look_ =
+        now + (calm(now) ? options_.refresh_interval : options_.retry_interval);
     proto::ShareRow next = next_row(now);
     if (epoch != epoch_ || next.SerializeAsString() != row_.SerializeAsString())
     {
--- a/src/decision/share_ledger_row.cpp
+++ b/src/decision/share_ledger_row.cpp
@@ -8,6 +8,9 @@
 namespace
 {
 
+/// Times `reclaim_wait` after a change of the VMs until it is dealt with.
+constexpr int unrest = 3;
+
 proto::ShareGrant* find_grant(proto::ShareRow& row, std::uint64_t number)
 {
     for (auto& grant : *row.mutable_grant())
@@ -60,10 +63,15 @@
     {
         return;
     }
+    const bool same = version == version_;
     row_ = row;
     version_ = version;
     have_row_ = true;
-    next_read_ = now + options_.refresh_interval;
+    considered_ = false;
+    refresh_ = same && calm(now)
+                   ? std::min(2 * refresh_, options_.longest_refresh_interval)
+                   : options_.refresh_interval;
+    next_read_ = now + refresh_;
     row_whole_ = sum(row);
     for (const auto& grant : row.grant())
     {
@@ -133,6 +141,16 @@
             now - seen->second >= options_.reclaim_wait);
 }
 
+/// Whether no holder can have become gone that was not looked at since.
+bool share_ledger::calm(moment now) const
+{
+    const bool unsettled = std::any_of(row_.grant().begin(), row_.grant().end(),
+                                       [](const auto& grant)
+                                       { return grant.settled_size() != 0; });
+    return !unsettled && row_.free_parts() == 0 &&
+           now - members_.last_change() >= unrest * options_.reclaim_wait;
+}
+
 proto::ShareRow share_ledger::next_row(moment now)
 {
     proto::ShareRow row = row_;
@@ -274,7 +292,7 @@
 void share_ledger::take_free(proto::ShareRow& row) const
 {
     const std::uint64_t holders =
-        std::max<std::size_t>(members_.listed().size(), 1);
+        std::max<std::size_t>(members_.listed_count(), 1);
     const std::uint64_t target = (sum(row) + holders - 1) / holders;
     if (parts_ < target && row.free_parts() != 0)
     {
--- a/standin/limits_scene.cpp
+++ b/standin/limits_scene.cpp
@@ -74,8 +74,8 @@
 {
     kill(vm);
     const std::uint64_t id = next_id_++;
-    auto fresh = std::make_unique<process>(id, name(vm), centre(vm),
-                                           options_.policy(), now_);
+    auto fresh = std::make_unique<process>(
+        id, name(vm), centre(vm), options_.policy(), options_.limits, now_);
     fresh->settings = settings_.get();
     processes_.emplace(id, std::move(fresh));
     relist(vm);
--- a/standin/limits_scene.hpp
+++ b/standin/limits_scene.hpp
@@ -31,6 +31,7 @@
     std::uint64_t seed = 1;
     policy_maker policy = [] { return std::make_unique<demand_policy>(); };
     proto::Settings settings;
+    limiter_options limits;
 };
 
 /// What became of the requests of one workspace.
--- a/standin/limits_scene_process.hpp
+++ b/standin/limits_scene_process.hpp
@@ -12,11 +12,12 @@
 struct limits_scene::process
 {
     process(std::uint64_t number, std::string vm, std::string data_centre,
-            std::unique_ptr<slice_policy> policy, moment started)
+            std::unique_ptr<slice_policy> policy,
+            const limiter_options& options, moment started)
         : id(number),
           self{std::move(vm), std::move(data_centre), 0},
           members(self, {}),
-          limits(self, members, {}, std::move(policy)),
+          limits(self, members, options, std::move(policy)),
           start(started)
     {
     }
--- a/tests/limiter_test.cpp
+++ b/tests/limiter_test.cpp
@@ -22,6 +22,8 @@
     CPPUNIT_TEST(leaving_vm_hands_over_all);
     CPPUNIT_TEST(connections_move_to_who_wants_them);
     CPPUNIT_TEST(wall_clock_leap_stops_spending);
+    CPPUNIT_TEST(workspaces_by_hundreds_are_reclaimed);
+    CPPUNIT_TEST(rows_unchanged_are_read_rarely);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -154,6 +156,35 @@
         CPPUNIT_ASSERT(parts(1) != 0);
     }
 
+    void workspaces_by_hundreds_are_reclaimed()
+    {
+        auto many = options(20, 40);
+        for (int i = 0; i < 200; ++i)
+        {
+            auto& workspace = *many.settings.add_workspace();
+            workspace.set_name("w" + std::to_string(i));
+            workspace.set_rate(20);
+            workspace.set_burst(40);
+        }
+        scene_ = std::make_unique<limits_scene>(many);
+        scene_->advance(std::chrono::seconds(10));
+        ask(0, 40);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{40}, admitted());
+        scene_->kill(1);
+        scene_->drop(1);
+        scene_->advance(std::chrono::seconds(20));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, lacking(200));
+    }
+
+    void rows_unchanged_are_read_rarely()
+    {
+        scene_->advance(std::chrono::seconds(120));
+        scene_->forget_counts();
+        scene_->advance(std::chrono::seconds(60));
+        const std::uint64_t lists = 4 * 60;
+        CPPUNIT_ASSERT(scene_->platform_calls() < lists + 4 * 2 * 3);
+    }
+
 private:
     static standin::limits_scene_options options(std::uint64_t rate,
                                                  std::uint64_t burst)
@@ -182,6 +213,18 @@
         scene_->advance(milliseconds(150));
     }
 
+    /// How many of the numbered workspaces are not in sight whole.
+    std::uint64_t lacking(int count)
+    {
+        std::uint64_t found = 0;
+        for (int i = 0; i < count; ++i)
+        {
+            const auto name = "workspace/w" + std::to_string(i);
+            found += scene_->parts_in_sight(name) == share_parts ? 0 : 1;
+        }
+        return found;
+    }
+
     std::uint64_t admitted() { return scene_->counts().at("w").admitted; }
     std::uint64_t parts(std::size_t vm)
     {
