--- a/src/adapter/http_wire.cpp
+++ b/src/adapter/http_wire.cpp
@@ -20,7 +20,7 @@
 using boost::system::error_code;
 
 constexpr int http_version = 11;
-constexpr std::size_t header_limit = 8 * 1024;                          // bytes
+constexpr std::size_t header_limit = std::size_t{8} * 1024;             // bytes
 constexpr std::uint64_t answer_limit = std::uint64_t{64} * 1024 * 1024; // bytes
 constexpr unsigned http_ok = 200;
 
