Let the first holders of a row start with full buckets

Cause: a row that nobody ever had an entry in has spent nothing, yet its parts came with empty buckets. Besides, what a giver sent before the receiver's row named it was credited without its tokens.

Ruled out: a field of the grant for the tokens taken (a change of the schema, to cover a lost reply only).

Change: who makes the row sets `free_tokens` to the number of its parts; who takes free parts debits as many in the same compare-and-set and, when the write is answered, gets their share of the burst. A lost reply withholds it. Reclaimed parts add nothing to `free_tokens`. Tokens of a giver not yet believed are credited together with the parts.

Conclusion: what is left of a fresh fleet's refusals was not traced; it includes the time before enrolment, when nothing can be held.

--- a/benchmark/limits_benchmark.cpp
+++ b/benchmark/limits_benchmark.cpp
@@ -139,6 +139,7 @@
     standin::policy_maker policy = []
     { return std::make_unique<demand_policy>(); };
     milliseconds time = run_time;
+    bool fresh = false; ///< counted from the first moment on
     bool death = false; ///< VM 0 dies a third in, and is replaced
 };
 
@@ -161,8 +162,11 @@
             scene.advance(step);
         }
     };
-    run_for(warm_up);
-    scene.forget_counts();
+    if (!of.fresh)
+    {
+        run_for(warm_up);
+        scene.forget_counts();
+    }
     run_for(of.time / 3);
     if (of.death)
     {
@@ -302,6 +306,10 @@
 int main()
 {
     bool good = true;
+    trial fresh;
+    fresh.fresh = true;
+    fresh.time = milliseconds(9000);
+    print("a fresh fleet", run(fresh));
     for (const bool death : {false, true})
     {
         good = compare("corrib", microseconds(1000), death) && good;
--- a/include/tanagerhoist/decision/limiter.hpp
+++ b/include/tanagerhoist/decision/limiter.hpp
@@ -158,6 +158,7 @@
     void wake_all();
     bool idle(const resource& each) const;
     std::vector<entry*> due();
+    static void follow_ledger(moment now, resource& each);
     void visit(moment now, entry& of, microseconds passed, outbox& out);
     const resource* find(const std::string& name) const;
     void check_place(moment now);
--- a/include/tanagerhoist/decision/share_ledger.hpp
+++ b/include/tanagerhoist/decision/share_ledger.hpp
@@ -66,6 +66,15 @@
     /// Parts held.
     std::uint64_t parts() const { return parts_; }
 
+    /// Parts taken from a row that nobody had an entry in before, since the
+    /// last call. They come with a full bucket, as nothing was spent of them;
+    /// `free_tokens` of the row counts those not yet taken.
+    std::uint64_t take_unspent();
+
+    /// Tokens that came with messages of givers that the row named only later,
+    /// since the last call.
+    std::uint64_t take_late_tokens();
+
     /// Parts that the row accounts for; 0 before it was read.
     std::uint64_t row_whole() const { return row_whole_; }
 
@@ -114,6 +123,7 @@
                outbox& out);
     void observe(moment now, std::uint64_t version, const proto::ShareRow& row);
     bool calm(moment now) const;
+    static bool fresh(const proto::ShareRow& row);
     void observe_own(const proto::ShareRow& row);
     bool believes(std::uint64_t number, const channel& from) const;
     proto::Slice credit(channel& from);
@@ -136,6 +146,8 @@
     std::uint64_t whole_ = 0;
     std::uint64_t parts_ = 0;
     std::uint64_t granted_ = 0;
+    std::uint64_t unspent_ = 0;
+    std::uint64_t late_tokens_ = 0;
     std::uint64_t row_whole_ = 0;
     bool entered_ = false;
     bool expelled_ = false;
--- a/src/decision/limiter.cpp
+++ b/src/decision/limiter.cpp
@@ -175,6 +175,7 @@
     {
         return allowance::wait;
     }
+    follow_ledger(now, *each);
     if (each->bucket.take(now, token_unit))
     {
         ++each->asked;
@@ -293,11 +294,19 @@
     return found;
 }
 
+/// Brings the bucket up to date with what the ledger came to hold.
+void limiter::follow_ledger(moment now, resource& each)
+{
+    each.bucket.use_parts(now, each.ledger.parts());
+    each.bucket.add(now, each.bucket.capacity_of(each.ledger.take_unspent()) +
+                             each.ledger.take_late_tokens());
+}
+
 void limiter::visit(moment now, entry& of, microseconds passed, outbox& out)
 {
     auto& [name, each] = of;
     each.ledger.on_tick(now, epoch_, in_place(now), out);
-    each.bucket.use_parts(now, each.ledger.parts());
+    follow_ledger(now, each);
     follow_demand(now, each, passed);
     if (each.ask != 0 && now >= each.ask_deadline)
     {
--- a/src/decision/share_ledger.cpp
+++ b/src/decision/share_ledger.cpp
@@ -28,12 +28,24 @@
            (settled && epoch == epoch_);
 }
 
+std::uint64_t share_ledger::take_unspent()
+{
+    return std::exchange(unspent_, 0);
+}
+
+std::uint64_t share_ledger::take_late_tokens()
+{
+    return std::exchange(late_tokens_, 0);
+}
+
 void share_ledger::reset()
 {
     considered_ = false;
     refresh_ = options_.refresh_interval;
     parts_ = 0;
     granted_ = 0;
+    unspent_ = 0;
+    late_tokens_ = 0;
     entered_ = false;
     expelled_ = false;
     waiting_ = false;
@@ -191,11 +203,13 @@
     body.set_row("share/" + resource_);
     body.set_expected_version(version_);
     body.set_value(next.SerializeAsString());
+    const std::uint64_t before = fresh(row_) ? whole_ : row_.free_tokens();
+    const std::uint64_t unspent = fresh(next) ? 0 : before - next.free_tokens();
     waiting_ = true;
     next_write_ = now + options_.retry_interval;
     out.call_platform(
         std::move(call), options_.call_timeout,
-        [this, next = std::move(next), epoch,
+        [this, next = std::move(next), epoch, unspent,
          number = self_.number](moment at, const proto::PlatformReply* reply)
         {
             waiting_ = false;
@@ -205,6 +219,8 @@
             {
                 return;
             }
+            // Were the reply lost, these tokens would be, too.
+            unspent_ += unspent;
             observe(at, reply->version(), next);
             epoch_ = std::max(epoch_, epoch);
         });
--- a/src/decision/share_ledger_row.cpp
+++ b/src/decision/share_ledger_row.cpp
@@ -105,7 +105,7 @@
     {
         if (believes(number, channel))
         {
-            credit(channel); // without the tokens that came along
+            late_tokens_ += credit(channel).tokens();
         }
     }
 }
@@ -141,6 +141,13 @@
             now - seen->second >= options_.reclaim_wait);
 }
 
+/// Whether nobody has ever had an entry in the row: holders are removed only
+/// by others, which then have one.
+bool share_ledger::fresh(const proto::ShareRow& row)
+{
+    return row.grant().empty() && row.free_parts() == 0;
+}
+
 /// Whether no holder can have become gone that was not looked at since.
 bool share_ledger::calm(moment now) const
 {
@@ -155,6 +162,10 @@
 {
     proto::ShareRow row = row_;
     const std::uint64_t total = sum(row);
+    if (fresh(row))
+    {
+        row.set_free_tokens(whole_);
+    }
     if (total < whole_)
     {
         row.set_free_parts(row.free_parts() + whole_ - total);
@@ -268,6 +279,7 @@
     }
     proto::ShareRow next;
     next.set_free_parts(row.free_parts());
+    next.set_free_tokens(row.free_tokens());
     for (const auto& grant : row.grant())
     {
         if (lost.count(grant.number()) != 0)
@@ -300,6 +312,8 @@
         auto* own = find_grant(row, self_.number);
         own->set_parts(own->parts() + taken);
         row.set_free_parts(row.free_parts() - taken);
+        row.set_free_tokens(row.free_tokens() -
+                            std::min(taken, row.free_tokens()));
     }
 }
 
--- a/tests/limiter_test.cpp
+++ b/tests/limiter_test.cpp
@@ -24,6 +24,8 @@
     CPPUNIT_TEST(wall_clock_leap_stops_spending);
     CPPUNIT_TEST(workspaces_by_hundreds_are_reclaimed);
     CPPUNIT_TEST(rows_unchanged_are_read_rarely);
+    CPPUNIT_TEST(fresh_fleet_serves_the_whole_burst);
+    CPPUNIT_TEST(replaced_fleet_starts_without_tokens);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -185,6 +187,30 @@
         CPPUNIT_ASSERT(scene_->platform_calls() < lists + 4 * 2 * 3);
     }
 
+    void fresh_fleet_serves_the_whole_burst()
+    {
+        scene_ = std::make_unique<limits_scene>(options(1, 40));
+        scene_->advance(std::chrono::seconds(2));
+        ask(0, 41);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{40}, admitted());
+    }
+
+    void replaced_fleet_starts_without_tokens()
+    {
+        scene_ = std::make_unique<limits_scene>(options(1, 40));
+        scene_->advance(std::chrono::seconds(2));
+        for (std::size_t vm = 0; vm < 4; ++vm)
+        {
+            ask(vm, 20);
+            scene_->start(vm);
+        }
+        scene_->advance(std::chrono::seconds(20));
+        ask(0, 40);
+        CPPUNIT_ASSERT(admitted() <= 40 + 23);
+        CPPUNIT_ASSERT(scene_->largest_burst("w") <=
+                       static_cast<std::int64_t>(40 * token_unit));
+    }
+
 private:
     static standin::limits_scene_options options(std::uint64_t rate,
                                                  std::uint64_t burst)
