Tell at most 64 resources in one heartbeat

Cause: each heartbeat carried a hint for every resource with something to spare and was copied for each peer; in a profile of tick_by_databases/4000/7, copying and freeing hints came first.

Ruled out: replacing all hints of a peer by each heartbeat, as before; a heartbeat that tells only a part would erase the rest.

Change: up to `most_hints` resources all are told in each heartbeat. With more, those awake whose spare changed by more than a factor of 2 come first (half of the number), then the others in rotation. A spare of 0 is told once; who asked and was given nothing drops its hint. Hints only steer whom to ask. The scene takes hints only for heartbeats that leave.

Dropping a hint when nothing was credited, instead of when nothing was given, failed fresh_fleet_serves_the_whole_burst (228 passed, 1 failed).

--- a/include/tanagerhoist/decision/limiter.hpp
+++ b/include/tanagerhoist/decision/limiter.hpp
@@ -49,6 +49,8 @@
     milliseconds look_ahead{100};
     /// Resources without demand that a tick visits in rotation, at least.
     std::size_t least_visited = 64;
+    /// Resources that one heartbeat tells of, at most.
+    std::size_t most_hints = 64;
     share_ledger_options ledger;
 };
 
@@ -92,8 +94,10 @@
                        const proto::SliceGive& give, outbox& out);
     void on_tick(moment now, outbox& out);
 
-    /// Adds to a heartbeat what this VM could spare.
-    void hints(proto::Heartbeat& heartbeat) const;
+    /// Adds to a heartbeat what this VM could spare: of all resources, or of
+    /// `most_hints` where there are more, first those whose spare changed much
+    /// since it was last told, then the others in rotation.
+    void hints(proto::Heartbeat& heartbeat);
     void on_hints(const proto::Incarnation& from,
                   const proto::Heartbeat& heartbeat);
 
@@ -148,6 +152,7 @@
         moment ahead_after{};          ///< when to ask ahead of need again
         std::set<std::string> pending; ///< VMs asked and not yet heard
         moment last_asked{};           ///< when a tick last found requests
+        std::uint64_t told = 0;        ///< spare in the last hint
         bool awake = false;            ///< in `awake_`
     };
     using entry = std::map<std::string, resource>::value_type;
@@ -158,6 +163,8 @@
     void wake_all();
     bool idle(const resource& each) const;
     std::vector<entry*> due();
+    std::uint64_t spare(const resource& each) const;
+    void add_hint(entry& of, proto::Heartbeat& heartbeat) const;
     static void follow_ledger(moment now, resource& each);
     void visit(moment now, entry& of, microseconds passed, outbox& out);
     const resource* find(const std::string& name) const;
@@ -198,6 +205,7 @@
     std::map<std::string, resource> resources_;
     std::set<std::string> awake_; ///< resources that each tick has to visit
     std::string visited_;         ///< last one visited in rotation
+    std::string hinted_;          ///< last one told of in rotation
     std::map<std::string, peer_hints> hints_; ///< by VM
 };
 
--- a/src/decision/limiter_transfer.cpp
+++ b/src/decision/limiter_transfer.cpp
@@ -257,6 +257,10 @@
         return;
     }
     each->pending.erase(from.vm());
+    if (give.given().parts() == 0 && give.given().tokens() == 0)
+    {
+        hints_[from.vm()].spare.erase(give.resource()); // it had nothing
+    }
     const bool served = each->connections
                             ? each->ledger.parts() >= each->wanted
                             : each->bucket.tokens(now) >= token_unit;
@@ -270,29 +274,64 @@
     }
 }
 
-void limiter::hints(proto::Heartbeat& heartbeat) const
+std::uint64_t limiter::spare(const resource& each) const
+{
+    const holding has = held(last_tick_, each);
+    return each.connections
+               ? has.parts - std::min(has.parts, has.needed_parts)
+               : has.tokens - std::min(has.tokens, has.needed_tokens);
+}
+
+/// A spare of 0 is told once, so that peers drop the earlier hint.
+void limiter::add_hint(entry& of, proto::Heartbeat& heartbeat) const
 {
-    for (const auto& [name, each] : resources_)
-    {
-        const holding has = held(last_tick_, each);
-        const std::uint64_t spare =
-            each.connections
-                ? has.parts - std::min(has.parts, has.needed_parts)
-                : has.tokens - std::min(has.tokens, has.needed_tokens);
-        if (spare != 0)
+    auto& [name, each] = of;
+    const std::uint64_t told = std::exchange(each.told, spare(each));
+    if (told != 0 || each.told != 0)
+    {
+        auto& hint = *heartbeat.add_hint();
+        hint.set_resource(name);
+        hint.set_spare_tokens(each.told);
+    }
+}
+
+void limiter::hints(proto::Heartbeat& heartbeat)
+{
+    const std::size_t most = std::min(options_.most_hints, resources_.size());
+    std::size_t left = most;
+    if (most < resources_.size())
+    {
+        for (const auto& name : awake_)
         {
-            auto& hint = *heartbeat.add_hint();
-            hint.set_resource(name);
-            hint.set_spare_tokens(spare);
+            auto& of = *resources_.find(name);
+            const std::uint64_t now = spare(of.second);
+            const std::uint64_t told = of.second.told;
+            const bool changed =
+                now / 2 > told || told / 2 > now || (now == 0) != (told == 0);
+            if (changed && left > most / 2)
+            {
+                add_hint(of, heartbeat);
+                --left;
+            }
         }
     }
+    for (auto next = resources_.upper_bound(hinted_); left != 0; --left)
+    {
+        next = next == resources_.end() ? resources_.begin() : next;
+        hinted_ = next->first;
+        add_hint(*next, heartbeat);
+        ++next;
+    }
 }
 
 void limiter::on_hints(const proto::Incarnation& from,
                        const proto::Heartbeat& heartbeat)
 {
     auto& known = hints_[from.vm()];
-    known = {from.number(), {}};
+    if (known.number != from.number())
+    {
+        known = {from.number(), {}};
+    }
     for (const auto& hint : heartbeat.hint())
     {
         known.spare[hint.resource()] = hint.spare_tokens();
--- a/standin/limits_scene_run.cpp
+++ b/standin/limits_scene_run.cpp
@@ -60,7 +60,10 @@
                   each.settings = nullptr;
               }
               proto::Heartbeat news;
-              each.limits.hints(news);
+              if (each.members.heartbeat_due(now))
+              {
+                  each.limits.hints(news); // once told, not told again
+              }
               each.members.on_tick(now, news, each.out);
               each.limits.on_tick(now, each.out);
           });
--- a/tests/limiter_test.cpp
+++ b/tests/limiter_test.cpp
@@ -2,6 +2,10 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <memory>
+#include <set>
+#include <string>
+
 namespace tanagerhoist
 {
 
@@ -26,6 +30,7 @@
     CPPUNIT_TEST(rows_unchanged_are_read_rarely);
     CPPUNIT_TEST(fresh_fleet_serves_the_whole_burst);
     CPPUNIT_TEST(replaced_fleet_starts_without_tokens);
+    CPPUNIT_TEST(hints_of_many_are_told_in_rotation);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -211,6 +216,23 @@
                        static_cast<std::int64_t>(40 * token_unit));
     }
 
+    void hints_of_many_are_told_in_rotation()
+    {
+        auto few = options(20, 40);
+        few.limits.most_hints = 1;
+        scene_ = std::make_unique<limits_scene>(few);
+        scene_->advance(std::chrono::seconds(10));
+        std::set<std::string> told;
+        for (int i = 0; i < 2; ++i)
+        {
+            proto::Heartbeat heartbeat;
+            scene_->limits(0).hints(heartbeat);
+            CPPUNIT_ASSERT_EQUAL(1, heartbeat.hint_size());
+            told.insert(heartbeat.hint(0).resource());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, told.size());
+    }
+
 private:
     static standin::limits_scene_options options(std::uint64_t rate,
                                                  std::uint64_t burst)
