--- a/include/tanagerhoist/decision/limiter.hpp
+++ b/include/tanagerhoist/decision/limiter.hpp
@@ -39,10 +39,16 @@
     milliseconds return_delay{4000};
     /// Time that a peer has to answer for a slice.
     milliseconds ask_timeout{60};
-    /// Time without further asking after all peers had nothing to spare.
+    /// Time without further asking after all peers had nothing to spare. It
+    /// doubles with each such round in a row, up to `longest_refuse_time`.
     milliseconds refuse_time{25};
+    milliseconds longest_refuse_time{200};
+    /// Peers asked at once after the first.
+    std::size_t fan_out = 6;
     /// Demand over this time is kept back from peers and asked for ahead.
     milliseconds look_ahead{100};
+    /// Resources without demand that a tick visits in rotation, at least.
+    std::size_t least_visited = 64;
     share_ledger_options ledger;
 };
 
@@ -105,14 +111,15 @@
     /// clock other than the monotonic one has leapt ahead.
     void doubt_place();
 
-    /// Parts held of a resource, for checks; 0 if it is not known.
+    /// Parts of a resource that may be used; 0 while in doubt.
     std::uint64_t parts(const std::string& resource) const;
 
 private:
-    struct peer_hint
+    /// What one peer could spare, by resource.
+    struct peer_hints
     {
         std::uint64_t number = 0;
-        std::uint64_t spare = 0;
+        std::map<std::string, std::uint64_t> spare;
     };
     /// One resource, `workspace/NAME` or `server/NAME`.
     struct resource
@@ -126,24 +133,32 @@
         share_ledger ledger;
         bool connections = false;
         token_bucket bucket;
-        std::uint64_t whole = 0;  ///< parts by the settings
-        std::uint64_t burst = 0;  ///< requests
-        std::uint64_t demand = 0; ///< requests per second, smoothed
-        std::uint64_t asked = 0;  ///< requests since the last tick
-        std::uint64_t wanted = 0; ///< connections
-        std::uint64_t in_use = 0; ///< connections
-        std::uint64_t ask = 0;    ///< of the round in progress; 0: none
-        bool urgent = false;      ///< a request waits for the round
-        bool asked_all = false;
+        std::uint64_t whole = 0;         ///< parts by the settings
+        std::uint64_t burst = 0;         ///< requests
+        std::uint64_t demand = 0;        ///< requests per second, smoothed
+        std::uint64_t asked = 0;         ///< requests since the last tick
+        std::uint64_t wanted = 0;        ///< connections
+        std::uint64_t in_use = 0;        ///< connections
+        std::uint64_t ask = 0;           ///< of the round in progress; 0: none
+        bool urgent = false;             ///< a request waits for the round
+        milliseconds refuse_time{0};     ///< after the last round without gain
+        std::set<std::string> asked_vms; ///< in this round
         moment ask_deadline{};
-        moment refuse_until{};         ///< no peer had any to spare
-        moment ask_ahead_after{};      ///< pause between rounds without need
+        moment refuse_until{};
+        moment ahead_after{};          ///< when to ask ahead of need again
         std::set<std::string> pending; ///< VMs asked and not yet heard
-        std::map<std::string, peer_hint> hints;
+        moment last_asked{};           ///< when a tick last found requests
+        bool awake = false;            ///< in `awake_`
     };
+    using entry = std::map<std::string, resource>::value_type;
 
     resource& at(const std::string& name);
     resource* find(const std::string& name);
+    void wake(const std::string& name, resource& each);
+    void wake_all();
+    bool idle(const resource& each) const;
+    std::vector<entry*> due();
+    void visit(moment now, entry& of, microseconds passed, outbox& out);
     const resource* find(const std::string& name) const;
     void check_place(moment now);
     bool in_place(moment now) const;
@@ -156,7 +171,8 @@
                      bool urgent, outbox& out);
     void continue_round(moment now, const std::string& name, resource& each,
                         outbox& out);
-    void end_round(moment now, resource& each);
+    void end_round(moment now, resource& each, bool served);
+    std::uint64_t spare_of(const std::string& name, const member& peer) const;
     std::vector<member> peers(moment now) const;
     void send_ask(moment now, const std::string& name, resource& each,
                   const member& to, outbox& out);
@@ -177,7 +193,11 @@
     bool leaving_ = false;
     bool alone_ = false; ///< no peer to hand over to
     std::uint64_t leave_ticks_ = 0;
+    bool expelled_ = false;
     std::map<std::string, resource> resources_;
+    std::set<std::string> awake_; ///< resources that each tick has to visit
+    std::string visited_;         ///< last one visited in rotation
+    std::map<std::string, peer_hints> hints_; ///< by VM
 };
 
 } // namespace tanagerhoist
--- a/src/decision/limiter_transfer.cpp
+++ b/src/decision/limiter_transfer.cpp
@@ -12,14 +12,20 @@
 /// Weight of the newest tick in the smoothed demand, as a divisor.
 constexpr std::uint64_t smoothing = 8;
 
+/// Time without requests after which a workspace is no longer in demand.
+constexpr milliseconds demand_memory{10000};
+
 /// Ticks over which a leaving VM repeats its totals against lost messages.
 constexpr std::uint64_t leave_repeats = 4;
 
+/// Part of the whole burst that a waiting request asks for, as a divisor.
+constexpr std::uint64_t least_asked_divisor = 8;
+
 constexpr std::uint64_t us_per_second = 1000000;
 
 } // namespace
 
-void limiter::follow_demand(moment /*now*/, resource& each, microseconds passed)
+void limiter::follow_demand(moment now, resource& each, microseconds passed)
 {
     if (passed.count() <= 0)
     {
@@ -27,6 +33,15 @@
     }
     const std::uint64_t now_rate =
         each.asked * us_per_second / static_cast<std::uint64_t>(passed.count());
+    if (each.asked != 0)
+    {
+        each.last_asked = now;
+    }
+    else if (now - each.last_asked > demand_memory)
+    {
+        each.demand = 0; // which rounding would keep above 0 for ever
+        return;
+    }
     each.asked = 0;
     each.demand =
         (each.demand * (smoothing - 1) + now_rate + smoothing / 2) / smoothing;
@@ -62,7 +77,10 @@
     }
     if (!each.connections)
     {
-        const std::uint64_t ahead = 2 * has.needed_tokens + token_unit;
+        const std::uint64_t least =
+            each.urgent ? has.whole_tokens / least_asked_divisor : 0;
+        const std::uint64_t ahead =
+            std::max(2 * has.needed_tokens + token_unit, least);
         want.set_tokens(ahead > has.tokens ? ahead - has.tokens : token_unit);
     }
     return want;
@@ -77,8 +95,8 @@
                          : has.tokens < has.needed_tokens / 2 + token_unit &&
                                each.demand != 0;
     if (low && each.whole != 0 && each.ask == 0 &&
-        now >= each.ask_ahead_after && confirmed_since_ &&
-        each.ledger.usable(epoch_))
+        now >= std::max(each.refuse_until, each.ahead_after) &&
+        confirmed_since_ && each.ledger.usable(epoch_))
     {
         begin_round(now, name, each, false, out);
     }
@@ -96,70 +114,79 @@
     return found;
 }
 
-void limiter::begin_round(moment now, const std::string& name, resource& each,
-                          bool urgent, outbox& out)
+std::uint64_t limiter::spare_of(const std::string& name,
+                                const member& peer) const
 {
-    const auto found = peers(now);
-    each.asked_all = found.empty();
-    if (found.empty())
+    const auto found = hints_.find(peer.vm);
+    if (found == hints_.end() || found->second.number != peer.number)
     {
-        end_round(now, each);
-        return;
+        return 0;
     }
+    const auto spare = found->second.spare.find(name);
+    return spare == found->second.spare.end() ? 0 : spare->second;
+}
+
+void limiter::begin_round(moment now, const std::string& name, resource& each,
+                          bool urgent, outbox& out)
+{
     each.ask = next_ask_++;
     each.urgent = urgent;
-    each.ask_deadline = now + options_.ask_timeout;
-    const auto spare = [&](const member& peer)
-    {
-        const auto hint = each.hints.find(peer.vm);
-        return hint != each.hints.end() && hint->second.number == peer.number
-                   ? hint->second.spare
-                   : 0;
-    };
-    const auto best = std::max_element(found.begin(), found.end(),
-                                       [&](const member& a, const member& b)
-                                       { return spare(a) < spare(b); });
-    if (spare(*best) == 0)
-    {
-        continue_round(now, name, each, out);
-        return;
-    }
-    each.pending = {best->vm};
-    send_ask(now, name, each, *best, out);
+    each.asked_vms.clear();
+    continue_round(now, name, each, out);
 }
 
 void limiter::continue_round(moment now, const std::string& name,
                              resource& each, outbox& out)
 {
-    if (each.asked_all || !each.urgent)
+    const bool first = each.asked_vms.empty();
+    std::vector<member> left = peers(now);
+    left.erase(std::remove_if(left.begin(), left.end(),
+                              [&](const member& peer)
+                              { return each.asked_vms.count(peer.vm) != 0; }),
+               left.end());
+    if (left.empty() || (!first && !each.urgent))
     {
-        end_round(now, each);
+        end_round(now, each, false);
         return;
     }
-    const std::set<std::string> before = std::exchange(each.pending, {});
-    each.asked_all = true;
+    std::stable_sort(left.begin(), left.end(),
+                     [&](const member& a, const member& b)
+                     { return spare_of(name, a) > spare_of(name, b); });
+    const bool one = first && spare_of(name, left.front()) != 0;
+    if (!each.urgent && !one)
+    {
+        each.ask = 0; // not worth asking all ahead of need
+        return;
+    }
+    left.resize(std::min(left.size(), one ? 1 : options_.fan_out));
+    each.pending.clear();
     each.ask_deadline = now + options_.ask_timeout;
-    for (const auto& peer : peers(now))
+    for (const auto& peer : left)
     {
         each.pending.insert(peer.vm);
-        if (before.count(peer.vm) == 0)
-        {
-            send_ask(now, name, each, peer, out);
-        }
+        each.asked_vms.insert(peer.vm);
+        send_ask(now, name, each, peer, out);
     }
 }
 
-/// Only a round that has asked every peer shows that the whole share is spent.
-void limiter::end_round(moment now, resource& each)
+void limiter::end_round(moment now, resource& each, bool served)
 {
+    const bool urgent = std::exchange(each.urgent, false);
     each.ask = 0;
-    each.urgent = false;
     each.pending.clear();
-    each.ask_ahead_after = now + options_.refuse_time;
-    if (each.asked_all)
+    each.ahead_after = now + options_.refuse_time;
+    if (!served && !urgent)
     {
-        each.refuse_until = each.ask_ahead_after;
+        return; // one peer had nothing, which says little of the others
     }
+    if (served)
+    {
+        each.refuse_time = milliseconds(0);
+        return;
+    }
+    each.refuse_time = std::clamp(2 * each.refuse_time, options_.refuse_time,
+                                  options_.longest_refuse_time);
+    each.refuse_until = now + each.refuse_time;
 }
 
 void limiter::send_ask(moment now, const std::string& name, resource& each,
@@ -198,6 +225,7 @@
     {
         return;
     }
+    wake(ask.resource(), *each);
     proto::Slice slice;
     const bool may = confirmed_since_ && each->ledger.may_give(epoch_, from) &&
                      members_.current(from);
@@ -217,6 +245,7 @@
     {
         return;
     }
+    wake(give.resource(), *each);
     const auto credited = each->ledger.receive(from, give);
     each->bucket.use_parts(now, each->ledger.parts());
     if (!each->connections)
@@ -233,9 +262,7 @@
                             : each->bucket.tokens(now) >= token_unit;
     if (served)
     {
-        end_round(now, *each);
-        each->refuse_until = now;
-        each->ask_ahead_after = now;
+        end_round(now, *each, true);
     }
     else if (each->pending.empty())
     {
@@ -264,21 +291,20 @@
 void limiter::on_hints(const proto::Incarnation& from,
                        const proto::Heartbeat& heartbeat)
 {
-    for (auto& [name, each] : resources_)
-    {
-        each.hints.erase(from.vm());
-    }
+    auto& known = hints_[from.vm()];
+    known = {from.number(), {}};
     for (const auto& hint : heartbeat.hint())
     {
-        if (auto* each = find(hint.resource()))
-        {
-            each->hints[from.vm()] = {from.number(), hint.spare_tokens()};
-        }
+        known.spare[hint.resource()] = hint.spare_tokens();
     }
 }
 
 void limiter::start_leaving(moment now, outbox& out)
 {
+    if (leaving_)
+    {
+        return; // each tick hands over what is left
+    }
     leaving_ = true;
     leave_ticks_ = 0;
     for (auto& [unused, each] : resources_)
@@ -321,10 +347,14 @@
 
 bool limiter::handed_over() const
 {
+    if (!leaving_)
+    {
+        return false;
+    }
     const bool empty = std::all_of(resources_.begin(), resources_.end(),
                                    [](const auto& each)
                                    { return each.second.ledger.parts() == 0; });
-    return leaving_ && (alone_ || (empty && leave_ticks_ >= leave_repeats));
+    return (alone_ || (empty && leave_ticks_ >= leave_repeats));
 }
 
 } // namespace tanagerhoist
--- a/src/decision/request_admission.cpp
+++ b/src/decision/request_admission.cpp
@@ -79,7 +79,7 @@
     {
         return result_code::draining;
     }
-    if (!modules_.fence_.may_serve(now))
+    if (!modules_.fencing.may_serve(now))
     {
         return result_code::isolated;
     }
@@ -197,11 +197,12 @@
     if (!unlimited && waiting != admitting_.end() && !waiting->second.empty())
     {
         waiting->second.push_back(id); // behind those that came first
+        note(r, "waiting", "behind_earlier", result_code::ok);
         return;
     }
     const auto verdict =
         unlimited ? allowance::granted
-                  : modules_.limiter_.spend(now, workspace, modules_.out);
+                  : modules_.limits.spend(now, workspace, modules_.out);
     if (verdict == allowance::refused)
     {
         answer(now, id, result_code::over_rate);
@@ -210,6 +211,7 @@
     if (verdict == allowance::wait)
     {
         admitting_[workspace].push_back(id);
+        note(r, "waiting", "allowance_asked", result_code::ok);
         return;
     }
     charge(r, !unlimited);
@@ -224,7 +226,7 @@
         while (!waiting.empty())
         {
             const auto verdict =
-                modules_.limiter_.spend(now, workspace, modules_.out);
+                modules_.limits.spend(now, workspace, modules_.out);
             if (verdict == allowance::wait)
             {
                 break;
@@ -282,6 +284,8 @@
         answer(now, r.id, code);
         return;
     }
+    note(r, "queued", r.lane == lane_kind::primary ? "primary" : "replica",
+         result_code::ok, std::to_string(l.queue.size()));
     busy_lanes_.insert(lane_key(r.route.database(), r.lane));
     pump_lanes(now);
 }
