--- a/benchmark/measures_benchmark.cpp
+++ b/benchmark/measures_benchmark.cpp
@@ -122,8 +122,7 @@
             met &= report(user,
                           std::string("failover gap, ") + how.name +
                               (platform ? ", platform up" : ", platform down"),
-                          gap, "none: no promotion", "2000 ms",
-                          gap <= gap_bound_ms);
+                          gap, "-", "2000 ms", gap <= gap_bound_ms);
         }
     }
     return met;
--- a/standin/fleet.cpp
+++ b/standin/fleet.cpp
@@ -327,7 +327,7 @@
 }
 
 void fleet::request(std::uint64_t caller, const std::string& key,
-                    proto::CallerRequest request, answer_handler done)
+                    const proto::CallerRequest& request, answer_handler done)
 {
     auto& from = callers_.at(caller);
     auto& vm = vms_.at(from.vm);
--- a/standin/fleet.hpp
+++ b/standin/fleet.hpp
@@ -69,7 +69,7 @@
     bool connected(std::uint64_t caller) const;
     void hang_up(std::uint64_t caller);
     void request(std::uint64_t caller, const std::string& key,
-                 proto::CallerRequest request, answer_handler done);
+                 const proto::CallerRequest& request, answer_handler done);
 
     void start(const std::string& vm);
     void kill(const std::string& vm);
