Give the last token only to a request that waits alone

Change: the ask tells whether a request waits for it, and a holder whose own requests wait, or were refused a moment ago, keeps its last token.

--- a/include/tanagerhoist/decision/limiter.hpp
+++ b/include/tanagerhoist/decision/limiter.hpp
@@ -182,6 +182,7 @@
     void end_round(moment now, resource& each, bool served);
     std::uint64_t spare_of(const std::string& name, const member& peer) const;
     std::vector<member> peers(moment now) const;
+    static bool waits_itself(moment now, const resource& each);
     void send_ask(moment now, const std::string& name, resource& each,
                   const member& to, outbox& out);
     void send_give(moment now, resource& each, const proto::Incarnation& to,
--- a/include/tanagerhoist/decision/slice_policy.hpp
+++ b/include/tanagerhoist/decision/slice_policy.hpp
@@ -29,24 +29,25 @@
     virtual ~slice_policy() = default;
 
     /// Slice to give; tokens never exceed what its parts can carry.
-    virtual proto::Slice give(const holding& has,
-                              const proto::Slice& want) const = 0;
+    /// @param urgent a request waits at the asker
+    virtual proto::Slice give(const holding& has, const proto::Slice& want,
+                              bool urgent) const = 0;
 };
 
 /// Gives what the holder's own demand does not take up.
 class demand_policy : public slice_policy
 {
 public:
-    proto::Slice give(const holding& has,
-                      const proto::Slice& want) const override;
+    proto::Slice give(const holding& has, const proto::Slice& want,
+                      bool urgent) const override;
 };
 
 /// Gives nothing: the first allotment stays as it is.
 class fixed_policy : public slice_policy
 {
 public:
-    proto::Slice give(const holding& has,
-                      const proto::Slice& want) const override;
+    proto::Slice give(const holding& has, const proto::Slice& want,
+                      bool urgent) const override;
 };
 
 } // namespace tanagerhoist
--- a/src/decision/limiter_transfer.cpp
+++ b/src/decision/limiter_transfer.cpp
@@ -196,6 +196,7 @@
     auto& ask = *message.mutable_slice_ask();
     ask.set_resource(name);
     ask.set_ask(each.ask);
+    ask.set_urgent(each.urgent);
     *ask.mutable_want() = wish(now, each);
     out.send_peer(to.vm, to.number, std::move(message));
 }
@@ -216,6 +217,12 @@
     out.send_peer(to.vm(), to.number(), std::move(message));
 }
 
+/// Whether a request waits here, or was refused a moment ago.
+bool limiter::waits_itself(moment now, const resource& each)
+{
+    return each.urgent || now < each.refuse_until;
+}
+
 void limiter::on_slice_ask(moment now, const proto::Incarnation& from,
                            const proto::SliceAsk& ask, outbox& out)
 {
@@ -231,7 +238,9 @@
                      members_.current(from);
     if (may)
     {
-        slice = policy_->give(held(now, *each), ask.want());
+        // Where requests wait on both sides, a token moved helps neither.
+        const bool urgent = ask.urgent() && !waits_itself(now, *each);
+        slice = policy_->give(held(now, *each), ask.want(), urgent);
     }
     send_give(now, *each, from, slice, ask.ask(), out);
 }
--- a/src/decision/slice_policy.cpp
+++ b/src/decision/slice_policy.cpp
@@ -17,14 +17,15 @@
 
 } // namespace
 
-proto::Slice demand_policy::give(const holding& has,
-                                 const proto::Slice& want) const
+proto::Slice demand_policy::give(const holding& has, const proto::Slice& want,
+                                 bool urgent) const
 {
     const std::uint64_t spare = above(has.parts, has.needed_parts);
     std::uint64_t parts = std::min(want.parts(), spare);
     // A request that waits at the asker goes before those to come here.
-    const std::uint64_t idle = std::max(above(has.tokens, has.needed_tokens),
-                                        std::min(has.tokens, token_unit));
+    const std::uint64_t idle =
+        std::max(above(has.tokens, has.needed_tokens),
+                 urgent ? std::min(has.tokens, token_unit) : 0);
     std::uint64_t tokens = std::min(want.tokens(), idle);
     if (has.whole_tokens != 0)
     {
@@ -46,7 +47,8 @@
 }
 
 proto::Slice fixed_policy::give(const holding& /*has*/,
-                                const proto::Slice& /*want*/) const
+                                const proto::Slice& /*want*/,
+                                bool /*urgent*/) const
 {
     return {};
 }
