--- a/benchmark/cost_benchmark.cpp
+++ b/benchmark/cost_benchmark.cpp
@@ -325,10 +325,9 @@
     for (auto _ : state)
     {
         const auto before = mallinfo2().uordblks;
-        const lone_node bench(
-            {static_cast<std::size_t>(state.range(0)),
-             static_cast<std::size_t>(state.range(1))},
-            7);
+        const lone_node bench({static_cast<std::size_t>(state.range(0)),
+                               static_cast<std::size_t>(state.range(1))},
+                              7);
         state.counters["bytes"] =
             static_cast<double>(mallinfo2().uordblks - before);
     }
--- a/include/tanagerhoist/decision/node.hpp
+++ b/include/tanagerhoist/decision/node.hpp
@@ -100,7 +100,7 @@
     std::uint64_t event_sequence_ = 0;
     bool draining_ = false;
     bool may_serve_ = false; ///< as noted last
-    bool leaving_ = false; ///< drained, hands its shares over
+    bool leaving_ = false;   ///< drained, hands its shares over
     bool drain_reported_ = false;
 
     outbox out_;
