Let permits of idle connections move to the VMs that want them

Cause: a permit counted as in use while its connection was idle, for ten seconds, so reads at one VM waited for permits that lay idle at another and went to the primary after 100 ms. Change: only busy connections count; a VM that gives permits away closes its idle connections in the same step. Tests 255 passed.

--- a/src/decision/node.cpp
+++ b/src/decision/node.cpp
@@ -193,6 +193,7 @@
         break;
     case proto::PeerMessage::kSliceAsk:
         limiter_.on_slice_ask(now, from, message.slice_ask(), out_);
+        share_connections(now, pool_.active());
         break;
     case proto::PeerMessage::kSliceGive:
         limiter_.on_slice_give(now, from, message.slice_give(), out_);
@@ -300,7 +301,7 @@
             pool_.limit(name, 0, out_);
         }
         const auto wanted = leaving_ ? 0 : pool_.wanted(name);
-        limiter_.want_connections(now, name, wanted, pool_.open(name), out_);
+        limiter_.want_connections(now, name, wanted, pool_.busy(name), out_);
         pool_.limit(name, leaving_ ? 0 : limiter_.connections(name), out_);
     }
 }
