--- a/tests/main.cpp
+++ b/tests/main.cpp
@@ -45,7 +45,9 @@
     CppUnit::TestRunner runner;
     runner.addTest(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
     runner.run(controller, argc > 1 ? argv[1] : "");
-    CppUnit::CompilerOutputter(&collector, std::cout).write();
+    CppUnit::CompilerOutputter outputter(&collector, std::cout);
+    outputter.setNoWrap();
+    outputter.write();
 
     const auto allowed = known_red();
     int failed = 0;
