--- /dev/null
+++ b/fuzz/random_command.hpp
@@ -0,0 +1,38 @@
+#ifndef TANAGERHOIST_FUZZ_RANDOM_COMMAND_HPP
+#define TANAGERHOIST_FUZZ_RANDOM_COMMAND_HPP
+
+// Random commands for oracles.
+
+#include <rapidcheck.h>
+
+#include <cstdint>
+#include <ostream>
+#include <vector>
+
+namespace tanagerhoist::fuzz
+{
+
+/// One random command; what the numbers mean depends on the kind.
+struct command
+{
+    std::uint32_t kind = 0;
+    std::uint32_t a = 0;
+    std::uint32_t b = 0;
+};
+
+inline std::ostream& operator<<(std::ostream& os, const command& c)
+{
+    return os << '{' << c.kind << ',' << c.a << ',' << c.b << '}';
+}
+
+inline rc::Gen<std::vector<command>> sequence_of(std::uint32_t kinds)
+{
+    return rc::gen::container<std::vector<command>>(rc::gen::build<command>(
+        rc::gen::set(&command::kind, rc::gen::inRange(0U, kinds)),
+        rc::gen::set(&command::a, rc::gen::inRange(0U, 1000U)),
+        rc::gen::set(&command::b, rc::gen::inRange(0U, 1000U))));
+}
+
+} // namespace tanagerhoist::fuzz
+
+#endif
