Hold no more connections than keep a server's slots busy

All 30 connections of a server were used at once, so up to 25 statements waited inside a server of five slots, first come first served, beyond the fair queues. Change: the permits of a server are min(connections, max(8, 2 x slots)). The limiter's test and state test now set slots, so that all their permits stay in use and their assertions as they were; a new test holds the rule.

--- a/fuzz/limits_state.cpp
+++ b/fuzz/limits_state.cpp
@@ -110,6 +110,7 @@
     auto& database = *made.add_database();
     database.set_name("d");
     database.set_connections(connections);
+    database.set_slots(connections); // enough to put all to use
     auto& server = *made.add_server();
     server.set_name("s");
     server.set_database("d");
--- a/include/tanagerhoist/decision/limiter.hpp
+++ b/include/tanagerhoist/decision/limiter.hpp
@@ -54,6 +54,12 @@
     share_ledger_options ledger;
 };
 
+/// Connections to one server of `database` that all VMs together may hold: its
+/// setting, but no more than keep the server's slots busy, and a few at least.
+/// Further statements would wait inside the server, first come first served,
+/// where no workspace's weight counts.
+std::uint64_t useful_connections(const proto::DatabaseSettings& database);
+
 /// Fleet-wide limits: the rate and burst of each workspace and the number of
 /// connections to each server, over all VMs together.
 ///
--- a/src/decision/limiter.cpp
+++ b/src/decision/limiter.cpp
@@ -11,6 +11,11 @@
 
 constexpr milliseconds longest_retry{1000};
 
+// Statements at a server beyond its slots wait inside it, first come first
+// served, where no workspace's weight counts.
+constexpr std::uint64_t connections_per_slot = 2;
+constexpr std::uint64_t least_connections = 8; // so that most VMs can hold one
+
 /// Part of all resources that a tick visits in rotation, as a divisor.
 constexpr std::size_t visited_divisor = 128;
 
@@ -26,6 +31,13 @@
 
 } // namespace
 
+std::uint64_t useful_connections(const proto::DatabaseSettings& database)
+{
+    return std::min(
+        database.connections(),
+        std::max(least_connections, connections_per_slot * database.slots()));
+}
+
 limiter::limiter(const identity& self, const membership& members,
                  limiter_options options, std::unique_ptr<slice_policy> policy)
     : self_(self),
@@ -76,7 +88,7 @@
         const auto* database = settings.database(server.database());
         auto& each = at(server_resource(server.name()));
         each.connections = true;
-        each.whole = database == nullptr ? 0 : database->connections();
+        each.whole = database == nullptr ? 0 : useful_connections(*database);
         each.ledger.use_whole(each.whole);
     }
     wake_all();
--- a/tests/limiter_test.cpp
+++ b/tests/limiter_test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(rate_lowered_holds_from_then_on);
     CPPUNIT_TEST(leaving_vm_hands_over_all);
     CPPUNIT_TEST(connections_move_to_who_wants_them);
+    CPPUNIT_TEST(connections_beyond_use_of_slots_not_opened);
     CPPUNIT_TEST(wall_clock_leap_stops_spending);
     CPPUNIT_TEST(workspaces_by_hundreds_are_reclaimed);
     CPPUNIT_TEST(rows_unchanged_are_read_rarely);
@@ -146,6 +147,18 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{40}, admitted());
     }
 
+    void connections_beyond_use_of_slots_not_opened()
+    {
+        proto::DatabaseSettings database;
+        database.set_connections(30);
+        database.set_slots(5);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, useful_connections(database));
+        database.set_slots(2);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{8}, useful_connections(database));
+        database.set_connections(3);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, useful_connections(database));
+    }
+
     void connections_move_to_who_wants_them()
     {
         scene_->want_connections(2, "s", 9, 0);
@@ -247,6 +260,7 @@
         auto& database = *made.settings.add_database();
         database.set_name("d");
         database.set_connections(12);
+        database.set_slots(6); // enough to put all twelve to use
         auto& server = *made.settings.add_server();
         server.set_name("s");
         server.set_database("d");
