End without waiting for nng's sockets

Cause: after the drain three of seven daemons logged 'ended' and stayed: the stack showed nng_close waiting inside the library for a socket whose peers had ended at the same moment (tests/process/bad_input, 'the daemons drain'). Ruled out: the drain, the workers and the recorder (each had ended; the main thread stood in ~peer_link). Change: the link stops its receiver under a lock and leaves the sockets to the end of the process. Before: bad_input did not end its daemons in 140 s.

--- a/include/tanagerhoist/adapter/peer_link.hpp
+++ b/include/tanagerhoist/adapter/peer_link.hpp
@@ -22,6 +22,9 @@
     /// Listens on `address` and `port`.
     /// @throws std::runtime_error if the port can't be had
     peer_link(const std::string& address, std::uint16_t port, receiver receive);
+
+    /// After this the receiver is not called any more. The sockets stay open
+    /// until the process ends; make one link per process.
     ~peer_link();
     peer_link(const peer_link&) = delete;
     peer_link& operator=(const peer_link&) = delete;
--- a/src/adapter/peer_link.cpp
+++ b/src/adapter/peer_link.cpp
@@ -5,6 +5,7 @@
 #include <nng/protocol/pipeline0/push.h>
 
 #include <map>
+#include <mutex>
 #include <stdexcept>
 #include <utility>
 
@@ -49,13 +50,18 @@
         if (parsed.ParseFromArray(nng_msg_body(message),
                                   static_cast<int>(size)))
         {
-            receive(std::move(parsed), size);
+            const std::lock_guard lock(mutex);
+            if (receive)
+            {
+                receive(std::move(parsed), size);
+            }
         }
         nng_msg_free(message);
         nng_recv_aio(listener, aio);
     }
 
-    receiver receive;
+    std::mutex mutex; ///< guards `receive`
+    receiver receive; ///< null once the link has ended
     nng_socket listener = NNG_SOCKET_INITIALIZER;
     nng_aio* aio = nullptr;
     std::map<std::string, peer> peers;
@@ -84,13 +90,13 @@
 
 peer_link::~peer_link()
 {
-    nng_close(state_->listener);
-    nng_aio_stop(state_->aio); // waits for a running callback
-    nng_aio_free(state_->aio);
-    for (auto& [vm, peer] : state_->peers)
     {
-        nng_close(peer.socket);
+        const std::lock_guard lock(state_->mutex); // no receiver runs now
+        state_->receive = nullptr;
     }
+    // nng_close can wait for ever when peers end at the same moment. The
+    // sockets end with the process, so the state is left to nng's threads.
+    static_cast<void>(state_.release());
 }
 
 void peer_link::learn(const std::string& vm, const std::string& address,
