--- a/include/tanagerhoist/adapter/http_wire.hpp
+++ b/include/tanagerhoist/adapter/http_wire.hpp
@@ -12,6 +12,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace tanagerhoist
 {
@@ -34,6 +36,8 @@
     std::string authorization; ///< value of that header, empty if absent
     std::string body;
     bool keep_alive = true;
+    /// Further headers to be sent.
+    std::vector<std::pair<std::string, std::string>> headers{};
 };
 
 /// One HTTP answer.
--- a/include/tanagerhoist/decision/token_bucket.hpp
+++ b/include/tanagerhoist/decision/token_bucket.hpp
@@ -29,6 +29,10 @@
     /// Sets the parts; tokens above the new capacity are dropped.
     void use_parts(moment now, std::uint64_t parts);
 
+    /// Sets the capacity below which a small share does not fall, so that it
+    /// can hold a whole request. The rate is not raised.
+    void use_least_capacity(std::uint64_t amount) { least_ = amount; }
+
     /// Debits `amount` millionths if they are there.
     bool take(moment now, std::uint64_t amount);
 
@@ -53,6 +57,7 @@
     std::uint64_t rate_ = 0;
     std::uint64_t burst_ = 0;
     std::uint64_t parts_ = 0;
+    std::uint64_t least_ = 0;
     std::uint64_t tokens_ = 0;
     std::uint64_t remainder_ = 0; ///< share_parts-ths of a millionth
     moment filled_{};
--- /dev/null
+++ b/include/tanagerhoist/fleet/duty_keeper.hpp
@@ -0,0 +1,74 @@
+#ifndef TANAGERHOIST_FLEET_DUTY_KEEPER_HPP
+#define TANAGERHOIST_FLEET_DUTY_KEEPER_HPP
+
+#include "fleet.pb.h"
+#include "tanagerhoist/core/journal.hpp"
+#include "tanagerhoist/core/time.hpp"
+#include "tanagerhoist/fleet/row_store.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace tanagerhoist
+{
+
+/// How long the duty stays with its holder after a renewal.
+constexpr milliseconds duty_lease{4000};
+
+/// How long before the end of its lease the holder stops to act.
+constexpr milliseconds duty_margin{800};
+
+constexpr milliseconds duty_renewal{1200};
+
+/// A VM without news from the holder for this long looks at the duty's row.
+constexpr milliseconds duty_silence{1500};
+
+/// One VM's side of the duty, which at most one VM holds at a time. The row in
+/// the store carries holder, fencing token and the time of its renewal on the
+/// store's clock. Answers that are missing are resolved by reading the row.
+class duty_keeper
+{
+public:
+    using clock = std::function<moment()>;
+
+    duty_keeper(row_store& store, proto::MemberRow self, clock now,
+                journal& lines);
+
+    /// Reads, takes or renews, whichever is due.
+    /// @param heard when the holder was last heard from
+    void step(moment heard);
+
+    bool holds(moment now) const { return now < held_until_; }
+
+    /// The duty as last read or written.
+    const proto::DutyRow& row() const { return row_; }
+
+    /// Gives the duty back, so that the next holder need not wait.
+    void resign();
+
+private:
+    void renew();
+    void look();
+    void take(const store_answer& read, std::uint64_t version);
+    bool take_in(const store_answer& answer);
+    bool is_own() const;
+    store_answer write(const proto::DutyRow& row, std::uint64_t version);
+    milliseconds store_now() const;
+    void lose(const char* cause);
+
+    row_store& store_;
+    proto::MemberRow self_;
+    clock now_;
+    journal& lines_;
+    proto::DutyRow row_;
+    std::uint64_t version_ = 0;
+    moment held_until_{};
+    bool holding_ = false;
+    milliseconds store_clock_{0}; ///< of the newest answer
+    moment store_clock_at_{};     ///< when that call was sent
+};
+
+} // namespace tanagerhoist
+
+#endif
--- /dev/null
+++ b/include/tanagerhoist/fleet/row_store.hpp
@@ -0,0 +1,73 @@
+#ifndef TANAGERHOIST_FLEET_ROW_STORE_HPP
+#define TANAGERHOIST_FLEET_ROW_STORE_HPP
+
+#include "tanagerhoist/core/time.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace tanagerhoist
+{
+
+/// One row of a table.
+struct store_row
+{
+    std::string table;
+    std::string key;
+    std::string value;
+    std::uint64_t version = 0; ///< of the transaction that wrote it; 0: absent
+    bool removed = false;
+};
+
+/// How a call of the store ended.
+enum class store_result
+{
+    done,
+    conflict,   ///< a row had another version; nothing was done
+    refused,    ///< the store would not serve this VM now; nothing was done
+    compacted,  ///< the asked history is gone
+    unanswered, ///< may have been done, or may be done later
+    malformed   ///< the answer could not be read
+};
+
+/// Answer of a call.
+struct store_answer
+{
+    store_result result = store_result::unanswered;
+    std::vector<store_row> rows; ///< read, changed, or in conflict
+    std::uint64_t version = 0;   ///< newest transaction that the answer covers
+    milliseconds now{0};         ///< the store's clock
+    moment sent{};               ///< when the call was sent
+    bool truncated = false;
+};
+
+/// One write under a condition: each row must have its `version`.
+struct store_transaction
+{
+    std::vector<store_row> expected;
+    std::vector<store_row> puts;
+    std::vector<store_row> removals;
+};
+
+/// Transactional rows that outlive all daemons. Calls suspend the calling
+/// fiber until an answer or a timeout.
+class row_store
+{
+public:
+    virtual ~row_store() = default;
+
+    /// Rows of a table with keys from `from`, in ascending order.
+    virtual store_answer read(const std::string& table,
+                              const std::string& from) = 0;
+
+    virtual store_answer write(const store_transaction& transaction) = 0;
+
+    /// Rows changed after `version`, or none once `wait` is over.
+    virtual store_answer watch(const std::string& table, std::uint64_t version,
+                               milliseconds wait) = 0;
+};
+
+} // namespace tanagerhoist
+
+#endif
--- /dev/null
+++ b/include/tanagerhoist/session/proxy_figures.hpp
@@ -0,0 +1,60 @@
+#ifndef TANAGERHOIST_SESSION_PROXY_FIGURES_HPP
+#define TANAGERHOIST_SESSION_PROXY_FIGURES_HPP
+
+#include "tanagerhoist/core/time.hpp"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace tanagerhoist
+{
+
+/// Counts of times in buckets whose bounds double from 1 ms on.
+class latency_histogram
+{
+public:
+    static constexpr std::size_t buckets = 14;
+
+    void add(microseconds took)
+    {
+        std::size_t bucket = 0;
+        while (bucket + 1 < buckets && took > bound(bucket))
+        {
+            ++bucket;
+        }
+        ++counts_.at(bucket);
+        sum_ += took;
+    }
+
+    /// Upper bound of a bucket; the last one has none.
+    static milliseconds bound(std::size_t bucket)
+    {
+        return milliseconds(std::int64_t{1} << bucket);
+    }
+
+    std::uint64_t count(std::size_t bucket) const { return counts_.at(bucket); }
+    microseconds sum() const { return sum_; }
+
+private:
+    std::array<std::uint64_t, buckets> counts_{};
+    microseconds sum_{0};
+};
+
+/// What a proxy counts since its start.
+struct proxy_figures
+{
+    /// Answers by kind of route and outcome.
+    std::map<std::pair<std::string, std::string>, latency_histogram> answers;
+    std::map<std::string, std::uint64_t> refusals; ///< by cause
+    std::uint64_t connections_opened = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t sessions_started = 0;
+};
+
+} // namespace tanagerhoist
+
+#endif
--- /dev/null
+++ b/include/tanagerhoist/session/proxy_outlet.hpp
@@ -0,0 +1,58 @@
+#ifndef TANAGERHOIST_SESSION_PROXY_OUTLET_HPP
+#define TANAGERHOIST_SESSION_PROXY_OUTLET_HPP
+
+#include "tanagerhoist/session/backend_server.hpp"
+#include "tanagerhoist/session/log_position.hpp"
+#include "tanagerhoist/session/session_error.hpp"
+#include "tanagerhoist/session/statement.hpp"
+#include "tanagerhoist/session/transaction_state.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace tanagerhoist
+{
+
+using session_id = std::uint32_t;
+using connection_id = std::uint32_t;
+
+/// Answer to one statement of a session.
+struct session_answer
+{
+    std::vector<std::string> rows;
+    std::string signature;              ///< of the server, or "-"
+    std::optional<session_error> error; ///< instead of a signature
+    std::string text;                   ///< of the error
+    transaction_state state = transaction_state::none;
+    std::optional<log_position> position;
+};
+
+/// What the proxy's decisions ask of sockets. No member may call back into the
+/// proxy before it returns.
+class proxy_outlet
+{
+public:
+    virtual ~proxy_outlet() = default;
+
+    virtual void answer(session_id session, const session_answer& answer) = 0;
+
+    /// Tells the session that it is open.
+    virtual void accept_session(session_id session) = 0;
+
+    /// Ends the session's connection; an error is told first if given.
+    virtual void end_session(session_id session,
+                             std::optional<session_error> error) = 0;
+
+    /// Opens a connection to a server in a workspace's name.
+    virtual void open(connection_id connection, const backend_server& server,
+                      const std::string& workspace) = 0;
+    virtual void send(connection_id connection,
+                      const server_statement& statement) = 0;
+    virtual void close(connection_id connection) = 0;
+};
+
+} // namespace tanagerhoist
+
+#endif
--- /dev/null
+++ b/include/tanagerhoist/session/server_state.hpp
@@ -0,0 +1,117 @@
+#ifndef TANAGERHOIST_SESSION_SERVER_STATE_HPP
+#define TANAGERHOIST_SESSION_SERVER_STATE_HPP
+
+#include "tanagerhoist/core/time.hpp"
+#include "tanagerhoist/session/backend_server.hpp"
+#include "tanagerhoist/session/log_position.hpp"
+
+#include <algorithm>
+#include <optional>
+
+namespace tanagerhoist
+{
+
+/// How soon a server that failed is tried again, and how fast a measured
+/// response time is forgotten.
+constexpr milliseconds first_retry{150};
+constexpr milliseconds longest_retry{1000};
+constexpr milliseconds first_lag_pause{100};
+constexpr milliseconds longest_lag_pause{600};
+
+/// What this VM has seen of one backend server.
+class server_state
+{
+public:
+    explicit server_state(backend_server s) : server(std::move(s)) {}
+
+    backend_server server;
+    unsigned connections = 0; ///< opening and open
+    unsigned opening = 0;
+    unsigned running = 0; ///< statements that the server has from this VM
+    moment draining_since{};
+
+    /// An answer, or an opened connection.
+    void heard(moment now)
+    {
+        last_heard_ = now;
+        failing_ = false;
+        retry_pause_ = first_retry;
+    }
+
+    /// A connection failed, or a statement stayed without an answer.
+    void failed(moment now)
+    {
+        if (!failing_)
+        {
+            failing_ = true;
+            failing_since_ = now;
+        }
+        retry_at_ = now + retry_pause_;
+        retry_pause_ = std::min(retry_pause_ * 2, longest_retry);
+    }
+
+    bool is_failing() const { return failing_; }
+    moment failing_since() const { return failing_since_; }
+    moment last_heard() const { return last_heard_; }
+    bool may_try(moment now) const { return !failing_ || now >= retry_at_; }
+
+    /// A read asked for a position that the server's log lacks.
+    void lagged(moment now)
+    {
+        lag_until_ = now + lag_pause_;
+        lag_pause_ = std::min(lag_pause_ * 2, longest_lag_pause);
+    }
+
+    void kept_up() { lag_pause_ = first_lag_pause; }
+    bool is_lagging(moment now) const { return now < lag_until_; }
+
+    /// The server had no room; no new work until a moment later.
+    void was_full(moment now) { full_until_ = now + first_retry / 3; }
+    bool is_full(moment now) const { return now < full_until_; }
+
+    /// The server took no further connection.
+    void refused_connection(moment now)
+    {
+        no_connection_until_ = now + first_retry;
+    }
+    bool takes_connections(moment now) const
+    {
+        return now >= no_connection_until_;
+    }
+
+    /// Takes a measured response time into the smoothed one.
+    void measured(moment now, microseconds took)
+    {
+        constexpr double weight = 0.2;
+        response_us_ += weight * (static_cast<double>(took.count()) -
+                                  response_us_);
+        measured_at_ = now;
+    }
+
+    /// Smoothed response time; forgotten by halves while nothing is measured.
+    double response_us(moment now) const
+    {
+        constexpr double usual_us = 25000;
+        const double idle =
+            std::chrono::duration<double>(now - measured_at_).count();
+        return idle > 1.0 ? usual_us + (response_us_ - usual_us) / (1.0 + idle)
+                          : response_us_;
+    }
+
+private:
+    bool failing_ = false;
+    moment failing_since_{};
+    moment last_heard_{};
+    moment retry_at_{};
+    milliseconds retry_pause_ = first_retry;
+    moment lag_until_{};
+    milliseconds lag_pause_ = first_lag_pause;
+    moment full_until_{};
+    moment no_connection_until_{};
+    double response_us_ = 25000;
+    moment measured_at_{};
+};
+
+} // namespace tanagerhoist
+
+#endif
--- /dev/null
+++ b/include/tanagerhoist/session/workspace_limits.hpp
@@ -0,0 +1,67 @@
+#ifndef TANAGERHOIST_SESSION_WORKSPACE_LIMITS_HPP
+#define TANAGERHOIST_SESSION_WORKSPACE_LIMITS_HPP
+
+#include "fleet.pb.h"
+#include "tanagerhoist/core/time.hpp"
+#include "tanagerhoist/decision/token_bucket.hpp"
+#include "tanagerhoist/session/session_settings.hpp"
+
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace tanagerhoist
+{
+
+/// Share of each workspace that is split evenly over the registered VMs, so
+/// that a VM without contact serves on. The rest goes where it is asked for.
+constexpr std::uint64_t even_parts = share_parts / 4;
+
+/// How long a VM uses its share of the rest without hearing of it again.
+constexpr milliseconds share_duration{4000};
+
+/// This VM's part of each workspace's rate and burst.
+class workspace_limits
+{
+public:
+    void use_settings(moment now, const session_settings& settings);
+
+    /// Takes over the number of VMs between which the even share is split.
+    void use_members(moment now, std::size_t members);
+
+    /// Takes over the share of the rest that the duty's holder deals out.
+    void use_shares(moment now, const proto::FleetView& view);
+
+    /// Debits one operation.
+    /// @return false if the workspace's share is used up
+    bool take(moment now, const std::string& workspace);
+
+    /// Time until one operation can be debited again.
+    milliseconds wait(moment now, const std::string& workspace) const;
+
+    /// What was asked for since the last call, as operations per second.
+    std::vector<proto::WorkspaceDemand> demand(moment now);
+
+    /// Gives back shares that were not confirmed in time.
+    void expire(moment now);
+
+private:
+    struct allowance
+    {
+        token_bucket bucket;
+        std::uint64_t dealt = 0; ///< parts of the rest
+        std::uint64_t asked = 0; ///< since the last report
+        double asked_per_s = 0;  ///< smoothed
+    };
+
+    void apply(moment now, allowance& share) const;
+
+    std::unordered_map<std::string, allowance> shares_;
+    std::size_t members_ = 1;
+    moment dealt_at_{};
+    moment reported_{};
+};
+
+} // namespace tanagerhoist
+
+#endif
--- a/include/tanagerhoist/settings/ini_reader.hpp
+++ b/include/tanagerhoist/settings/ini_reader.hpp
@@ -43,6 +43,13 @@
 boost::leaf::result<proto::DaemonSettings>
 read_daemon_settings_text(const settings_text& text);
 
+/// Reads the own file of a daemon that serves sessions; errors as above.
+boost::leaf::result<proto::SessionDaemonSettings>
+read_session_daemon_settings(const std::filesystem::path& file);
+
+/// Whether a daemon's own file has a section that asks for sessions.
+bool serves_sessions(const std::filesystem::path& file);
+
 /// The `.ini` files directly in `directory`, in ascending order of name; empty
 /// if it cannot be read.
 std::vector<std::filesystem::path>
--- a/src/adapter/http_wire.cpp
+++ b/src/adapter/http_wire.cpp
@@ -210,6 +210,10 @@
     {
         message.set(http::field::authorization, request.authorization);
     }
+    for (const auto& [name, value] : request.headers)
+    {
+        message.set(name, value);
+    }
     message.body() = request.body;
     message.prepare_payload();
     state_->stream.expires_after(timeout);
--- /dev/null
+++ b/src/adapter/json_journal.cpp
@@ -0,0 +1,85 @@
+#include "tanagerhoist/adapter/json_journal.hpp"
+
+#include <boost/json.hpp>
+#include <spdlog/async.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <chrono>
+#include <utility>
+
+namespace tanagerhoist
+{
+namespace
+{
+
+constexpr std::size_t queue_lines = 1024;
+constexpr std::uint64_t change_factor = 4;
+
+std::string wall_time()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::to_string(
+        std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
+} // namespace
+
+json_journal::json_journal(std::string vm, std::uint64_t lines_per_s, clock now)
+    : vm_(std::move(vm)), budget_(lines_per_s), now_(std::move(now))
+{
+    spdlog::init_thread_pool(queue_lines, 1);
+    logger_ = spdlog::create_async_nb<spdlog::sinks::stdout_sink_mt>("journal");
+    logger_->set_pattern("%v");
+}
+
+json_journal::~json_journal()
+{
+    logger_.reset();
+    spdlog::shutdown(); // writes what the queue holds
+}
+
+bool json_journal::wants(journal_level level)
+{
+    const auto now = now_();
+    if (now >= second_ + std::chrono::seconds(1))
+    {
+        second_ = now;
+        written_ = {};
+    }
+    const auto limit =
+        level == journal_level::change ? budget_ * change_factor : budget_;
+    if (written_.at(static_cast<std::size_t>(level)) >= limit)
+    {
+        ++dropped_;
+        return false;
+    }
+    return true;
+}
+
+void json_journal::write(journal_level level, std::string_view event,
+                         std::initializer_list<journal_field> fields)
+{
+    if (!wants(level))
+    {
+        return;
+    }
+    ++written_.at(static_cast<std::size_t>(level));
+    boost::json::object line;
+    line["t"] = wall_time();
+    line["ms"] = to_ms(now_().time_since_epoch());
+    line["vm"] = vm_;
+    line["event"] = event;
+    for (const auto& field : fields)
+    {
+        line[field.name] = field.value;
+    }
+    if (dropped_ != told_dropped_)
+    {
+        line["dropped"] = dropped_ - told_dropped_;
+        told_dropped_ = dropped_;
+    }
+    logger_->info(boost::json::serialize(line));
+}
+
+} // namespace tanagerhoist
--- /dev/null
+++ b/src/adapter/line_stream.cpp
@@ -0,0 +1,224 @@
+#include "tanagerhoist/adapter/line_stream.hpp"
+
+#include <array>
+#include <utility>
+
+namespace tanagerhoist
+{
+namespace
+{
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr std::size_t read_size = std::size_t{16} * 1024;        // bytes
+constexpr std::size_t backlog_limit = std::size_t{4} << 20U;     // bytes
+constexpr std::size_t kept_capacity = std::size_t{4} * 1024;     // bytes
+
+/// Gives back the memory of a buffer that has held a lot.
+void shrink(std::string& buffer)
+{
+    if (buffer.empty() && buffer.capacity() > kept_capacity)
+    {
+        buffer.shrink_to_fit();
+    }
+}
+
+} // namespace
+
+line_stream::line_stream(tcp::socket socket, std::size_t line_limit)
+    : socket_(std::move(socket)), line_limit_(line_limit)
+{
+    error_code ignored; // an ended connection is noticed by the first read
+    socket_.non_blocking(true, ignored);
+    socket_.set_option(tcp::no_delay(true), ignored);
+}
+
+void line_stream::start(handlers calls)
+{
+    calls_ = std::move(calls);
+    wait_readable();
+}
+
+void line_stream::wait_readable()
+{
+    socket_.async_wait(tcp::socket::wait_read,
+                       [self = shared_from_this()](error_code error)
+                       {
+                           if (!error && !self->ended_ && !self->closing_)
+                           {
+                               self->read_some();
+                           }
+                       });
+}
+
+void line_stream::read_some()
+{
+    thread_local std::array<char, read_size> buffer;
+    error_code error;
+    const auto size =
+        socket_.read_some(boost::asio::buffer(buffer), error);
+    if (error == boost::asio::error::would_block)
+    {
+        wait_readable();
+        return;
+    }
+    if (error)
+    {
+        fail(stream_end::closed);
+        return;
+    }
+    input_.append(buffer.data(), size);
+    hand_out();
+    if (ended_ || closing_)
+    {
+        return;
+    }
+    if (input_.size() > line_limit_ &&
+        input_.find('\n') == std::string::npos)
+    {
+        fail(stream_end::too_long);
+        return;
+    }
+    if (!paused_ || input_.size() < line_limit_)
+    {
+        wait_readable();
+    }
+}
+
+/// Hands out whole lines until paused.
+void line_stream::hand_out()
+{
+    if (handing_out_)
+    {
+        return;
+    }
+    handing_out_ = true;
+    const auto self = shared_from_this(); // a handler may drop the stream
+    std::size_t begin = 0;
+    while (!paused_ && !ended_ && !closing_)
+    {
+        const auto end = input_.find('\n', begin);
+        if (end == std::string::npos)
+        {
+            break;
+        }
+        std::string_view line(input_.data() + begin, end - begin);
+        if (!line.empty() && line.back() == '\r')
+        {
+            line.remove_suffix(1);
+        }
+        begin = end + 1;
+        calls_.line(line);
+    }
+    input_.erase(0, begin);
+    shrink(input_);
+    handing_out_ = false;
+}
+
+void line_stream::resume()
+{
+    if (!paused_)
+    {
+        return;
+    }
+    const bool was_full = input_.size() >= line_limit_;
+    paused_ = false;
+    hand_out();
+    if (was_full && !ended_ && !closing_)
+    {
+        wait_readable();
+    }
+}
+
+void line_stream::write(std::string_view bytes)
+{
+    if (ended_ || closing_)
+    {
+        return;
+    }
+    output_.append(bytes);
+    if (output_.size() > backlog_limit)
+    {
+        fail(stream_end::backlog);
+        return;
+    }
+    if (!waiting_to_write_)
+    {
+        flush();
+    }
+}
+
+void line_stream::flush()
+{
+    error_code error;
+    const auto size =
+        output_.empty()
+            ? 0
+            : socket_.write_some(boost::asio::buffer(output_), error);
+    if (error && error != boost::asio::error::would_block)
+    {
+        waiting_to_write_ = false;
+        fail(stream_end::closed);
+        return;
+    }
+    output_.erase(0, size);
+    shrink(output_);
+    waiting_to_write_ = !output_.empty();
+    if (waiting_to_write_)
+    {
+        socket_.async_wait(tcp::socket::wait_write,
+                           [self = shared_from_this()](error_code failed)
+                           {
+                               if (!failed && !self->ended_)
+                               {
+                                   self->flush();
+                               }
+                           });
+    }
+    else if (closing_)
+    {
+        finish();
+    }
+}
+
+void line_stream::close()
+{
+    if (ended_ || closing_)
+    {
+        return;
+    }
+    closing_ = true;
+    if (output_.empty())
+    {
+        finish();
+    }
+}
+
+void line_stream::finish()
+{
+    ended_ = true;
+    error_code ignored; // ended by the other side already
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    socket_.close(ignored);
+    calls_ = {};
+}
+
+void line_stream::fail(stream_end why)
+{
+    if (ended_)
+    {
+        return;
+    }
+    const bool silent = closing_;
+    auto end = std::move(calls_.end);
+    finish();
+    if (end && !silent)
+    {
+        // Later, so that a failed write does not call back into its caller.
+        boost::asio::post(socket_.get_executor(),
+                          [end = std::move(end), why] { end(why); });
+    }
+}
+
+} // namespace tanagerhoist
--- /dev/null
+++ b/src/adapter/small_door.cpp
@@ -0,0 +1,79 @@
+#include "tanagerhoist/adapter/small_door.hpp"
+
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/fixedsize_stack.hpp>
+
+#include <memory>
+#include <utility>
+
+namespace tanagerhoist
+{
+namespace
+{
+
+constexpr milliseconds idle_timeout{5000};
+constexpr milliseconds write_timeout{2000};
+constexpr std::size_t body_limit = 1024;                     // bytes
+constexpr std::size_t stack_size = std::size_t{64} * 1024;   // bytes
+constexpr unsigned bad_request = 400;
+
+} // namespace
+
+small_door::small_door(boost::asio::io_context& context,
+                       const boost::asio::ip::tcp::endpoint& where,
+                       responder respond)
+    : acceptor_(context, where), respond_(std::move(respond))
+{
+    accept();
+}
+
+void small_door::accept()
+{
+    acceptor_.async_accept(
+        [this](boost::system::error_code error,
+               boost::asio::ip::tcp::socket socket)
+        {
+            if (error == boost::asio::error::operation_aborted)
+            {
+                return;
+            }
+            if (!error)
+            {
+                serve(std::move(socket));
+            }
+            accept();
+        });
+}
+
+void small_door::serve(boost::asio::ip::tcp::socket socket)
+{
+    auto stream = std::make_unique<http_server_stream>(std::move(socket));
+    boost::fibers::fiber(
+        boost::fibers::launch::post, std::allocator_arg,
+        boost::fibers::fixedsize_stack(stack_size),
+        [this, held = std::move(stream)]
+        {
+            http_request request;
+            bool alive = true;
+            while (alive)
+            {
+                const auto status =
+                    held->read(request, body_limit, idle_timeout);
+                if (status == read_status::malformed ||
+                    status == read_status::too_large)
+                {
+                    held->write({bad_request, "text/plain", ""}, false,
+                                write_timeout);
+                    break;
+                }
+                alive = status == read_status::whole &&
+                        held->write(respond_(request), request.keep_alive,
+                                    write_timeout) &&
+                        request.keep_alive;
+            }
+            held->close();
+        })
+        .detach();
+}
+
+} // namespace tanagerhoist
--- a/src/decision/token_bucket.cpp
+++ b/src/decision/token_bucket.cpp
@@ -37,7 +37,7 @@
 
 std::uint64_t token_bucket::capacity() const
 {
-    return capacity_of(parts_);
+    return std::max(least_, capacity_of(parts_));
 }
 
 void token_bucket::fill(moment now)
--- /dev/null
+++ b/src/session/placement.cpp
@@ -0,0 +1,44 @@
+#include "tanagerhoist/session/placement.hpp"
+
+namespace tanagerhoist
+{
+namespace
+{
+
+constexpr double far_us = 6000;       // two ways and the bytes between
+constexpr double handshake_us = 20000; // of a new connection, and its slot
+constexpr double primary_factor = 1.5;
+constexpr double lagging_us = 60000; // a wasted attempt
+
+double expected_us(const placement_candidate& server)
+{
+    const double queue = 1.0 + static_cast<double>(server.running) /
+                                   static_cast<double>(server.slots);
+    double cost = server.response_us * queue;
+    cost *= server.primary ? primary_factor : 1.0;
+    cost += server.near ? 0 : far_us;
+    cost += server.has_connection ? 0 : handshake_us;
+    cost += server.lagging ? lagging_us : 0;
+    return cost;
+}
+
+} // namespace
+
+std::optional<std::size_t>
+choose_server(const std::vector<placement_candidate>& candidates)
+{
+    std::optional<std::size_t> best;
+    double least = 0;
+    for (std::size_t i = 0; i < candidates.size(); ++i)
+    {
+        const double cost = expected_us(candidates[i]);
+        if (!best || cost < least)
+        {
+            best = i;
+            least = cost;
+        }
+    }
+    return best;
+}
+
+} // namespace tanagerhoist
--- /dev/null
+++ b/src/session/position_history.cpp
@@ -0,0 +1,60 @@
+#include "tanagerhoist/session/position_history.hpp"
+
+#include <algorithm>
+
+namespace tanagerhoist
+{
+namespace
+{
+
+constexpr milliseconds spacing{20};      // between kept samples
+constexpr milliseconds longest_use{5000}; // older ones cover no read
+
+} // namespace
+
+void position_history::add(const position_sample& sample)
+{
+    if (!samples_.empty() && sample.covers <= samples_.back().covers)
+    {
+        return; // an answer that was overtaken by a later call's
+    }
+    if (samples_.size() > 1 &&
+        sample.covers - samples_[samples_.size() - 2].covers < spacing)
+    {
+        samples_.pop_back();
+    }
+    auto kept = sample;
+    if (!samples_.empty())
+    {
+        kept.position = std::max(kept.position, samples_.back().position);
+    }
+    samples_.push_back(kept);
+    while (samples_.front().covers + longest_use < sample.covers)
+    {
+        samples_.pop_front();
+    }
+}
+
+std::optional<log_position> position_history::covering(moment oldest) const
+{
+    const auto it = std::lower_bound(
+        samples_.begin(), samples_.end(), oldest,
+        [](const position_sample& sample, moment time)
+        { return sample.covers < time; });
+    if (it == samples_.end())
+    {
+        return std::nullopt;
+    }
+    return it->position;
+}
+
+std::optional<position_sample> position_history::newest() const
+{
+    if (samples_.empty())
+    {
+        return std::nullopt;
+    }
+    return samples_.back();
+}
+
+} // namespace tanagerhoist
--- /dev/null
+++ b/src/session/proxy_dispatch.cpp
@@ -0,0 +1,415 @@
+#include "tanagerhoist/session/placement.hpp"
+#include "tanagerhoist/session/proxy.hpp"
+#include "tanagerhoist/session/waiting_order.hpp"
+
+#include <algorithm>
+#include <utility>
+
+// Which waiting statement goes to which server, on which connection.
+namespace tanagerhoist
+{
+namespace
+{
+
+/// Time between the choice of a position and the read at the server.
+constexpr milliseconds staleness_margin{60};
+
+/// Connections that the fleet leaves free at each server for orders and for
+/// VMs that have just come.
+constexpr unsigned spare_connections = 2;
+
+/// Statements that one VM may have at one server at least.
+constexpr unsigned least_running = 2;
+
+/// How long a leaving primary gets new work while its successor is chosen.
+constexpr milliseconds leaving_primary_use{5000};
+
+} // namespace
+
+/// Gives waiting statements to servers, in the order of waiting.
+void proxy::dispatch(moment now, const std::string& group)
+{
+    auto& waiting = groups_[group].waiting;
+    if (waiting.empty())
+    {
+        return;
+    }
+    const auto entry = [this](session_id id)
+    {
+        const auto& request = sessions_.at(id).request;
+        return waiting_entry{request.due, request.priority, request.arrived};
+    };
+    std::stable_sort(waiting.begin(), waiting.end(),
+                     [&](session_id a, session_id b)
+                     { return goes_before(entry(a), entry(b), now); });
+    const auto order = std::exchange(waiting, {});
+    std::vector<session_id> left;
+    for (const auto id : order)
+    {
+        if (!place(now, id, sessions_.at(id)))
+        {
+            left.push_back(id);
+        }
+    }
+    auto& added = groups_[group].waiting; // while placing
+    left.insert(left.end(), added.begin(), added.end());
+    added = std::move(left);
+}
+
+bool proxy::place(moment now, session_id id, client_session& session)
+{
+    auto* server = session.request.needs_primary
+                       ? usable_primary(now, session)
+                       : choose_for_read(now, session);
+    return server != nullptr && has_room(now, *server, session) &&
+           place_at(now, id, session, *server);
+}
+
+bool proxy::place_at(moment now, session_id id, client_session& session,
+                     server_state& server)
+{
+    const auto idle = idle_connection(server.server.id, session);
+    if (idle != 0)
+    {
+        run_on(now, id, session, idle);
+        return true;
+    }
+    if (server.connections >= connection_share(server))
+    {
+        const auto spare = spare_connection(server.server.id);
+        if (spare == 0)
+        {
+            return false;
+        }
+        close_connection(spare);
+    }
+    session.request.stage = request_stage::opening;
+    open_connection(now, server, session.workspace, id);
+    return true;
+}
+
+server_state* proxy::usable_primary(moment now, const client_session& session)
+{
+    const auto* lead = lead_of(session.group);
+    if (lead == nullptr || lead->sealed() || !right_.holds(now))
+    {
+        return nullptr;
+    }
+    auto* server = find_server(lead->primary());
+    if (server == nullptr || !server->may_try(now))
+    {
+        return nullptr;
+    }
+    const bool left = server->server.draining &&
+                      now > server->draining_since + leaving_primary_use;
+    return left ? nullptr : server;
+}
+
+server_state* proxy::choose_for_read(moment now, client_session& session)
+{
+    auto* primary = usable_primary(now, session);
+    session.request.after = needed_position(now, session);
+    std::vector<placement_candidate> candidates;
+    std::vector<server_state*> found;
+    for (auto& [id, state] : servers_)
+    {
+        const bool is_primary = &state == primary;
+        const bool fit = state.server.group == session.group &&
+                         state.may_try(now) && has_room(now, state, session) &&
+                         session.request.avoid.count(id) == 0 &&
+                         (is_primary || (session.request.after &&
+                                         !state.server.draining));
+        if (!fit)
+        {
+            continue;
+        }
+        candidates.push_back({state.response_us(now), state.running,
+                              state.server.slots,
+                              state.server.data_centre == data_centre_,
+                              is_primary, state.is_lagging(now),
+                              idle_connection(id, session) != 0});
+        found.push_back(&state);
+    }
+    const auto chosen = choose_server(candidates);
+    return chosen ? found[*chosen] : nullptr;
+}
+
+/// Position that a replica's log must hold for this read; nothing if no known
+/// position is young enough.
+std::optional<log_position>
+proxy::needed_position(moment now, const client_session& session)
+{
+    const auto* route = settings_->route(session.database);
+    if (route == nullptr)
+    {
+        return std::nullopt;
+    }
+    auto needed = groups_[session.group].history.covering(
+        now - route->max_staleness + staleness_margin);
+    if (!needed || !session.committed ||
+        session.consistency != read_consistency::read_your_writes)
+    {
+        return needed;
+    }
+    auto own = *session.committed;
+    const auto* lead = lead_of(session.group);
+    if (lead != nullptr && own.term < lead->term())
+    {
+        // What a promotion rolled back can't be waited for.
+        own = std::min(own, {lead->base_term(), lead->base_number()});
+    }
+    return std::max(*needed, own);
+}
+
+unsigned proxy::connection_share(const server_state& server) const
+{
+    const auto it = settings_->groups.find(server.server.group);
+    if (it == settings_->groups.end())
+    {
+        return 1;
+    }
+    const auto all = it->second.connections;
+    const auto shared = all > spare_connections ? all - spare_connections : 1;
+    return std::max<unsigned>(1, shared / static_cast<unsigned>(members_));
+}
+
+bool proxy::has_room(moment now, const server_state& server,
+                     const client_session& session) const
+{
+    if (server.running + server.opening >=
+            std::max(least_running, server.server.slots) ||
+        server.is_full(now))
+    {
+        return false;
+    }
+    if (idle_connection(server.server.id, session) != 0)
+    {
+        return true;
+    }
+    return server.takes_connections(now) &&
+           (server.connections < connection_share(server) ||
+            spare_connection(server.server.id) != 0);
+}
+
+/// An idle connection in the session's workspace, one with its values first.
+connection_id proxy::idle_connection(const std::string& server,
+                                     const client_session& session) const
+{
+    connection_id found = 0;
+    for (const auto& [id, connection] : connections_)
+    {
+        if (connection.phase != connection_phase::idle ||
+            connection.server != server ||
+            connection.workspace != session.workspace)
+        {
+            continue;
+        }
+        if (connection.values == session.values)
+        {
+            return id;
+        }
+        found = id;
+    }
+    return found;
+}
+
+/// The connection of another workspace that has been idle for longest.
+connection_id proxy::spare_connection(const std::string& server) const
+{
+    connection_id found = 0;
+    moment oldest{};
+    for (const auto& [id, connection] : connections_)
+    {
+        const bool idle = connection.phase == connection_phase::idle &&
+                          connection.server == server;
+        if (idle && (found == 0 || connection.idle_since < oldest))
+        {
+            found = id;
+            oldest = connection.idle_since;
+        }
+    }
+    return found;
+}
+
+/// @param owner session whose statement waits for it; 0: none
+void proxy::open_connection(moment now, server_state& server,
+                            const std::string& workspace, session_id owner)
+{
+    const auto id = next_connection_++;
+    auto& connection = connections_[id];
+    connection.server = server.server.id;
+    connection.workspace = workspace;
+    connection.owner = owner;
+    connection.opened = now;
+    ++server.connections;
+    ++server.opening;
+    ++figures_.connections_opened;
+    if (owner != 0)
+    {
+        sessions_.at(owner).request.connection = id;
+    }
+    outlet_.open(id, server.server, workspace);
+}
+
+void proxy::run_on(moment now, session_id id, client_session& session,
+                   connection_id connection_number)
+{
+    auto& connection = connections_.at(connection_number);
+    auto& request = session.request;
+    connection.phase = connection_phase::running;
+    connection.owner = id;
+    request.stage = request_stage::running;
+    request.connection = connection_number;
+    request.sent = now;
+    request.offered = true;
+    if (const auto* lead = lead_of(session.group))
+    {
+        request.epoch = lead->epoch();
+    }
+    if (auto* server = find_server(connection.server))
+    {
+        ++server->running;
+        connection.counted = true;
+    }
+    write_script(session, connection);
+    if (session.state == transaction_state::open)
+    {
+        session.pinned = connection_number;
+    }
+    send_next(now, connection_number, connection);
+}
+
+/// Lays down what brings the connection to the session's state, and then the
+/// session's statement.
+void proxy::write_script(const client_session& session,
+                         server_connection& connection)
+{
+    const auto& request = session.request;
+    const auto own = [&connection](statement_kind kind) -> server_statement&
+    {
+        connection.script.emplace_back();
+        connection.script.back().what.kind = kind;
+        return connection.script.back();
+    };
+    auto held = connection.values;
+    auto names = connection.prepared;
+    const bool foreign = std::any_of(
+        held.begin(), held.end(), [&session](const auto& value)
+        { return session.values.count(value.first) == 0; });
+    if (foreign)
+    {
+        own(statement_kind::reset);
+        held.clear();
+        names.clear();
+    }
+    for (const auto& [name, value] : session.values)
+    {
+        const auto it = held.find(name);
+        if (it == held.end() || it->second != value)
+        {
+            auto& set = own(statement_kind::set).what;
+            set.name = name;
+            set.argument = value;
+        }
+    }
+    auto what = request.what;
+    if (what.kind == statement_kind::execute)
+    {
+        const auto& prepared = session.prepared.at(what.name);
+        what.name = prepared.shared_name();
+        if (names.count(what.name) == 0)
+        {
+            auto& prepare = own(statement_kind::prepare).what;
+            prepare.name = what.name;
+            prepare.argument = prepared.shape;
+            prepare.writes = prepared.writes;
+        }
+    }
+    const auto* lead = lead_of(session.group);
+    const bool at_primary =
+        lead != nullptr && lead->primary() == connection.server;
+    const bool checks_position = !request.needs_primary && !at_primary;
+    const auto after = checks_position ? request.after : std::nullopt;
+    const bool begins =
+        session.state == transaction_state::open && request.first;
+    if (begins)
+    {
+        own(session.reads_only ? statement_kind::begin_read
+                               : statement_kind::begin)
+            .after = after;
+    }
+    server_statement real;
+    real.query_id = request.id;
+    real.what = std::move(what);
+    if (session.state == transaction_state::none)
+    {
+        real.after = after;
+    }
+    connection.script.push_back(std::move(real));
+}
+
+void proxy::send_next(moment now, connection_id id,
+                      server_connection& connection)
+{
+    connection.current = std::move(connection.script.front());
+    connection.script.pop_front();
+    connection.busy = true;
+    connection.sent = now;
+    connection.answer = session_answer{};
+    connection.phase = connection_phase::running;
+    outlet_.send(id, connection.current);
+}
+
+void proxy::close_connection(connection_id id)
+{
+    const auto it = connections_.find(id);
+    if (it == connections_.end())
+    {
+        return;
+    }
+    if (auto* server = find_server(it->second.server))
+    {
+        --server->connections;
+        server->opening -= it->second.phase == connection_phase::opening;
+        server->running -= it->second.counted ? 1 : 0;
+    }
+    connections_.erase(it);
+    outlet_.close(id);
+}
+
+/// Gives a connection outside a transaction back.
+void proxy::release(moment now, connection_id id, server_connection& connection)
+{
+    connection.owner = 0;
+    connection.phase = connection_phase::idle;
+    connection.idle_since = now;
+    const auto* server = find_server(connection.server);
+    if (server == nullptr || server->server.draining ||
+        server->connections > connection_share(*server))
+    {
+        close_connection(id);
+    }
+}
+
+/// Lets a statement that has had no effect wait for a server again.
+/// @param avoid server that is not asked again; empty: none
+void proxy::requeue(session_id id, client_session& session,
+                    const std::string& avoid)
+{
+    auto& request = session.request;
+    request.stage = request_stage::waiting;
+    request.connection = 0;
+    ++request.attempts;
+    ++figures_.retries;
+    if (!avoid.empty())
+    {
+        request.avoid.insert(avoid);
+    }
+    if (request.first)
+    {
+        session.pinned = 0;
+    }
+    groups_[session.group].waiting.push_back(id);
+}
+
+} // namespace tanagerhoist
--- /dev/null
+++ b/src/session/proxy_sessions.cpp
@@ -0,0 +1,414 @@
+#include "tanagerhoist/session/proxy.hpp"
+
+#include "tanagerhoist/decision/hash.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+// What a proxy does with sessions and with statements that need no server.
+namespace tanagerhoist
+{
+namespace
+{
+
+constexpr const char* no_signature = "-";
+
+bool needs_server(statement_kind kind)
+{
+    return kind == statement_kind::read || kind == statement_kind::write ||
+           kind == statement_kind::execute || kind == statement_kind::commit;
+}
+
+bool ends_transaction(statement_kind kind)
+{
+    return kind == statement_kind::commit || kind == statement_kind::rollback;
+}
+
+} // namespace
+
+std::string prepared_statement::shared_name() const
+{
+    const auto number = XXH64(shape.data(), shape.size(), writes ? 1 : 0);
+    return 'p' + std::to_string(number);
+}
+
+void proxy::start_session(moment now, session_id id,
+                          const std::string& database, const std::string& key)
+{
+    if (!settings_)
+    {
+        outlet_.end_session(id, session_error::busy);
+        return;
+    }
+    const auto* route = settings_->route(database);
+    const auto* workspace = settings_->workspace_of(key);
+    if (route == nullptr || (workspace == nullptr && !route->open))
+    {
+        const auto error = route == nullptr ? session_error::no_database
+                                            : session_error::no_key;
+        lines_.write(journal_level::refused, "session_refused",
+                     {{"database", database},
+                      {"cause", route == nullptr ? "no_database" : "no_key"},
+                      {"settings", std::to_string(settings_->version)}});
+        outlet_.end_session(id, error);
+        return;
+    }
+    auto& session = sessions_[id];
+    session.database = database;
+    session.key = key;
+    session.last_active = now;
+    refresh_route(session);
+    ++figures_.sessions_started;
+    outlet_.accept_session(id);
+}
+
+/// Takes over route and workspace as the settings in force have them.
+/// @return false if the session may not go on
+bool proxy::refresh_route(client_session& session)
+{
+    const auto* route = settings_->route(session.database);
+    if (route == nullptr)
+    {
+        return false;
+    }
+    const auto* workspace = settings_->workspace_of(session.key);
+    if (workspace == nullptr && !route->open)
+    {
+        return false;
+    }
+    session.workspace = workspace == nullptr ? std::string() : *workspace;
+    if (session.group != route->group)
+    {
+        session.group = route->group;
+        session.committed.reset(); // positions of another group's log
+    }
+    session.consistency = route->consistency;
+    return true;
+}
+
+void proxy::query(moment now, session_id id, const std::string& query_id,
+                  statement what)
+{
+    const auto it = sessions_.find(id);
+    if (it == sessions_.end())
+    {
+        return;
+    }
+    auto& session = it->second;
+    auto& request = session.request;
+    session.last_active = now;
+    request = session_request{};
+    request.stage = request_stage::waiting;
+    request.id = query_id;
+    request.what = std::move(what);
+    request.arrived = now;
+    if (session.state == transaction_state::none && !refresh_route(session))
+    {
+        const bool route_there = settings_->route(session.database) != nullptr;
+        session.leaving = true;
+        answer_error(now, id, session,
+                     route_there ? session_error::no_key
+                                 : session_error::no_database,
+                     "taken away");
+        return;
+    }
+    if (const auto* route = settings_->route(session.database))
+    {
+        request.due = now + route->target_latency;
+        request.expires = now + route->statement_timeout;
+        request.priority = route->priority;
+    }
+    else
+    {
+        request.due = now + milliseconds(1000); // its route has just gone
+        request.expires = request.due;
+    }
+    run_locally(now, id, session);
+}
+
+/// Answers what needs no server; passes the rest on.
+void proxy::run_locally(moment now, session_id id, client_session& session)
+{
+    const auto kind = session.request.what.kind;
+    if (session.aborted && kind != statement_kind::rollback)
+    {
+        session.aborted = false;
+        session.state = kind == statement_kind::commit
+                            ? transaction_state::none
+                            : transaction_state::failed;
+        answer_error(now, id, session, session_error::aborted,
+                     "transaction was rolled back");
+        return;
+    }
+    if (session.state == transaction_state::failed && !ends_transaction(kind))
+    {
+        answer_error(now, id, session, session_error::malformed,
+                     "transaction has failed");
+        return;
+    }
+    switch (kind)
+    {
+    case statement_kind::begin:
+    case statement_kind::begin_read:
+        begin(now, id, session);
+        return;
+    case statement_kind::set:
+    case statement_kind::prepare:
+        set_value(session);
+        answer_done(id, session);
+        return;
+    case statement_kind::deallocate:
+        if (session.prepared.erase(session.request.what.name) == 0)
+        {
+            answer_error(now, id, session, session_error::no_statement,
+                         session.request.what.name);
+            return;
+        }
+        answer_done(id, session);
+        return;
+    case statement_kind::rollback:
+        end_locally(now, id, session);
+        return;
+    default:
+        break;
+    }
+    if (!needs_server(kind) || (kind == statement_kind::commit &&
+                                session.state == transaction_state::none))
+    {
+        answer_error(now, id, session, session_error::malformed,
+                     "not a statement here");
+        return;
+    }
+    if (kind == statement_kind::commit &&
+        session.state == transaction_state::failed)
+    {
+        session.state = transaction_state::none;
+        drop_transaction(now, session);
+        answer_error(now, id, session, session_error::aborted,
+                     "transaction had failed");
+        return;
+    }
+    if (kind == statement_kind::execute && !rename_execute(session))
+    {
+        answer_error(now, id, session, session_error::no_statement,
+                     session.request.what.name);
+        return;
+    }
+    if (session.state == transaction_state::none && !admit(now, id, session))
+    {
+        return;
+    }
+    ask_server(now, id, session);
+}
+
+void proxy::set_value(client_session& session)
+{
+    const auto& what = session.request.what;
+    if (what.kind == statement_kind::set)
+    {
+        session.values[what.name] = what.argument;
+    }
+    else
+    {
+        session.prepared[what.name] = {what.writes, what.argument};
+    }
+}
+
+/// Gives a prepared statement the name that servers know it by.
+bool proxy::rename_execute(client_session& session)
+{
+    auto& what = session.request.what;
+    const auto it = session.prepared.find(what.name);
+    if (it == session.prepared.end())
+    {
+        return false;
+    }
+    what.writes = it->second.writes;
+    return true;
+}
+
+void proxy::begin(moment now, session_id id, client_session& session)
+{
+    if (session.state != transaction_state::none)
+    {
+        answer_error(now, id, session, session_error::malformed,
+                     "in a transaction");
+        return;
+    }
+    if (!admit(now, id, session))
+    {
+        return;
+    }
+    session.state = transaction_state::open;
+    session.reads_only =
+        session.request.what.kind == statement_kind::begin_read;
+    session.wrote = false;
+    session.aborted = false;
+    answer_done(id, session);
+}
+
+/// Rolls back.
+void proxy::end_locally(moment now, session_id id, client_session& session)
+{
+    drop_transaction(now, session);
+    session.state = transaction_state::none;
+    session.aborted = false;
+    answer_done(id, session);
+    leave_if_idle(now, id);
+}
+
+/// Gives up the server's side of a transaction.
+void proxy::drop_transaction(moment now, client_session& session)
+{
+    const auto connection_id = std::exchange(session.pinned, 0);
+    const auto it = connections_.find(connection_id);
+    if (it == connections_.end())
+    {
+        return;
+    }
+    auto& connection = it->second;
+    if (connection.busy)
+    {
+        close_connection(connection_id); // rolls back at the server
+        return;
+    }
+    server_statement rollback;
+    rollback.what.kind = statement_kind::rollback;
+    connection.owner = 0;
+    connection.script.clear();
+    connection.script.push_back(std::move(rollback));
+    send_next(now, connection_id, connection);
+}
+
+/// Debits the workspace's share, or refuses.
+bool proxy::admit(moment now, session_id id, client_session& session)
+{
+    if (session.workspace.empty() || limits_.take(now, session.workspace))
+    {
+        return true;
+    }
+    const auto wait = limits_.wait(now, session.workspace);
+    ++figures_.refusals["over_rate"];
+    answer_error(now, id, session, session_error::busy,
+                 "over the workspace's rate, not run, retry in " +
+                     std::to_string(wait.count()) + " ms");
+    return false;
+}
+
+void proxy::ask_server(moment now, session_id id, client_session& session)
+{
+    auto& request = session.request;
+    const bool in_transaction = session.state == transaction_state::open;
+    const bool commit = request.what.kind == statement_kind::commit;
+    request.first = session.pinned == 0;
+    request.writes = commit ? session.wrote
+                            : request.what.writes && !in_transaction;
+    request.needs_primary =
+        session.consistency == read_consistency::primary ||
+        (in_transaction ? !session.reads_only : request.what.writes);
+    if (session.pinned == 0)
+    {
+        groups_[session.group].waiting.push_back(id);
+        dispatch(now, session.group);
+        return;
+    }
+    const auto& connection = connections_.at(session.pinned);
+    const auto* lead = lead_of(session.group);
+    const bool superseded =
+        !session.reads_only &&
+        (lead == nullptr || lead->sealed() || !right_.holds(now) ||
+         lead->primary() != connection.server);
+    if (superseded)
+    {
+        const auto pinned = std::exchange(session.pinned, 0);
+        close_connection(pinned);
+        session.state =
+            commit ? transaction_state::none : transaction_state::failed;
+        ++figures_.refusals["primary_replaced"];
+        answer_error(now, id, session, session_error::aborted,
+                     "the primary is being replaced, rolled back");
+        return;
+    }
+    run_on(now, id, session, session.pinned);
+}
+
+void proxy::answer_done(session_id id, client_session& session)
+{
+    session.request.stage = request_stage::none;
+    session_answer answer;
+    answer.signature = no_signature;
+    answer.state = session.state;
+    outlet_.answer(id, answer);
+}
+
+void proxy::answer_error(moment now, session_id id, client_session& session,
+                         session_error error, const std::string& text)
+{
+    session.request.stage = request_stage::none;
+    session_answer answer;
+    answer.error = error;
+    answer.text = text;
+    answer.state = session.state;
+    note(journal_level::refused, "refused", now, session, text);
+    outlet_.answer(id, answer);
+    leave_if_idle(now, id);
+}
+
+void proxy::leave_if_idle(moment now, session_id id)
+{
+    const auto it = sessions_.find(id);
+    if (it == sessions_.end() || it->second.request.stage != request_stage::none)
+    {
+        return;
+    }
+    const bool drained = draining_ && now >= close_idle_;
+    if (it->second.leaving || (drained && it->second.is_idle()))
+    {
+        end_session(now, id, std::nullopt);
+    }
+}
+
+void proxy::end_session(moment now, session_id id,
+                        std::optional<session_error> error)
+{
+    outlet_.end_session(id, error);
+    session_gone(now, id);
+}
+
+void proxy::session_gone(moment now, session_id id)
+{
+    const auto it = sessions_.find(id);
+    if (it == sessions_.end())
+    {
+        return;
+    }
+    auto& session = it->second;
+    const auto group = session.group;
+    auto& waiting = groups_[group].waiting;
+    waiting.erase(std::remove(waiting.begin(), waiting.end(), id),
+                  waiting.end());
+    if (session.request.stage == request_stage::opening)
+    {
+        const auto opening = connections_.find(session.request.connection);
+        if (opening != connections_.end())
+        {
+            opening->second.owner = 0;
+        }
+    }
+    if (session.request.stage == request_stage::running && session.pinned == 0)
+    {
+        // A single statement goes on; nobody waits for its answer.
+        const auto running = connections_.find(session.request.connection);
+        if (running != connections_.end())
+        {
+            running->second.owner = 0;
+        }
+    }
+    drop_transaction(now, session);
+    sessions_.erase(it);
+    dispatch(now, group);
+}
+
+} // namespace tanagerhoist
--- a/src/settings/ini_reader.cpp
+++ b/src/settings/ini_reader.cpp
@@ -110,6 +110,30 @@
     return read_set<proto::DaemonSettings>({text}, {});
 }
 
+leaf::result<proto::SessionDaemonSettings>
+read_session_daemon_settings(const fs::path& file)
+{
+    settings_faults faults;
+    const auto texts = load({file}, faults);
+    return read_set<proto::SessionDaemonSettings>(texts, std::move(faults));
+}
+
+bool serves_sessions(const fs::path& file)
+{
+    settings_faults faults;
+    for (const auto& text : load({file}, faults))
+    {
+        for (const auto& section : parse_ini(text, faults))
+        {
+            if (section.header == "sessions")
+            {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
 std::vector<fs::path> settings_files(const fs::path& directory)
 {
     std::vector<fs::path> files;
--- a/src/settings/setting_value.cpp
+++ b/src/settings/setting_value.cpp
@@ -28,6 +28,20 @@
            inet_pton(AF_INET6, text.c_str(), address.data()) == 1;
 }
 
+bool is_endpoint(const std::string& text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos || !is_ip_number(text.substr(0, colon)))
+    {
+        return false;
+    }
+    std::uint16_t port = 0;
+    const char* end = text.data() + text.size();
+    const auto [stop, error] =
+        std::from_chars(text.data() + colon + 1, end, port);
+    return error == std::errc() && stop == end && port != 0;
+}
+
 bool is_hex(const std::string& text)
 {
     return !text.empty() && from_hex(text).has_value();
@@ -54,9 +68,10 @@
     bool secret; // a value mistyped here may be a key: it is not shown
 };
 
-constexpr std::array<text_format, 4> text_formats{{
+constexpr std::array<text_format, 5> text_formats{{
     {"", "printable text", &is_printable, false},
     {"ip", "an IP number", &is_ip_number, false},
+    {"endpoint", "an IP number, a colon and a port", &is_endpoint, false},
     {"hex", "pairs of hexadecimal digits", &is_hex, true},
     {"sha256", "64 hexadecimal digits", &is_sha256, true},
 }};
--- /dev/null
+++ b/tools/daemon/fleet_agent.cpp
@@ -0,0 +1,820 @@
+#include "fleet_agent.hpp"
+
+#include "platform/failover_call.hpp"
+#include "platform/operator_config.hpp"
+#include "tanagerhoist/adapter/fiber_await.hpp"
+
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/fixedsize_stack.hpp>
+
+#include <charconv>
+#include <random>
+#include <utility>
+
+namespace tanagerhoist
+{
+namespace
+{
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using boost::system::error_code;
+
+constexpr const char* fleet_table = "fleet";
+constexpr const char* vm_prefix = "vm.";
+constexpr const char* group_prefix = "db.";
+
+constexpr milliseconds config_wait{2000};
+constexpr milliseconds server_wait{4000};
+constexpr milliseconds fleet_wait{2000}; // also how often the right is proven
+constexpr milliseconds first_store_retry{100};
+constexpr milliseconds longest_store_retry{800};
+constexpr milliseconds report_interval{400};
+constexpr milliseconds watch_interval{100};
+constexpr milliseconds look_interval{300};
+constexpr milliseconds control_timeout{350};
+constexpr milliseconds fetch_timeout{1000};
+
+/// How long a lead is taken to be wrong before it is looked into; the list of
+/// servers lags behind a promotion.
+constexpr milliseconds misled_for{2500};
+
+constexpr std::size_t stack_size = std::size_t{128} * 1024; // bytes
+
+std::string group_of_key(const std::string& key)
+{
+    return key.substr(std::char_traits<char>::length(group_prefix));
+}
+
+bool has_prefix(const std::string& key, const char* prefix)
+{
+    return key.rfind(prefix, 0) == 0;
+}
+
+} // namespace
+
+endpoint_setting split_endpoint(const std::string& text)
+{
+    const auto colon = text.rfind(':');
+    endpoint_setting where;
+    where.address = text.substr(0, colon);
+    std::from_chars(text.data() + colon + 1, text.data() + text.size(),
+                    where.port); // the settings were checked
+    return where;
+}
+
+fleet_agent::fleet_agent(asio::io_context& context,
+                         const proto::SessionDaemonSettings& settings,
+                         std::uint64_t life, proxy& decisions, journal& lines,
+                         clock now)
+    : context_(context),
+      settings_(settings),
+      life_(life),
+      proxy_(decisions),
+      lines_(lines),
+      now_(std::move(now)),
+      store_(split_endpoint(settings.sessions().store())),
+      duty_address_(split_endpoint(settings.sessions().duty())),
+      socket_(context,
+              udp::endpoint(
+                  asio::ip::make_address(
+                      split_endpoint(settings.sessions().listen()).address),
+                  static_cast<std::uint16_t>(
+                      settings.sessions().peer_port()))),
+      report_timer_(context),
+      duty_store_(make_client()),
+      lead_store_(make_client()),
+      duty_(duty_store_, self_row(), now_, lines),
+      duty_stream_(context)
+{
+}
+
+platform::store_client fleet_agent::make_client()
+{
+    return {context_, store_.address, store_.port, now_};
+}
+
+proto::MemberRow fleet_agent::self_row() const
+{
+    proto::MemberRow row;
+    row.set_vm(settings_.vm().name());
+    row.set_data_centre(settings_.vm().data_centre());
+    row.set_address(split_endpoint(settings_.sessions().listen()).address);
+    row.set_peer_port(settings_.sessions().peer_port());
+    row.set_life(life_);
+    return row;
+}
+
+void fleet_agent::run_fiber(std::function<void()> body)
+{
+    boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg,
+                         boost::fibers::fixedsize_stack(stack_size),
+                         std::move(body))
+        .detach();
+}
+
+void fleet_agent::pause(milliseconds time)
+{
+    asio::steady_timer timer(context_, time);
+    await([&timer](auto handler) { timer.async_wait(std::move(handler)); });
+}
+
+void fleet_agent::start()
+{
+    receive();
+    run_fiber(
+        [this]
+        {
+            follow(platform::operator_table, config_wait,
+                   [this](const store_answer& answer, bool)
+                   { return take_config(answer); });
+        });
+    run_fiber(
+        [this]
+        {
+            follow(platform::server_table, server_wait,
+                   [this](const store_answer& answer, bool whole)
+                   { return take_servers(answer, whole); });
+        });
+    run_fiber(
+        [this]
+        {
+            register_self();
+            follow(fleet_table, fleet_wait,
+                   [this](const store_answer& answer, bool whole)
+                   { return take_fleet(answer, whole); });
+        });
+    run_fiber([this] { keep_duty(); });
+    run_fiber([this] { watch_groups(); });
+    report_regularly();
+}
+
+// ---- following the store --------------------------------------------------
+
+/// Reads a table and follows its changes for as long as the process lives.
+void fleet_agent::follow(const char* table, milliseconds wait,
+                         const row_handler& handle)
+{
+    auto store = make_client();
+    std::uint64_t version = 0;
+    bool known = false;
+    bool lost = false;
+    auto retry = first_store_retry;
+    while (!leaving_)
+    {
+        const bool whole = !known;
+        const auto answer = known ? store.watch(table, version, wait)
+                                  : store.read(table, "");
+        if (answer.result == store_result::done)
+        {
+            if (lost)
+            {
+                lines_.write(journal_level::change, "store_regained",
+                             {{"table", table}});
+            }
+            lost = false;
+            retry = first_store_retry;
+            known = handle(answer, whole);
+            version = std::max(version, answer.version);
+            continue;
+        }
+        if (answer.result == store_result::compacted)
+        {
+            lines_.write(journal_level::change, "store_history_gone",
+                         {{"table", table}});
+            known = false;
+            continue;
+        }
+        if (!lost)
+        {
+            lines_.write(
+                journal_level::change, "store_lost",
+                {{"table", table},
+                 {"cause", answer.result == store_result::refused
+                               ? "refused"
+                           : answer.result == store_result::malformed
+                               ? "unreadable"
+                               : "no answer"}});
+        }
+        lost = true;
+        pause(retry);
+        retry = std::min(retry * 2, longest_store_retry);
+    }
+}
+
+/// Writes this VM's row, so that whoever seals a primary waits for this VM.
+void fleet_agent::register_self()
+{
+    auto retry = first_store_retry;
+    const auto row = self_row();
+    while (!registered_ && !leaving_)
+    {
+        store_transaction change;
+        change.puts.push_back({fleet_table, vm_prefix + row.vm(),
+                               row.SerializeAsString(), 0, false});
+        registered_ =
+            lead_store_.write(change).result == store_result::done;
+        if (!registered_)
+        {
+            pause(retry);
+            retry = std::min(retry * 2, longest_store_retry);
+        }
+    }
+    lines_.write(journal_level::change, "registered",
+                 {{"life", std::to_string(life_)}});
+}
+
+bool fleet_agent::take_config(const store_answer& answer)
+{
+    for (const auto& row : answer.rows)
+    {
+        if (row.key == platform::config_key && !row.removed)
+        {
+            use_config(row.value);
+        }
+    }
+    return true;
+}
+
+void fleet_agent::use_config(const std::string& text)
+{
+    std::string fault;
+    std::shared_ptr<const session_settings> settings =
+        platform::decode_config(text, fault);
+    if (!settings)
+    {
+        lines_.write(journal_level::change, "settings_unreadable",
+                     {{"cause", fault}});
+        return;
+    }
+    if (settings->version <= config_version_)
+    {
+        return;
+    }
+    config_version_ = settings->version;
+    config_text_ = text;
+    proxy_.use_settings(now_(), std::move(settings));
+    if (duty_.holds(now_()))
+    {
+        send_views();
+    }
+}
+
+bool fleet_agent::take_servers(const store_answer& answer, bool whole)
+{
+    if (whole)
+    {
+        servers_.clear();
+    }
+    for (const auto& row : answer.rows)
+    {
+        servers_.erase(row.key);
+        if (row.removed)
+        {
+            continue;
+        }
+        std::string fault;
+        auto server = platform::decode_server(row.key, row.value, fault);
+        if (server)
+        {
+            servers_[row.key] = std::move(*server);
+        }
+        else
+        {
+            lines_.write(journal_level::change, "server_entry_unreadable",
+                         {{"server", row.key}, {"cause", fault}});
+        }
+    }
+    proxy_.use_servers(now_(), servers_);
+    return true;
+}
+
+bool fleet_agent::take_fleet(const store_answer& answer, bool whole)
+{
+    if (whole)
+    {
+        members_.clear();
+    }
+    for (const auto& row : answer.rows)
+    {
+        if (has_prefix(row.key, vm_prefix))
+        {
+            const auto vm = row.key.substr(
+                std::char_traits<char>::length(vm_prefix));
+            fleet_member member;
+            member.version = row.version;
+            if (row.removed || !member.row.ParseFromString(row.value))
+            {
+                members_.erase(vm);
+                continue;
+            }
+            members_[vm] = member;
+            error_code error;
+            const auto ip =
+                asio::ip::make_address(member.row.address(), error);
+            if (!error)
+            {
+                peers_[vm] = {ip, static_cast<std::uint16_t>(
+                                      member.row.peer_port())};
+            }
+        }
+        else if (has_prefix(row.key, group_prefix) && !row.removed)
+        {
+            lead_row lead;
+            lead.version = row.version;
+            if (!lead.lead.ParseFromString(row.value))
+            {
+                lines_.write(journal_level::change, "row_unreadable",
+                             {{"table", fleet_table}, {"key", row.key}});
+                continue;
+            }
+            auto& known = lead_rows_[group_of_key(row.key)];
+            if (lead.version > known.version)
+            {
+                known = lead;
+                proxy_.use_lead(now_(), lead.lead);
+                report_soon();
+            }
+        }
+    }
+    proxy_.use_members(now_(), members_.size());
+    if (members_.count(settings_.vm().name()) == 0 && !leaving_)
+    {
+        registered_ = false;
+        register_self();
+        return false; // read all anew, with the new row in place
+    }
+    proxy_.prove_right(answer.sent);
+    return true;
+}
+
+/// Fetches newer settings from a peer, for a VM that the store turns away.
+void fleet_agent::fetch_config(const std::string& address, std::uint16_t port)
+{
+    if (fetching_)
+    {
+        return;
+    }
+    fetching_ = true;
+    run_fiber(
+        [this, address, port]
+        {
+            http_client_stream stream(context_);
+            bool sent = false;
+            std::optional<http_answer> answer;
+            if (stream.connect(address, port, fetch_timeout))
+            {
+                answer = stream.exchange({"GET", "/settings", "", "", true, {}},
+                                         fetch_timeout, sent);
+            }
+            if (answer && !answer->body.empty())
+            {
+                use_config(answer->body);
+            }
+            fetching_ = false;
+        });
+}
+
+// ---- datagrams ------------------------------------------------------------
+
+void fleet_agent::receive()
+{
+    socket_.async_receive_from(
+        asio::buffer(datagram_), sender_,
+        [this](error_code error, std::size_t size)
+        {
+            if (error == asio::error::operation_aborted)
+            {
+                return;
+            }
+            if (!error)
+            {
+                take_datagram(size);
+            }
+            receive();
+        });
+}
+
+void fleet_agent::take_datagram(std::size_t size)
+{
+    proto::FleetDatagram datagram;
+    if (!datagram.ParseFromArray(datagram_.data(), static_cast<int>(size)))
+    {
+        return; // not from a peer
+    }
+    if (datagram.has_report() && duty_.holds(now_()))
+    {
+        const auto vm = datagram.report().vm();
+        peers_[vm] = sender_;
+        hub_.take_report(now_(), datagram.report());
+        send_view(vm);
+    }
+    else if (datagram.has_view())
+    {
+        if (datagram.view().token() < holder_token_)
+        {
+            return; // from a holder that does not know its end yet
+        }
+        holder_at_ = sender_;
+        take_view(datagram.view());
+    }
+}
+
+void fleet_agent::take_view(const proto::FleetView& view)
+{
+    const auto now = now_();
+    heard_ = now;
+    holder_ = view.holder();
+    holder_token_ = view.token();
+    seen_view_ = view.sequence();
+    bool changed = false;
+    for (const auto& lead : view.leads())
+    {
+        const auto& known = proxy_.leads();
+        const auto it = known.find(lead.group());
+        changed = changed || it == known.end() ||
+                  it->second.epoch() < lead.epoch();
+        proxy_.use_lead(now, lead);
+    }
+    proxy_.limits().use_shares(now, view);
+    for (const auto& sample : view.positions())
+    {
+        proxy_.use_position(now, sample);
+    }
+    if (changed)
+    {
+        report_soon();
+    }
+    if (view.settings_version() > config_version_ &&
+        view.holder() != settings_.vm().name())
+    {
+        fetch_config(holder_at_.address().to_string(), holder_at_.port());
+    }
+}
+
+proto::FleetView fleet_agent::view_for(const std::string& vm)
+{
+    proto::FleetView view;
+    view.set_holder(settings_.vm().name());
+    view.set_token(duty_.row().token());
+    view.set_sequence(++view_sequence_);
+    view.set_settings_version(config_version_);
+    for (const auto& [group, row] : lead_rows_)
+    {
+        *view.add_leads() = row.lead;
+    }
+    hub_.add_shares(vm, view);
+    hub_.add_positions(now_(), view);
+    return view;
+}
+
+void fleet_agent::send_view(const std::string& vm)
+{
+    if (vm == settings_.vm().name())
+    {
+        take_view(view_for(vm));
+        return;
+    }
+    const auto it = peers_.find(vm);
+    if (it == peers_.end())
+    {
+        return;
+    }
+    proto::FleetDatagram datagram;
+    *datagram.mutable_view() = view_for(vm);
+    const auto bytes = datagram.SerializeAsString();
+    error_code ignored; // a lost view is followed by the next
+    socket_.send_to(asio::buffer(bytes), it->second, 0, ignored);
+}
+
+void fleet_agent::send_views()
+{
+    for (const auto& [vm, member] : members_)
+    {
+        send_view(vm);
+    }
+}
+
+void fleet_agent::send_report()
+{
+    proto::FleetDatagram datagram;
+    auto& report = *datagram.mutable_report();
+    report.set_vm(settings_.vm().name());
+    report.set_life(life_);
+    report.set_view(seen_view_);
+    report.set_settings_version(config_version_);
+    proxy_.describe(now_(), report);
+    if (duty_.holds(now_()))
+    {
+        hub_.take_report(now_(), report);
+        send_view(settings_.vm().name());
+        return;
+    }
+    const auto& row = duty_.row();
+    auto where = holder_at_;
+    if (!row.holder().empty() && row.token() > holder_token_)
+    {
+        error_code error;
+        const auto ip = asio::ip::make_address(row.address(), error);
+        if (!error)
+        {
+            where = {ip, static_cast<std::uint16_t>(row.peer_port())};
+        }
+    }
+    if (where.port() != 0)
+    {
+        const auto bytes = datagram.SerializeAsString();
+        error_code ignored; // a lost report is followed by the next
+        socket_.send_to(asio::buffer(bytes), where, 0, ignored);
+    }
+}
+
+void fleet_agent::report_soon()
+{
+    report_timer_.expires_after(milliseconds(0));
+    report_timer_.async_wait(
+        [this](error_code error)
+        {
+            if (!error)
+            {
+                report_regularly();
+            }
+        });
+}
+
+void fleet_agent::report_regularly()
+{
+    send_report();
+    bool sealed = false;
+    for (const auto& [group, lead] : proxy_.leads())
+    {
+        sealed = sealed || lead.sealed();
+    }
+    report_timer_.expires_after(sealed ? report_interval / 8
+                                       : report_interval);
+    report_timer_.async_wait(
+        [this](error_code error)
+        {
+            if (!error)
+            {
+                report_regularly();
+            }
+        });
+}
+
+// ---- duty -----------------------------------------------------------------
+
+void fleet_agent::keep_duty()
+{
+    std::minstd_rand random(static_cast<unsigned>(life_));
+    while (!leaving_)
+    {
+        if (registered_)
+        {
+            duty_.step(heard_);
+        }
+        const bool holds = duty_.holds(now_());
+        if (holds && !held_duty_)
+        {
+            hub_.begin(now_());
+            send_views();
+        }
+        held_duty_ = holds;
+        const milliseconds spread(random() % look_interval.count());
+        pause(holds ? duty_renewal : look_interval + spread);
+    }
+}
+
+bool fleet_agent::holds_duty()
+{
+    return duty_.holds(now_()) && !leaving_;
+}
+
+void fleet_agent::watch_groups()
+{
+    int rounds = 0;
+    while (!leaving_)
+    {
+        pause(holds_duty() ? watch_interval : look_interval);
+        const auto* settings = proxy_.settings();
+        if (!holds_duty() || settings == nullptr)
+        {
+            continue;
+        }
+        constexpr int rounds_per_deal = 4;
+        if (++rounds % rounds_per_deal == 0)
+        {
+            hub_.deal(now_(), *settings, members_);
+        }
+        for (const auto& [group, ignored] : settings->groups)
+        {
+            bool planned = false;
+            if (changing_.count(group) != 0)
+            {
+                continue;
+            }
+            if (lead_rows_.count(group) == 0)
+            {
+                found_group(group);
+            }
+            else if (needs_change(group, planned))
+            {
+                change_lead(group, planned);
+            }
+        }
+    }
+}
+
+bool fleet_agent::needs_change(const std::string& group, bool& planned)
+{
+    const auto& lead = lead_rows_.at(group).lead;
+    const auto it = servers_.find(lead.primary());
+    planned = it != servers_.end() && it->second.draining;
+    return lead.sealed() || planned || hub_.is_lost(now_(), lead.primary()) ||
+           is_misled(lead);
+}
+
+/// Whether the list has said for a while that another server leads.
+bool fleet_agent::is_misled(const proto::GroupLead& lead)
+{
+    const auto it = servers_.find(lead.primary());
+    bool another = false;
+    for (const auto& [id, server] : servers_)
+    {
+        another = another || (server.group == lead.group() &&
+                              server.claims_primary && id != lead.primary());
+    }
+    const bool claims = it != servers_.end() && it->second.claims_primary;
+    if (claims || !another)
+    {
+        misled_since_.erase(lead.group());
+        return false;
+    }
+    const auto since =
+        misled_since_.try_emplace(lead.group(), now_()).first->second;
+    return now_() >= since + misled_for;
+}
+
+void fleet_agent::change_lead(const std::string& group, bool planned)
+{
+    changing_.insert(group);
+    run_fiber(
+        [this, group, planned]
+        {
+            lead_changer changer(*this, lines_);
+            const auto begun = now_();
+            const auto done = changer.change(lead_rows_.at(group), planned);
+            lines_.write(journal_level::change, "lead_change_ended",
+                         {{"group", group},
+                          {"ms", std::to_string(to_ms(now_() - begun))},
+                          {"primary", done ? done->lead.primary() : "-"}});
+            misled_since_.erase(group);
+            for (const auto& server : servers(group))
+            {
+                controls_.erase(server.id);
+            }
+            changing_.erase(group);
+        });
+}
+
+void fleet_agent::found_group(const std::string& group)
+{
+    if (servers(group).empty())
+    {
+        return;
+    }
+    changing_.insert(group);
+    run_fiber(
+        [this, group]
+        {
+            lead_changer changer(*this, lines_);
+            const auto founded = changer.found(group);
+            for (const auto& server : servers(group))
+            {
+                controls_.erase(server.id);
+            }
+            if (!founded)
+            {
+                pause(watch_interval);
+            }
+            changing_.erase(group);
+        });
+}
+
+store_answer fleet_agent::write_lead(const proto::GroupLead& lead,
+                                     std::uint64_t version)
+{
+    const auto key = group_prefix + lead.group();
+    store_transaction change;
+    change.expected.push_back({fleet_table, key, "", version, false});
+    change.puts.push_back(
+        {fleet_table, key, lead.SerializeAsString(), 0, false});
+    auto store = make_client();
+    auto answer = store.write(change);
+    if (answer.result == store_result::unanswered)
+    {
+        // Resolved by reading: the row says whether the write was done.
+        const auto read = store.read(fleet_table, key);
+        for (const auto& row : read.rows)
+        {
+            if (row.key == key && row.value == lead.SerializeAsString())
+            {
+                answer.result = store_result::done;
+                answer.version = row.version;
+            }
+        }
+    }
+    if (answer.result == store_result::done)
+    {
+        auto& known = lead_rows_[lead.group()];
+        if (answer.version > known.version)
+        {
+            known = {lead, answer.version};
+        }
+        proxy_.use_lead(now_(), lead);
+        send_views();
+    }
+    return answer;
+}
+
+bool fleet_agent::is_sealed(const proto::GroupLead& lead,
+                            std::uint64_t seal_version, moment sealed)
+{
+    return hub_.is_sealed(now_(), lead, seal_version, sealed, members_);
+}
+
+std::vector<backend_server> fleet_agent::servers(const std::string& group)
+{
+    std::vector<backend_server> found;
+    for (const auto& [id, server] : servers_)
+    {
+        if (server.group == group)
+        {
+            found.push_back(server);
+        }
+    }
+    return found;
+}
+
+unsigned fleet_agent::synchronous_replicas(const std::string& group)
+{
+    const auto* settings = proxy_.settings();
+    const auto it = settings->groups.find(group);
+    return it == settings->groups.end() ? 0 : it->second.synchronous_replicas;
+}
+
+std::optional<server_role> fleet_agent::ask(const backend_server& server,
+                                            const std::string& line)
+{
+    auto& control = controls_[server.id];
+    if (!control)
+    {
+        const auto* settings = proxy_.settings();
+        const auto workspace = settings->workspaces.empty()
+                                   ? std::string()
+                                   : settings->workspaces.begin()->first;
+        control = std::make_unique<platform::server_control>(context_, server,
+                                                             workspace);
+    }
+    const auto status = control->ask(line, control_timeout);
+    if (!status)
+    {
+        return std::nullopt;
+    }
+    return server_role{status->primary, status->term, status->received};
+}
+
+std::optional<server_role> fleet_agent::role(const backend_server& server)
+{
+    return ask(server, platform::status_line());
+}
+
+std::optional<server_role> fleet_agent::demote(const backend_server& server,
+                                               std::uint64_t term)
+{
+    return ask(server, platform::demote_line(term));
+}
+
+promotion_answer fleet_agent::order(const std::string& group,
+                                    const std::string& server)
+{
+    http_client_stream stream(context_);
+    return platform::order_promotion(
+        stream, duty_address_.address, duty_address_.port,
+        {group, server, settings_.vm().name(), duty_.row().token()});
+}
+
+void fleet_agent::leave()
+{
+    leaving_ = true;
+    duty_.resign();
+    store_transaction change;
+    change.removals.push_back(
+        {fleet_table, vm_prefix + settings_.vm().name(), "", 0, false});
+    const auto answer = lead_store_.write(change);
+    lines_.write(journal_level::change, "left",
+                 {{"row_removed",
+                   answer.result == store_result::done ? "yes" : "no"}});
+}
+
+} // namespace tanagerhoist
--- a/tools/daemon/main.cpp
+++ b/tools/daemon/main.cpp
@@ -1,4 +1,5 @@
 #include "daemon.hpp"
+#include "session_daemon.hpp"
 #include "state_log.hpp"
 #include "tanagerhoist/adapter/http_platform_client.hpp"
 #include "tanagerhoist/adapter/record_uploader.hpp"
@@ -74,6 +75,13 @@
     return leaf::try_handle_all(
         [&]() -> leaf::result<int>
         {
+            if (tanagerhoist::serves_sessions(file))
+            {
+                BOOST_LEAF_AUTO(
+                    sessions, tanagerhoist::read_session_daemon_settings(file));
+                tanagerhoist::session_daemon(sessions, file).run();
+                return exit_drained;
+            }
             BOOST_LEAF_AUTO(settings, tanagerhoist::read_daemon_settings(file));
             spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %l " +
                                 settings.vm().name() + " %v");
--- /dev/null
+++ b/tools/daemon/session_daemon.cpp
@@ -0,0 +1,310 @@
+#include "session_daemon.hpp"
+
+#include "platform/ready_probe.hpp"
+#include "tanagerhoist/adapter/boot_clock.hpp"
+#include "tanagerhoist/adapter/fiber_loop.hpp"
+#include "tanagerhoist/settings/ini_reader.hpp"
+
+#include <boost/fiber/fiber.hpp>
+#include <boost/leaf.hpp>
+
+#include <csignal>
+#include <random>
+#include <sstream>
+#include <utility>
+
+namespace tanagerhoist
+{
+namespace
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+/// The balancer takes a VM out after two probes, a second apart.
+constexpr milliseconds balancer_notices{2300};
+
+/// Time before the end of the grace in which nothing is waited for.
+constexpr milliseconds last_moments{900};
+
+constexpr milliseconds idle_tick{200};
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_unavailable = 503;
+constexpr unsigned status_not_found = 404;
+
+std::function<moment()> make_clock()
+{
+    const auto start = boot_clock::now();
+    return [start]
+    {
+        return moment(std::chrono::duration_cast<microseconds>(
+                          boot_clock::now() - start) +
+                      std::chrono::hours(1)); // so that no time is before all
+    };
+}
+
+std::uint64_t random_life()
+{
+    std::random_device source;
+    return (static_cast<std::uint64_t>(source()) << 32U) | source();
+}
+
+tcp::endpoint endpoint_of(const std::string& text)
+{
+    const auto where = split_endpoint(text);
+    return {asio::ip::make_address(where.address), where.port};
+}
+
+tcp::endpoint with_port(const std::string& text, std::uint64_t port)
+{
+    return {endpoint_of(text).address(), static_cast<std::uint16_t>(port)};
+}
+
+} // namespace
+
+session_daemon::session_daemon(const proto::SessionDaemonSettings& settings,
+                               std::string file)
+    : settings_(settings),
+      file_(std::move(file)),
+      now_(make_clock()),
+      lines_(settings.vm().name(), settings.sessions().log_lines_per_s(), now_),
+      wires_(context_, now_),
+      proxy_(settings.vm().data_centre(), wires_, lines_),
+      fleet_(context_, settings, random_life(), proxy_, lines_, now_),
+      acceptor_(context_, endpoint_of(settings.sessions().listen())),
+      readiness_(context_, endpoint_of(settings.sessions().readiness()),
+                 [this](const http_request& request)
+                 { return respond(request); }),
+      peers_(context_,
+             with_port(settings.sessions().listen(),
+                       settings.sessions().peer_port()),
+             [this](const http_request& request) { return respond(request); }),
+      signals_(context_, SIGTERM, SIGINT, SIGHUP),
+      timer_(context_)
+{
+    wires_.attach(proxy_);
+    if (settings.sessions().metrics_port() != 0)
+    {
+        metrics_ = std::make_unique<small_door>(
+            context_,
+            with_port(settings.sessions().listen(),
+                      settings.sessions().metrics_port()),
+            [this](const http_request& request) { return respond(request); });
+    }
+}
+
+void session_daemon::run()
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    lines_.write(journal_level::change, "start",
+                 {{"version", TANAGERHOIST_VERSION},
+                  {"data_centre", settings_.vm().data_centre()},
+                  {"listen", settings_.sessions().listen()}});
+    fleet_.start();
+    accept();
+    await_signal();
+    tick();
+    run_fiber_loop(context_);
+    lines_.write(journal_level::change, "stop",
+                 {{"sessions", std::to_string(wires_.clients())}});
+}
+
+void session_daemon::accept()
+{
+    acceptor_.async_accept(
+        [this](boost::system::error_code error, tcp::socket socket)
+        {
+            if (error == asio::error::operation_aborted)
+            {
+                return;
+            }
+            if (!error)
+            {
+                wires_.accept(std::move(socket));
+            }
+            accept();
+        });
+}
+
+void session_daemon::await_signal()
+{
+    signals_.async_wait(
+        [this](boost::system::error_code error, int number)
+        {
+            if (error)
+            {
+                return;
+            }
+            if (number == SIGHUP)
+            {
+                reload();
+            }
+            else
+            {
+                begin_drain();
+            }
+            await_signal();
+        });
+}
+
+/// Takes over what may change while the process runs; the rest needs a start.
+void session_daemon::reload()
+{
+    namespace leaf = boost::leaf;
+    leaf::try_handle_all(
+        [this]() -> leaf::result<void>
+        {
+            BOOST_LEAF_AUTO(read, read_session_daemon_settings(file_));
+            settings_.mutable_sessions()->set_grace_s(
+                read.sessions().grace_s());
+            lines_.write(journal_level::change, "reload",
+                         {{"result", "done"}});
+            return {};
+        },
+        [this](const settings_faults& faults)
+        {
+            lines_.write(journal_level::change, "reload",
+                         {{"result", "kept the former settings"},
+                          {"cause", to_text(faults.all.front())}});
+        },
+        [this]
+        {
+            lines_.write(journal_level::change, "reload",
+                         {{"result", "kept the former settings"}});
+        });
+}
+
+void session_daemon::begin_drain()
+{
+    if (draining_)
+    {
+        return;
+    }
+    draining_ = true;
+    const auto now = now_();
+    const milliseconds grace(
+        std::chrono::seconds(settings_.sessions().grace_s()));
+    drain_ends_ = now + grace - last_moments;
+    close_idle_ = now + balancer_notices;
+    proxy_.begin_drain(close_idle_, now + grace / 2);
+    lines_.write(journal_level::change, "drain",
+                 {{"sessions", std::to_string(wires_.clients())},
+                  {"grace_ms", std::to_string(grace.count())}});
+}
+
+void session_daemon::tick()
+{
+    const auto now = now_();
+    proxy_.tick(now);
+    const bool ready = proxy_.is_ready(now);
+    if (ready != was_ready_)
+    {
+        was_ready_ = ready;
+        lines_.write(journal_level::change, ready ? "ready" : "not_ready", {});
+    }
+    end_if_drained(now);
+    timer_.expires_after(proxy_.has_work() || draining_
+                             ? milliseconds(proxy::tick_interval)
+                             : idle_tick);
+    timer_.async_wait(
+        [this](boost::system::error_code error)
+        {
+            if (!error)
+            {
+                tick();
+            }
+        });
+}
+
+void session_daemon::end_if_drained(moment now)
+{
+    const bool drained = draining_ && now >= close_idle_ + idle_tick &&
+                         wires_.clients() == 0;
+    if (ending_ || !draining_ || (!drained && now < drain_ends_))
+    {
+        return;
+    }
+    ending_ = true;
+    acceptor_.close();
+    boost::fibers::fiber(boost::fibers::launch::post,
+                         [this]
+                         {
+                             fleet_.leave();
+                             context_.stop();
+                         })
+        .detach();
+}
+
+http_answer session_daemon::respond(const http_request& request)
+{
+    const auto path = request.target.substr(0, request.target.find('?'));
+    if (path == "/metrics")
+    {
+        return {status_ok, "text/plain; version=0.0.4", metrics_text()};
+    }
+    if (path == "/settings")
+    {
+        return {status_ok, "application/json", fleet_.config_text()};
+    }
+    if (path == platform::ready_path)
+    {
+        const bool ready = proxy_.is_ready(now_());
+        return {ready ? status_ok : status_unavailable, "text/plain",
+                ready ? "ready\n" : "not ready\n"};
+    }
+    return {status_not_found, "text/plain", ""};
+}
+
+std::string session_daemon::metrics_text() const
+{
+    const auto& figures = proxy_.figures();
+    std::ostringstream out;
+    const auto counter = [&out](const char* name, std::uint64_t value)
+    {
+        out << "# TYPE " << name << " counter\n"
+            << name << ' ' << value << '\n';
+    };
+    counter("tanagerhoist_sessions_started_total", figures.sessions_started);
+    counter("tanagerhoist_server_connections_opened_total",
+            figures.connections_opened);
+    counter("tanagerhoist_retries_total", figures.retries);
+    counter("tanagerhoist_log_lines_dropped_total", lines_.dropped());
+    out << "# TYPE tanagerhoist_refusals_total counter\n";
+    for (const auto& [cause, count] : figures.refusals)
+    {
+        out << "tanagerhoist_refusals_total{cause=\"" << cause << "\"} "
+            << count << '\n';
+    }
+    out << "# TYPE tanagerhoist_statement_seconds histogram\n";
+    for (const auto& [labels, histogram] : figures.answers)
+    {
+        const std::string pair = "route=\"" + labels.first + "\",outcome=\"" +
+                                 labels.second + '"';
+        std::uint64_t sum = 0;
+        for (std::size_t i = 0; i < latency_histogram::buckets; ++i)
+        {
+            sum += histogram.count(i);
+            const bool last = i + 1 == latency_histogram::buckets;
+            out << "tanagerhoist_statement_seconds_bucket{" << pair
+                << ",le=\"";
+            if (last)
+            {
+                out << "+Inf";
+            }
+            else
+            {
+                out << std::chrono::duration<double>(
+                           latency_histogram::bound(i))
+                           .count();
+            }
+            out << "\"} " << sum << '\n';
+        }
+        out << "tanagerhoist_statement_seconds_sum{" << pair << "} "
+            << std::chrono::duration<double>(histogram.sum()).count() << '\n'
+            << "tanagerhoist_statement_seconds_count{" << pair << "} " << sum
+            << '\n';
+    }
+    return out.str();
+}
+
+} // namespace tanagerhoist
--- /dev/null
+++ b/tools/daemon/session_daemon.hpp
@@ -0,0 +1,66 @@
+#ifndef TANAGERHOIST_TOOLS_DAEMON_SESSION_DAEMON_HPP
+#define TANAGERHOIST_TOOLS_DAEMON_SESSION_DAEMON_HPP
+
+#include "fleet_agent.hpp"
+#include "session_wires.hpp"
+
+#include "tanagerhoist/adapter/json_journal.hpp"
+#include "tanagerhoist/adapter/small_door.hpp"
+#include "tanagerhoist/session/proxy.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <string>
+
+namespace tanagerhoist
+{
+
+/// The daemon where it serves sessions on connections: one thread, whose main
+/// fiber drives the sockets.
+class session_daemon
+{
+public:
+    /// @param file the settings file, read again on SIGHUP
+    session_daemon(const proto::SessionDaemonSettings& settings,
+                   std::string file);
+
+    /// Serves until a signal ends it.
+    void run();
+
+private:
+    void accept();
+    void await_signal();
+    void reload();
+    void begin_drain();
+    void tick();
+    void end_if_drained(moment now);
+    http_answer respond(const http_request& request);
+    std::string metrics_text() const;
+
+    proto::SessionDaemonSettings settings_;
+    std::string file_;
+    boost::asio::io_context context_{1};
+    std::function<moment()> now_;
+    json_journal lines_;
+    session_wires wires_;
+    proxy proxy_;
+    fleet_agent fleet_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    small_door readiness_;
+    small_door peers_;
+    std::unique_ptr<small_door> metrics_;
+    boost::asio::signal_set signals_;
+    boost::asio::steady_timer timer_;
+    moment drain_ends_{};
+    moment close_idle_{};
+    bool draining_ = false;
+    bool ending_ = false;
+    bool was_ready_ = false;
+};
+
+} // namespace tanagerhoist
+
+#endif
--- /dev/null
+++ b/tools/daemon/session_wires.cpp
@@ -0,0 +1,272 @@
+#include "session_wires.hpp"
+
+#include "platform/line_protocol.hpp"
+
+#include <boost/asio/post.hpp>
+
+#include <utility>
+
+namespace tanagerhoist
+{
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+session_wires::session_wires(asio::io_context& context, clock now)
+    : context_(context), now_(std::move(now))
+{
+}
+
+// ---- clients --------------------------------------------------------------
+
+void session_wires::accept(asio::ip::tcp::socket socket)
+{
+    const auto id = next_session_++;
+    auto stream =
+        std::make_shared<line_stream>(std::move(socket), platform::line_limit);
+    clients_[id].stream = stream;
+    stream->start({[this, id](std::string_view line) { client_line(id, line); },
+                   [this, id](stream_end why) { client_ended(id, why); }});
+}
+
+void session_wires::client_line(session_id id, std::string_view line)
+{
+    const auto it = clients_.find(id);
+    if (it == clients_.end())
+    {
+        return;
+    }
+    auto& client = it->second;
+    auto parsed = platform::parse_client_line(line);
+    using kind = platform::client_line::kind;
+    if (parsed.what == kind::end)
+    {
+        client.stream->close();
+        clients_.erase(it);
+        proxy_->session_gone(now_(), id);
+    }
+    else if (parsed.what == kind::start && !client.started)
+    {
+        client.started = true;
+        proxy_->start_session(now_(), id, parsed.first, parsed.second);
+    }
+    else if (parsed.what == kind::query && client.started)
+    {
+        client.stream->pause();
+        proxy_->query(now_(), id, parsed.first,
+                      platform::parse_statement(parsed.second));
+    }
+    else
+    {
+        reject(id, session_error::malformed);
+    }
+}
+
+void session_wires::client_ended(session_id id, stream_end why)
+{
+    if (why == stream_end::too_long)
+    {
+        // The stream has ended; the limit is far above what clients send.
+        clients_.erase(id);
+    }
+    clients_.erase(id);
+    proxy_->session_gone(now_(), id);
+}
+
+/// Tells an error and ends the session.
+void session_wires::reject(session_id id, session_error error)
+{
+    end_session(id, error);
+    proxy_->session_gone(now_(), id);
+}
+
+void session_wires::answer(session_id session, const session_answer& answer)
+{
+    const auto it = clients_.find(session);
+    if (it == clients_.end())
+    {
+        return;
+    }
+    std::string bytes;
+    if (answer.error)
+    {
+        bytes = platform::error_line(*answer.error, answer.text);
+    }
+    else
+    {
+        for (const auto& row : answer.rows)
+        {
+            bytes += platform::row_line(row);
+        }
+        bytes += platform::complete_line(answer.signature);
+    }
+    bytes += platform::ready_line(answer.state, answer.position);
+    const auto stream = it->second.stream;
+    stream->write(bytes);
+    if (stream->has_input())
+    {
+        asio::post(context_, [stream] { stream->resume(); });
+    }
+    else
+    {
+        stream->resume();
+    }
+}
+
+void session_wires::accept_session(session_id session)
+{
+    const auto it = clients_.find(session);
+    if (it != clients_.end())
+    {
+        it->second.stream->write(
+            platform::ready_line(transaction_state::none, std::nullopt));
+    }
+}
+
+void session_wires::end_session(session_id session,
+                                std::optional<session_error> error)
+{
+    const auto it = clients_.find(session);
+    if (it == clients_.end())
+    {
+        return;
+    }
+    if (error)
+    {
+        it->second.stream->write(platform::error_line(*error, "refused"));
+    }
+    it->second.stream->close();
+    clients_.erase(it);
+}
+
+// ---- servers --------------------------------------------------------------
+
+void session_wires::open(connection_id connection,
+                         const backend_server& server,
+                         const std::string& workspace)
+{
+    error_code error;
+    const auto ip = asio::ip::make_address(server.address, error);
+    auto socket = std::make_shared<asio::ip::tcp::socket>(context_);
+    servers_[connection].opening = socket;
+    if (error)
+    {
+        return; // not an IP number: the proxy's timeout ends it
+    }
+    socket->async_connect(
+        {ip, server.port},
+        [this, connection, socket,
+         start = platform::start_line(server.group, workspace, server.id)](
+            error_code failed)
+        {
+            if (servers_.count(connection) == 0)
+            {
+                return; // closed meanwhile
+            }
+            if (failed)
+            {
+                servers_.erase(connection);
+                proxy_->connection_lost(now_(), connection);
+                return;
+            }
+            connected(connection, start);
+        });
+}
+
+void session_wires::connected(connection_id id, const std::string& start)
+{
+    auto& wire = servers_.at(id);
+    wire.stream = std::make_shared<line_stream>(std::move(*wire.opening),
+                                                platform::line_limit);
+    wire.opening.reset();
+    const auto stream = wire.stream;
+    stream->start({[this, id](std::string_view line) { server_line(id, line); },
+                   [this, id](stream_end)
+                   {
+                       if (servers_.erase(id) != 0)
+                       {
+                           proxy_->connection_lost(now_(), id);
+                       }
+                   }});
+    stream->write(start);
+}
+
+void session_wires::server_line(connection_id id, std::string_view line)
+{
+    const auto it = servers_.find(id);
+    if (it == servers_.end())
+    {
+        return;
+    }
+    auto parsed = platform::parse_server_line(line);
+    using kind = platform::server_line::kind;
+    auto& wire = it->second;
+    if (!wire.started && parsed.what == kind::ready)
+    {
+        wire.started = true;
+        proxy_->connection_opened(now_(), id, parsed.position);
+        return;
+    }
+    if (!wire.started || parsed.what == kind::malformed)
+    {
+        const bool refused = parsed.what == kind::error;
+        wire.stream->close();
+        servers_.erase(it);
+        if (refused)
+        {
+            proxy_->connection_refused(now_(), id, parsed.error);
+        }
+        else
+        {
+            proxy_->connection_lost(now_(), id);
+        }
+        return;
+    }
+    switch (parsed.what)
+    {
+    case kind::row:
+        proxy_->server_row(id, std::move(parsed.text));
+        break;
+    case kind::complete:
+        proxy_->server_complete(id, std::move(parsed.text));
+        break;
+    case kind::error:
+        proxy_->server_error(id, parsed.error, std::move(parsed.text));
+        break;
+    default:
+        proxy_->server_ready(now_(), id, parsed.state, parsed.position);
+        break;
+    }
+}
+
+void session_wires::send(connection_id connection,
+                         const server_statement& statement)
+{
+    const auto it = servers_.find(connection);
+    if (it != servers_.end() && it->second.stream)
+    {
+        it->second.stream->write(platform::query_line(statement));
+    }
+}
+
+void session_wires::close(connection_id connection)
+{
+    const auto it = servers_.find(connection);
+    if (it == servers_.end())
+    {
+        return;
+    }
+    const auto wire = std::move(it->second);
+    servers_.erase(it);
+    if (wire.stream)
+    {
+        wire.stream->close();
+    }
+    else if (wire.opening)
+    {
+        error_code ignored; // nothing was sent on it
+        wire.opening->close(ignored);
+    }
+}
+
+} // namespace tanagerhoist
--- /dev/null
+++ b/tools/daemon/session_wires.hpp
@@ -0,0 +1,73 @@
+#ifndef TANAGERHOIST_TOOLS_DAEMON_SESSION_WIRES_HPP
+#define TANAGERHOIST_TOOLS_DAEMON_SESSION_WIRES_HPP
+
+#include "tanagerhoist/adapter/line_stream.hpp"
+#include "tanagerhoist/session/proxy.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace tanagerhoist
+{
+
+/// Sockets of sessions and of connections to servers: carries lines between
+/// them and the proxy's decisions.
+class session_wires : public proxy_outlet
+{
+public:
+    using clock = std::function<moment()>;
+
+    session_wires(boost::asio::io_context& context, clock now);
+
+    /// Says where inputs go; before the first socket.
+    void attach(proxy& decisions) { proxy_ = &decisions; }
+
+    /// Takes over a client's connection.
+    void accept(boost::asio::ip::tcp::socket socket);
+
+    std::size_t clients() const { return clients_.size(); }
+
+    void answer(session_id session, const session_answer& answer) override;
+    void accept_session(session_id session) override;
+    void end_session(session_id session,
+                     std::optional<session_error> error) override;
+    void open(connection_id connection, const backend_server& server,
+              const std::string& workspace) override;
+    void send(connection_id connection,
+              const server_statement& statement) override;
+    void close(connection_id connection) override;
+
+private:
+    struct client
+    {
+        std::shared_ptr<line_stream> stream; ///< shared with its handlers
+        bool started = false;
+    };
+    struct server_wire
+    {
+        std::shared_ptr<boost::asio::ip::tcp::socket> opening;
+        std::shared_ptr<line_stream> stream; ///< once connected
+        bool started = false;
+    };
+
+    void client_line(session_id id, std::string_view line);
+    void client_ended(session_id id, stream_end why);
+    void reject(session_id id, session_error error);
+    void connected(connection_id id, const std::string& start);
+    void server_line(connection_id id, std::string_view line);
+
+    boost::asio::io_context& context_;
+    clock now_;
+    proxy* proxy_ = nullptr;
+    std::unordered_map<session_id, client> clients_;
+    std::unordered_map<connection_id, server_wire> servers_;
+    session_id next_session_ = 1;
+};
+
+} // namespace tanagerhoist
+
+#endif
