Hand out the tolerated excess of a workspace as bursts

Ruled out: a larger even part (takes from those that ask). Change: capacity of a VM's bucket from burst and 0.8 of the tolerated excess, half evenly; demand over 2 s; a VM that starts later begins with a fifth.

--- a/include/tanagerhoist/fleet/fleet_hub.hpp
+++ b/include/tanagerhoist/fleet/fleet_hub.hpp
@@ -63,7 +63,7 @@
     {
         std::uint64_t parts = 0;     ///< dealt last
         std::uint64_t confirmed = 0; ///< what the VM says that it uses
-        std::uint64_t asked_per_s = 0;
+        std::uint64_t asked = 0;
         moment sent{};
     };
     struct position
--- a/include/tanagerhoist/session/proxy.hpp
+++ b/include/tanagerhoist/session/proxy.hpp
@@ -33,7 +33,8 @@
 class proxy
 {
 public:
-    proxy(std::string data_centre, proxy_outlet& outlet, journal& lines);
+    proxy(std::string data_centre, workspace_limits limits,
+          proxy_outlet& outlet, journal& lines);
     ~proxy();
     proxy(const proxy&) = delete;
     proxy& operator=(const proxy&) = delete;
--- a/include/tanagerhoist/session/workspace_limits.hpp
+++ b/include/tanagerhoist/session/workspace_limits.hpp
@@ -20,10 +20,24 @@
 /// How long a VM uses its share of the rest without hearing of it again.
 constexpr milliseconds share_duration{4000};
 
+/// How far the fleet may exceed a workspace's limits in one window, as the
+/// operator allows it. It is used for bursts at single VMs, so that a VM that
+/// few callers reach can admit them without asking.
+struct limit_tolerance
+{
+    std::chrono::seconds window{5};
+    double overage = 0.1; ///< of what the limits allow in a window
+    double slack = 20;    ///< operations
+};
+
 /// This VM's part of each workspace's rate and burst.
 class workspace_limits
 {
 public:
+    /// @param fresh whether no VM can have used any share before
+    explicit workspace_limits(limit_tolerance tolerance = {},
+                              bool fresh = true);
+
     void use_settings(moment now, const session_settings& settings);
 
     /// Takes over the number of VMs between which the even share is split.
@@ -49,6 +63,7 @@
     struct allowance
     {
         token_bucket bucket;
+        double capacity = 0;     ///< operations at once, of the whole fleet
         std::uint64_t dealt = 0; ///< parts of the rest
         std::uint64_t asked = 0; ///< since the last report
         double asked_per_s = 0;  ///< smoothed
@@ -56,6 +71,8 @@
 
     void apply(moment now, allowance& share) const;
 
+    limit_tolerance tolerance_;
+    bool fresh_;
     std::unordered_map<std::string, allowance> shares_;
     std::size_t members_ = 1;
     moment dealt_at_{};
--- a/src/fleet/fleet_hub.cpp
+++ b/src/fleet/fleet_hub.cpp
@@ -21,9 +21,9 @@
 
 constexpr std::uint64_t dealt_parts = share_parts - even_parts;
 
-/// Part of what is dealt out that goes by demand; the rest is spare that a
-/// sudden demand finds.
-constexpr std::uint64_t least_grant = share_parts / 256;
+/// Demand that a VM is taken to have at least, in operations in 1,000 s, so
+/// that a caller who comes finds a share.
+constexpr std::uint64_t least_demand = 700;
 
 } // namespace
 
@@ -49,7 +49,7 @@
     {
         auto& grant = grants_[demand.workspace()][report.vm()];
         grant.confirmed = demand.parts();
-        grant.asked_per_s = demand.asked_per_s();
+        grant.asked = demand.asked_per_1000s();
     }
     for (const auto& sample : report.positions())
     {
@@ -151,7 +151,7 @@
                                const session_workspace& share)
 {
     auto& grants = grants_[workspace];
-    std::uint64_t asked = 0;
+    std::uint64_t asked = 0; // by all VMs
     std::uint64_t used = 0;
     for (auto it = grants.begin(); it != grants.end();)
     {
@@ -163,7 +163,7 @@
             it = grants.erase(it);
             continue;
         }
-        asked += it->second.asked_per_s;
+        asked += it->second.asked + least_demand;
         used += std::max(it->second.parts, it->second.confirmed);
         ++it;
     }
@@ -172,15 +172,12 @@
     {
         return;
     }
-    const std::uint64_t count = grants.size();
-    const std::uint64_t by_demand =
-        dealt_parts - std::min(dealt_parts, count * least_grant);
+    const std::uint64_t by_demand = dealt_parts;
     std::uint64_t free = dealt_parts - std::min(dealt_parts, used);
     for (auto& [vm, grant] : grants)
     {
         const std::uint64_t target =
-            least_grant + (asked == 0 ? by_demand / count
-                                      : by_demand * grant.asked_per_s / asked);
+            by_demand * (grant.asked + least_demand) / asked;
         const auto held = std::max(grant.parts, grant.confirmed);
         if (target <= held)
         {
--- a/src/session/proxy_time.cpp
+++ b/src/session/proxy_time.cpp
@@ -25,8 +25,12 @@
 
 } // namespace
 
-proxy::proxy(std::string data_centre, proxy_outlet& outlet, journal& lines)
-    : data_centre_(std::move(data_centre)), outlet_(outlet), lines_(lines)
+proxy::proxy(std::string data_centre, workspace_limits limits,
+             proxy_outlet& outlet, journal& lines)
+    : data_centre_(std::move(data_centre)),
+      outlet_(outlet),
+      lines_(lines),
+      limits_(std::move(limits))
 {
 }
 
--- a/src/session/workspace_limits.cpp
+++ b/src/session/workspace_limits.cpp
@@ -8,18 +8,39 @@
 namespace
 {
 
-constexpr double demand_weight = 0.5; // of the newest period
+constexpr double demand_memory_s = 2.0; // time constant of the demand
 constexpr milliseconds longest_wait{2000};
 
-/// VMs up to which each may hold one whole operation of a small workspace.
-constexpr std::size_t few_members = 12;
+/// Part of the tolerated excess that is handed out; the rest covers what is on
+/// its way while shares move.
+constexpr double used_tolerance = 0.8;
+
+/// Part of the operations at once that is split evenly over the VMs.
+constexpr double even_capacity = 0.5;
+
+/// Part of its capacity that a VM starts with where others, or an earlier
+/// life, may just have used theirs.
+constexpr double restart_fill = 0.2;
 
 } // namespace
 
+workspace_limits::workspace_limits(limit_tolerance tolerance, bool fresh)
+    : tolerance_(tolerance), fresh_(fresh)
+{
+}
+
+/// Sets what this VM may admit: its rate, and how much at once.
 void workspace_limits::apply(moment now, allowance& share) const
 {
-    const auto even = even_parts / std::max<std::size_t>(1, members_);
-    share.bucket.use_least_capacity(members_ <= few_members ? token_unit : 0);
+    const auto members = std::max<std::size_t>(1, members_);
+    const auto even = even_parts / members;
+    const double dealt = static_cast<double>(share.dealt) /
+                         static_cast<double>(share_parts - even_parts);
+    const double part = even_capacity / static_cast<double>(members) +
+                        (1 - even_capacity) * dealt;
+    const double capacity = std::max(1.0, share.capacity * part);
+    share.bucket.use_least_capacity(
+        static_cast<std::uint64_t>(capacity * token_unit));
     share.bucket.use_parts(now, even + share.dealt);
 }
 
@@ -31,21 +52,29 @@
         it = settings.workspaces.count(it->first) == 0 ? shares_.erase(it)
                                                        : std::next(it);
     }
+    const auto window = static_cast<double>(tolerance_.window.count());
     for (const auto& [name, workspace] : settings.workspaces)
     {
         const auto [it, added] = shares_.try_emplace(name);
         auto& share = it->second;
-        const auto even = even_parts / std::max<std::size_t>(1, members_);
+        const double excess =
+            tolerance_.overage * (workspace.rate * window + workspace.burst) +
+            tolerance_.slack;
+        share.capacity = workspace.burst + used_tolerance * excess;
+        // The capacity is set by itself, so the bucket's own burst is none.
         share.bucket.use_share(
-            now, static_cast<std::uint64_t>(std::floor(workspace.rate)),
-            static_cast<std::uint64_t>(std::floor(workspace.burst)),
-            even + share.dealt);
+            now, static_cast<std::uint64_t>(std::floor(workspace.rate)), 0,
+            even_parts / std::max<std::size_t>(1, members_) + share.dealt);
         apply(now, share);
         if (added)
         {
-            share.bucket.add(now, share.bucket.capacity());
+            const double fill = fresh_ ? 1.0 : restart_fill;
+            share.bucket.add(
+                now, static_cast<std::uint64_t>(
+                         fill * static_cast<double>(share.bucket.capacity())));
         }
     }
+    fresh_ = false;
 }
 
 void workspace_limits::use_members(moment now, std::size_t members)
@@ -123,13 +152,15 @@
         const double rate =
             seconds > 0 ? static_cast<double>(share.asked) / seconds : 0;
         share.asked = 0;
-        share.asked_per_s += demand_weight * (rate - share.asked_per_s);
+        share.asked_per_s +=
+            std::min(1.0, seconds / demand_memory_s) *
+            (rate - share.asked_per_s);
         proto::WorkspaceDemand entry;
         entry.set_workspace(name);
-        entry.set_asked_per_s(
-            static_cast<std::uint64_t>(std::ceil(share.asked_per_s)));
+        entry.set_asked_per_1000s(static_cast<std::uint64_t>(
+            std::ceil(share.asked_per_s * 1000)));
         entry.set_parts(share.dealt);
-        if (entry.asked_per_s() != 0 || entry.parts() != 0)
+        if (entry.asked_per_1000s() != 0 || entry.parts() != 0)
         {
             told.push_back(std::move(entry));
         }
--- a/tools/daemon/session_daemon.cpp
+++ b/tools/daemon/session_daemon.cpp
@@ -9,6 +9,7 @@
 #include <boost/leaf.hpp>
 
 #include <csignal>
+#include <cstdlib>
 #include <random>
 #include <sstream>
 #include <utility>
@@ -49,6 +50,17 @@
     return (static_cast<std::uint64_t>(source()) << 32U) | source();
 }
 
+workspace_limits limits_of(const proto::SessionDaemonSettings& settings)
+{
+    const auto& sessions = settings.sessions();
+    limit_tolerance tolerance;
+    tolerance.window = std::chrono::seconds(sessions.quota_window_s());
+    tolerance.slack = static_cast<double>(sessions.quota_slack());
+    // An absent overage is none.
+    tolerance.overage = std::strtod(sessions.quota_overage().c_str(), nullptr);
+    return workspace_limits(tolerance, sessions.first_start() == "true");
+}
+
 tcp::endpoint endpoint_of(const std::string& text)
 {
     const auto where = split_endpoint(text);
@@ -69,7 +81,7 @@
       now_(make_clock()),
       lines_(settings.vm().name(), settings.sessions().log_lines_per_s(), now_),
       wires_(context_, now_),
-      proxy_(settings.vm().data_centre(), wires_, lines_),
+      proxy_(settings.vm().data_centre(), limits_of(settings), wires_, lines_),
       fleet_(context_, settings, random_life(), proxy_, lines_, now_),
       acceptor_(context_, endpoint_of(settings.sessions().listen())),
       readiness_(context_, endpoint_of(settings.sessions().readiness()),
