Prove the right to use primaries by a conditional write

Ruled out: a shorter right (outages of the store would end it for all). Change: each VM renews its right by writing a contact row under the condition that its own row and all leads are as it knows them; the duty's holder reads these rows while a seal waits, and removes VMs whose right has ended; shares last 2.5 s; the first watch after a failure does not wait.

--- a/include/tanagerhoist/fleet/duty_keeper.hpp
+++ b/include/tanagerhoist/fleet/duty_keeper.hpp
@@ -44,6 +44,9 @@
     /// The duty as last read or written.
     const proto::DutyRow& row() const { return row_; }
 
+    /// When the former holder may have acted for the last time.
+    moment former_end() const { return former_end_; }
+
     /// Gives the duty back, so that the next holder need not wait.
     void resign();
 
@@ -61,9 +64,11 @@
     proto::MemberRow self_;
     clock now_;
     journal& lines_;
+    moment started_; ///< no earlier life of this VM acts after it
     proto::DutyRow row_;
     std::uint64_t version_ = 0;
     moment held_until_{};
+    moment former_end_{};
     bool holding_ = false;
     milliseconds store_clock_{0}; ///< of the newest answer
     moment store_clock_at_{};     ///< when that call was sent
--- a/include/tanagerhoist/fleet/fleet_hub.hpp
+++ b/include/tanagerhoist/fleet/fleet_hub.hpp
@@ -20,6 +20,21 @@
     std::uint64_t version = 0; ///< of the row
 };
 
+/// When a VM last renewed its right, as the store has it.
+struct fleet_contact
+{
+    proto::ContactRow row;
+    std::uint64_t version = 0; ///< of the row
+};
+
+/// All rows of contact, and the store's clock when they were read.
+struct fleet_contacts
+{
+    std::map<std::string, fleet_contact> rows; ///< by VM
+    milliseconds store_now{0};                 ///< at the least
+    moment read_at{};                          ///< when the read was sent
+};
+
 using fleet_members = std::map<std::string, fleet_member>; ///< by VM
 
 /// What the holder of the duty knows from the reports of all VMs: which
@@ -29,19 +44,26 @@
 {
 public:
     /// Forgets everything; to be called when the duty was taken.
-    void begin(moment now);
+    /// @param former_end when the former holder's last word may have been
+    void begin(moment former_end);
 
     void take_report(moment now, const proto::VmReport& report);
 
     /// Whether more VMs lack a primary than reach it, and have for a while.
     bool is_lost(moment now, const std::string& primary);
 
-    /// Whether nobody uses the sealed primary any more.
+    /// Whether nobody uses the sealed primary any more: each VM has said so,
+    /// or its right has ended.
     /// @param seal_version version of the row that sealed it
     /// @param sealed when that was written
     bool is_sealed(moment now, const proto::GroupLead& lead,
                    std::uint64_t seal_version, moment sealed,
-                   const fleet_members& members) const;
+                   const fleet_members& members,
+                   const fleet_contacts& contacts) const;
+
+    /// Registered VMs whose right has ended and that no longer report.
+    std::vector<std::string> lapsed(moment now, const fleet_members& members,
+                                    const fleet_contacts& contacts) const;
 
     /// Deals out the shares anew; to be called a few times a second.
     void deal(moment now, const session_settings& settings,
@@ -72,7 +94,7 @@
         moment covers{};
     };
 
-    bool has_acked(moment now, const proto::GroupLead& lead,
+    bool has_acked(const proto::GroupLead& lead,
                    const fleet_member& member) const;
     void deal_workspace(moment now, const std::string& workspace,
                         const session_workspace& share);
@@ -81,7 +103,7 @@
     std::map<std::string, std::map<std::string, grant>> grants_; ///< by workspace, VM
     std::map<std::string, moment> failing_since_; ///< by primary
     std::map<std::string, position> positions_;   ///< by group
-    moment begun_{};
+    moment former_end_{};
     bool all_reported_ = false;
 };
 
--- a/include/tanagerhoist/session/primary_right.hpp
+++ b/include/tanagerhoist/session/primary_right.hpp
@@ -10,17 +10,19 @@
 /// waits this long, and `right_slack` more, for a VM that does not answer.
 constexpr milliseconds right_duration{12000};
 
-/// Covers the age of a watch's answer and the drift of clocks.
-constexpr milliseconds right_slack{1500};
+/// Covers the drift of clocks.
+constexpr milliseconds right_slack{500};
+
+/// How often a VM renews its right.
+constexpr milliseconds right_renewal{3000};
 
 /// A VM's lease on using the primaries that it believes in. It is renewed by
-/// each answer of the store that would have told of a change, counted from the
-/// time when the call was sent, and ends by itself.
+/// a write to the store that fails if a lead has changed, counted from the
+/// time when the write was sent, and ends by itself.
 class primary_right
 {
 public:
-    /// A call sent at `sent` was answered without news of a change that this
-    /// VM has not taken in.
+    /// A write sent at `sent` was done: no lead had changed.
     void prove(moment sent)
     {
         if (!proven_ || sent > last_)
--- a/include/tanagerhoist/session/workspace_limits.hpp
+++ b/include/tanagerhoist/session/workspace_limits.hpp
@@ -15,10 +15,10 @@
 
 /// Share of each workspace that is split evenly over the registered VMs, so
 /// that a VM without contact serves on. The rest goes where it is asked for.
-constexpr std::uint64_t even_parts = share_parts / 4;
+constexpr std::uint64_t even_parts = share_parts * 2 / 5;
 
 /// How long a VM uses its share of the rest without hearing of it again.
-constexpr milliseconds share_duration{4000};
+constexpr milliseconds share_duration{2500};
 
 /// How far the fleet may exceed a workspace's limits in one window, as the
 /// operator allows it. It is used for bursts at single VMs, so that a VM that
--- a/src/fleet/duty_keeper.cpp
+++ b/src/fleet/duty_keeper.cpp
@@ -17,7 +17,8 @@
     : store_(store),
       self_(std::move(self)),
       now_(std::move(now)),
-      lines_(lines)
+      lines_(lines),
+      started_(now_())
 {
 }
 
@@ -157,6 +158,12 @@
     {
         return; // the next step reads what became of it
     }
+    // The store's clock at the former lease's end, on this VM's own.
+    const auto former = milliseconds(row_.renewed_ms() + row_.lease_ms());
+    const bool own_name = row_.holder() == self_.vm();
+    former_end_ = own_name || row_.renewed_ms() == 0
+                      ? started_
+                      : read.sent + (former - duty_margin - read.now);
     row_ = taken;
     version_ = answer.version;
     holding_ = true;
--- a/src/fleet/fleet_hub.cpp
+++ b/src/fleet/fleet_hub.cpp
@@ -17,7 +17,16 @@
 constexpr milliseconds lost_for{250};
 
 /// After this a silent VM no longer uses a dealt share.
-constexpr milliseconds share_reclaim = share_duration + milliseconds(1500);
+constexpr milliseconds share_reclaim = share_duration + milliseconds(400);
+
+/// Time in which a VM that knows of a seal has ended its use of the primary.
+constexpr milliseconds after_news{500};
+
+bool has_lapsed(const fleet_contact& contact, milliseconds store_now)
+{
+    return store_now > milliseconds(contact.row.store_ms()) + right_duration +
+                           right_slack;
+}
 
 constexpr std::uint64_t dealt_parts = share_parts - even_parts;
 
@@ -27,10 +36,10 @@
 
 } // namespace
 
-void fleet_hub::begin(moment now)
+void fleet_hub::begin(moment former_end)
 {
     *this = fleet_hub();
-    begun_ = now;
+    former_end_ = former_end;
 }
 
 void fleet_hub::take_report(moment now, const proto::VmReport& report)
@@ -86,7 +95,7 @@
     return now >= since + lost_for;
 }
 
-bool fleet_hub::has_acked(moment now, const proto::GroupLead& lead,
+bool fleet_hub::has_acked(const proto::GroupLead& lead,
                           const fleet_member& member) const
 {
     const auto it = vms_.find(member.row.vm());
@@ -94,7 +103,6 @@
     {
         return false;
     }
-    static_cast<void>(now);
     const auto& acks = it->second.report.sealed();
     return std::any_of(acks.begin(), acks.end(),
                        [&lead](const proto::SealAck& ack)
@@ -106,26 +114,59 @@
 
 bool fleet_hub::is_sealed(moment now, const proto::GroupLead& lead,
                           std::uint64_t seal_version, moment sealed,
-                          const fleet_members& members) const
+                          const fleet_members& members,
+                          const fleet_contacts& contacts) const
 {
     if (now >= sealed + right_duration + right_slack)
     {
         return true; // every older right has ended by itself
     }
-    return std::all_of(members.begin(), members.end(),
-                       [&](const auto& entry)
-                       {
-                           const auto& member = entry.second;
-                           return member.version > seal_version ||
-                                  has_acked(now, lead, member);
-                       });
+    return std::all_of(
+        members.begin(), members.end(),
+        [&](const auto& entry)
+        {
+            const auto& member = entry.second;
+            if (member.version > seal_version || has_acked(lead, member))
+            {
+                return true;
+            }
+            const auto it = contacts.rows.find(entry.first);
+            if (it == contacts.rows.end() || contacts.read_at < sealed)
+            {
+                return false;
+            }
+            // A renewal after the seal was written by a VM that knew of it.
+            return it->second.version > seal_version
+                       ? now >= contacts.read_at + after_news
+                       : has_lapsed(it->second, contacts.store_now);
+        });
+}
+
+std::vector<std::string>
+fleet_hub::lapsed(moment now, const fleet_members& members,
+                  const fleet_contacts& contacts) const
+{
+    std::vector<std::string> found;
+    for (const auto& [vm, member] : members)
+    {
+        const auto report = vms_.find(vm);
+        const bool reports = report != vms_.end() &&
+                             now < report->second.heard + report_use;
+        const auto it = contacts.rows.find(vm);
+        if (!reports && it != contacts.rows.end() &&
+            has_lapsed(it->second, contacts.store_now))
+        {
+            found.push_back(vm);
+        }
+    }
+    return found;
 }
 
 void fleet_hub::deal(moment now, const session_settings& settings,
                      const fleet_members& members)
 {
     all_reported_ =
-        now >= begun_ + share_reclaim ||
+        now >= former_end_ + share_reclaim ||
         std::all_of(members.begin(), members.end(),
                     [this](const auto& entry)
                     {
--- a/tools/daemon/fleet_agent.cpp
+++ b/tools/daemon/fleet_agent.cpp
@@ -21,12 +21,18 @@
 using boost::system::error_code;
 
 constexpr const char* fleet_table = "fleet";
+constexpr const char* contact_table = "contact";
 constexpr const char* vm_prefix = "vm.";
 constexpr const char* group_prefix = "db.";
 
 constexpr milliseconds config_wait{2000};
 constexpr milliseconds server_wait{4000};
-constexpr milliseconds fleet_wait{2000}; // also how often the right is proven
+constexpr milliseconds fleet_wait{8000}; // datagrams bring news before
+constexpr milliseconds contact_interval{500}; // while a seal is waited for
+constexpr milliseconds removal_interval{5000};
+
+/// Rows that one transaction may have conditions on.
+constexpr std::size_t transaction_rows = 90;
 constexpr milliseconds first_store_retry{100};
 constexpr milliseconds longest_store_retry{800};
 constexpr milliseconds report_interval{400};
@@ -84,6 +90,7 @@
       report_timer_(context),
       duty_store_(make_client()),
       lead_store_(make_client()),
+      right_store_(make_client()),
       duty_(duty_store_, self_row(), now_, lines),
       duty_stream_(context)
 {
@@ -139,11 +146,11 @@
     run_fiber(
         [this]
         {
-            register_self();
             follow(fleet_table, fleet_wait,
                    [this](const store_answer& answer, bool whole)
                    { return take_fleet(answer, whole); });
         });
+    run_fiber([this] { keep_right(); });
     run_fiber([this] { keep_duty(); });
     run_fiber([this] { watch_groups(); });
     report_regularly();
@@ -163,8 +170,10 @@
     while (!leaving_)
     {
         const bool whole = !known;
-        const auto answer = known ? store.watch(table, version, wait)
-                                  : store.read(table, "");
+        // The first call after a failure does not wait, to catch up at once.
+        const auto answer =
+            known ? store.watch(table, version, lost ? milliseconds(0) : wait)
+                  : store.read(table, "");
         if (answer.result == store_result::done)
         {
             if (lost)
@@ -205,25 +214,179 @@
 /// Writes this VM's row, so that whoever seals a primary waits for this VM.
 void fleet_agent::register_self()
 {
-    auto retry = first_store_retry;
     const auto row = self_row();
-    while (!registered_ && !leaving_)
+    store_transaction change;
+    change.puts.push_back({fleet_table, vm_prefix + row.vm(),
+                           row.SerializeAsString(), 0, false});
+    const auto answer = right_store_.write(change);
+    if (answer.result != store_result::done)
     {
-        store_transaction change;
-        change.puts.push_back({fleet_table, vm_prefix + row.vm(),
-                               row.SerializeAsString(), 0, false});
-        registered_ =
-            lead_store_.write(change).result == store_result::done;
-        if (!registered_)
-        {
-            pause(retry);
-            retry = std::min(retry * 2, longest_store_retry);
-        }
+        return; // tried again soon
+    }
+    own_version_ = answer.version;
+    store_clock_ = answer.now;
+    store_clock_at_ = answer.sent;
+    // What was sealed before this row was there must be known first.
+    const auto read = right_store_.read(fleet_table, group_prefix);
+    if (read.result != store_result::done)
+    {
+        own_version_ = 0;
+        return;
+    }
+    for (const auto& lead : read.rows)
+    {
+        take_lead_row(lead);
     }
     lines_.write(journal_level::change, "registered",
                  {{"life", std::to_string(life_)}});
 }
 
+/// Registers this VM and renews its right to use primaries.
+void fleet_agent::keep_right()
+{
+    auto retry = first_store_retry;
+    while (!leaving_)
+    {
+        if (own_version_ == 0)
+        {
+            register_self();
+        }
+        if (own_version_ != 0 && renew_right())
+        {
+            retry = first_store_retry;
+            pause(right_renewal);
+            continue;
+        }
+        pause(retry);
+        retry = std::min(retry * 2, longest_store_retry);
+    }
+}
+
+/// Writes this VM's contact if no lead that it knows has changed.
+bool fleet_agent::renew_right()
+{
+    proto::ContactRow contact;
+    contact.set_life(life_);
+    contact.set_store_ms(static_cast<std::uint64_t>(store_clock_.count()) +
+                         to_ms(now_() - store_clock_at_) + 1);
+    const auto vm = settings_.vm().name();
+    store_transaction change;
+    change.expected.push_back(
+        {fleet_table, vm_prefix + vm, "", own_version_, false});
+    for (const auto& [group, lead] : lead_rows_)
+    {
+        if (change.expected.size() < transaction_rows)
+        {
+            change.expected.push_back({fleet_table, group_prefix + group, "",
+                                       lead.version, false});
+        }
+    }
+    change.puts.push_back(
+        {contact_table, vm, contact.SerializeAsString(), 0, false});
+    const auto answer = right_store_.write(change);
+    if (answer.result == store_result::done)
+    {
+        store_clock_ = answer.now;
+        store_clock_at_ = answer.sent;
+        proxy_.prove_right(answer.sent);
+        return true;
+    }
+    if (answer.result == store_result::conflict)
+    {
+        bool own_row = false;
+        for (const auto& row : answer.rows)
+        {
+            own_row = own_row || (row.key == vm_prefix + vm &&
+                                  row.version == own_version_);
+            take_lead_row(row);
+        }
+        own_version_ = own_row ? own_version_ : 0;
+    }
+    return false;
+}
+
+/// Takes in a row that says who leads a group; other rows are passed over.
+void fleet_agent::take_lead_row(const store_row& row)
+{
+    if (!has_prefix(row.key, group_prefix) || row.removed || row.version == 0)
+    {
+        return;
+    }
+    lead_row lead;
+    lead.version = row.version;
+    if (!lead.lead.ParseFromString(row.value))
+    {
+        lines_.write(journal_level::change, "row_unreadable",
+                     {{"table", fleet_table}, {"key", row.key}});
+        return;
+    }
+    auto& known = lead_rows_[group_of_key(row.key)];
+    if (lead.version > known.version)
+    {
+        known = lead;
+        proxy_.use_lead(now_(), lead.lead);
+        report_soon();
+    }
+}
+
+/// Reads when each VM last renewed its right.
+void fleet_agent::read_contacts()
+{
+    if (reading_contacts_)
+    {
+        return;
+    }
+    reading_contacts_ = true;
+    contacts_asked_ = now_();
+    run_fiber(
+        [this]
+        {
+            auto store = make_client();
+            const auto answer = store.read(contact_table, "");
+            if (answer.result == store_result::done)
+            {
+                contacts_.rows.clear();
+                contacts_.store_now = answer.now;
+                contacts_.read_at = answer.sent;
+                for (const auto& row : answer.rows)
+                {
+                    fleet_contact contact;
+                    contact.version = row.version;
+                    if (contact.row.ParseFromString(row.value))
+                    {
+                        contacts_.rows[row.key] = contact;
+                    }
+                }
+            }
+            reading_contacts_ = false;
+        });
+}
+
+/// Takes out the rows of VMs that are gone, so that nobody waits for them.
+void fleet_agent::remove_lapsed()
+{
+    for (const auto& vm : hub_.lapsed(now_(), members_, contacts_))
+    {
+        store_transaction change;
+        change.expected.push_back(
+            {fleet_table, vm_prefix + vm, "", members_.at(vm).version, false});
+        change.expected.push_back(
+            {contact_table, vm, "", contacts_.rows.at(vm).version, false});
+        change.removals.push_back({fleet_table, vm_prefix + vm, "", 0, false});
+        change.removals.push_back({contact_table, vm, "", 0, false});
+        const auto answer = lead_store_.write(change);
+        lines_.write(journal_level::change, "vm_removed",
+                     {{"gone", vm},
+                      {"done", answer.result == store_result::done ? "yes"
+                                                                   : "no"}});
+        if (answer.result == store_result::done)
+        {
+            members_.erase(vm);
+            return; // the rest in the next round
+        }
+    }
+}
+
 bool fleet_agent::take_config(const store_answer& answer)
 {
     for (const auto& row : answer.rows)
@@ -318,33 +481,12 @@
                                       member.row.peer_port())};
             }
         }
-        else if (has_prefix(row.key, group_prefix) && !row.removed)
+        else
         {
-            lead_row lead;
-            lead.version = row.version;
-            if (!lead.lead.ParseFromString(row.value))
-            {
-                lines_.write(journal_level::change, "row_unreadable",
-                             {{"table", fleet_table}, {"key", row.key}});
-                continue;
-            }
-            auto& known = lead_rows_[group_of_key(row.key)];
-            if (lead.version > known.version)
-            {
-                known = lead;
-                proxy_.use_lead(now_(), lead.lead);
-                report_soon();
-            }
+            take_lead_row(row);
         }
     }
     proxy_.use_members(now_(), members_.size());
-    if (members_.count(settings_.vm().name()) == 0 && !leaving_)
-    {
-        registered_ = false;
-        register_self();
-        return false; // read all anew, with the new row in place
-    }
-    proxy_.prove_right(answer.sent);
     return true;
 }
 
@@ -569,14 +711,14 @@
     std::minstd_rand random(static_cast<unsigned>(life_));
     while (!leaving_)
     {
-        if (registered_)
+        if (own_version_ != 0)
         {
             duty_.step(heard_);
         }
         const bool holds = duty_.holds(now_());
         if (holds && !held_duty_)
         {
-            hub_.begin(now_());
+            hub_.begin(duty_.former_end());
             send_views();
         }
         held_duty_ = holds;
@@ -605,6 +747,11 @@
         if (++rounds % rounds_per_deal == 0)
         {
             hub_.deal(now_(), *settings, members_);
+            remove_lapsed();
+        }
+        if (now_() >= contacts_asked_ + removal_interval)
+        {
+            read_contacts();
         }
         for (const auto& [group, ignored] : settings->groups)
         {
@@ -740,7 +887,17 @@
 bool fleet_agent::is_sealed(const proto::GroupLead& lead,
                             std::uint64_t seal_version, moment sealed)
 {
-    return hub_.is_sealed(now_(), lead, seal_version, sealed, members_);
+    if (hub_.is_sealed(now_(), lead, seal_version, sealed, members_,
+                       contacts_))
+    {
+        return true;
+    }
+    if (now_() >= std::max(contacts_asked_, sealed) + contact_interval / 3 &&
+        now_() >= contacts_asked_ + contact_interval)
+    {
+        read_contacts();
+    }
+    return false;
 }
 
 std::vector<backend_server> fleet_agent::servers(const std::string& group)
--- a/tools/daemon/fleet_agent.hpp
+++ b/tools/daemon/fleet_agent.hpp
@@ -65,6 +65,11 @@
     void follow(const char* table, milliseconds wait,
                 const row_handler& handle);
     void register_self();
+    void keep_right();
+    bool renew_right();
+    void take_lead_row(const store_row& row);
+    void read_contacts();
+    void remove_lapsed();
     bool take_config(const store_answer& answer);
     void use_config(const std::string& text);
     bool take_servers(const store_answer& answer, bool whole);
@@ -125,9 +130,16 @@
     boost::asio::steady_timer report_timer_;
     platform::store_client duty_store_;
     platform::store_client lead_store_;
+    platform::store_client right_store_;
     duty_keeper duty_;
     fleet_hub hub_;
     fleet_members members_;
+    fleet_contacts contacts_;
+    moment contacts_asked_{};
+    bool reading_contacts_ = false;
+    std::uint64_t own_version_ = 0;  ///< of this VM's row; 0: not registered
+    milliseconds store_clock_{0};    ///< in the newest answer to a renewal
+    moment store_clock_at_{};        ///< when that renewal was sent
     std::map<std::string, lead_row> lead_rows_;
     std::map<std::string, backend_server> servers_;
     std::map<std::string, moment> misled_since_;
@@ -137,7 +149,6 @@
     http_client_stream duty_stream_;
     std::string config_text_;
     std::uint64_t config_version_ = 0;
-    bool registered_ = false;
     bool held_duty_ = false;
     bool fetching_ = false;
     bool leaving_ = false;
