Keep members in a table that nobody watches; watch long, with nudges

Ruled out: relaying the configuration between VMs (bytes between zones cost more than the calls). Change: member rows carry the renewal of the right; watches wait 15 s, the holder's 2 s, and views tell who is behind; shares last 8 s; a statement without a share is held for up to 300 ms while the fleet has room.

--- a/include/tanagerhoist/fleet/fleet_hub.hpp
+++ b/include/tanagerhoist/fleet/fleet_hub.hpp
@@ -20,23 +20,14 @@
     std::uint64_t version = 0; ///< of the row
 };
 
-/// When a VM last renewed its right, as the store has it.
-struct fleet_contact
+/// The rows of all VMs, and when they were read.
+struct fleet_members
 {
-    proto::ContactRow row;
-    std::uint64_t version = 0; ///< of the row
-};
-
-/// All rows of contact, and the store's clock when they were read.
-struct fleet_contacts
-{
-    std::map<std::string, fleet_contact> rows; ///< by VM
-    milliseconds store_now{0};                 ///< at the least
-    moment read_at{};                          ///< when the read was sent
+    std::map<std::string, fleet_member> rows; ///< by VM
+    milliseconds store_now{0};                ///< the store's clock, at least
+    moment read_at{};                         ///< when the read was sent
 };
 
-using fleet_members = std::map<std::string, fleet_member>; ///< by VM
-
 /// What the holder of the duty knows from the reports of all VMs: which
 /// primaries fail, who has left a sealed one, and who gets which share of the
 /// workspaces' rates.
@@ -58,12 +49,11 @@
     /// @param sealed when that was written
     bool is_sealed(moment now, const proto::GroupLead& lead,
                    std::uint64_t seal_version, moment sealed,
-                   const fleet_members& members,
-                   const fleet_contacts& contacts) const;
+                   const fleet_members& members) const;
 
     /// Registered VMs whose right has ended and that no longer report.
-    std::vector<std::string> lapsed(moment now, const fleet_members& members,
-                                    const fleet_contacts& contacts) const;
+    std::vector<std::string> lapsed(moment now,
+                                    const fleet_members& members) const;
 
     /// Deals out the shares anew; to be called a few times a second.
     void deal(moment now, const session_settings& settings,
@@ -81,6 +71,10 @@
         proto::VmReport report;
         moment heard{};
     };
+    /// Whether a VM that does not report may still use shares.
+    bool may_hold_shares(const fleet_member& member,
+                         milliseconds store_now) const;
+
     struct grant
     {
         std::uint64_t parts = 0;     ///< dealt last
@@ -88,6 +82,11 @@
         std::uint64_t asked = 0;
         moment sent{};
     };
+    struct workspace_grants
+    {
+        std::map<std::string, grant> by_vm;
+        bool exhausted = false;
+    };
     struct position
     {
         proto::PositionSample sample;
@@ -100,7 +99,7 @@
                         const session_workspace& share);
 
     std::map<std::string, vm_state> vms_;
-    std::map<std::string, std::map<std::string, grant>> grants_; ///< by workspace, VM
+    std::map<std::string, workspace_grants> grants_; ///< by workspace
     std::map<std::string, moment> failing_since_; ///< by primary
     std::map<std::string, position> positions_;   ///< by group
     moment former_end_{};
--- a/include/tanagerhoist/session/client_session.hpp
+++ b/include/tanagerhoist/session/client_session.hpp
@@ -27,6 +27,7 @@
 enum class request_stage
 {
     none,    ///< no statement is outstanding
+    held,    ///< until the workspace's share grows
     waiting, ///< for a server
     opening, ///< a connection is being opened for it
     running  ///< a server has it
--- a/include/tanagerhoist/session/primary_right.hpp
+++ b/include/tanagerhoist/session/primary_right.hpp
@@ -8,13 +8,13 @@
 
 /// Longest use of primaries after the last proof. Whoever replaces a primary
 /// waits this long, and `right_slack` more, for a VM that does not answer.
-constexpr milliseconds right_duration{12000};
+constexpr milliseconds right_duration{20000};
 
 /// Covers the drift of clocks.
 constexpr milliseconds right_slack{500};
 
 /// How often a VM renews its right.
-constexpr milliseconds right_renewal{3000};
+constexpr milliseconds right_renewal{7000};
 
 /// A VM's lease on using the primaries that it believes in. It is renewed by
 /// a write to the store that fails if a lead has changed, counted from the
--- a/include/tanagerhoist/session/proxy.hpp
+++ b/include/tanagerhoist/session/proxy.hpp
@@ -46,6 +46,7 @@
     void use_servers(moment now, const server_list& servers);
     void use_members(moment now, std::size_t members);
     void use_lead(moment now, const proto::GroupLead& lead);
+    void use_shares(moment now, const proto::FleetView& view);
     void use_position(moment now, const proto::PositionSample& sample);
     void prove_right(moment sent) { right_.prove(sent); }
     /// @}
@@ -111,8 +112,11 @@
     void set_value(client_session& session);
     bool rename_execute(client_session& session);
     void begin(moment now, session_id id, client_session& session);
+    void open_transaction(session_id id, client_session& session);
     void end_locally(moment now, session_id id, client_session& session);
     bool admit(moment now, session_id id, client_session& session);
+    void refuse_rate(moment now, session_id id, client_session& session);
+    void admit_held(moment now);
     void ask_server(moment now, session_id id, client_session& session);
     void answer_done(session_id id, client_session& session);
     void answer_error(moment now, session_id id, client_session& session,
@@ -197,6 +201,7 @@
     std::unordered_map<std::string, group_state> groups_;
     session_map sessions_;
     std::unordered_map<connection_id, server_connection> connections_;
+    std::vector<session_id> held_; ///< in the order of arrival
     workspace_limits limits_;
     primary_right right_;
     proxy_figures figures_;
--- a/include/tanagerhoist/session/workspace_limits.hpp
+++ b/include/tanagerhoist/session/workspace_limits.hpp
@@ -15,10 +15,10 @@
 
 /// Share of each workspace that is split evenly over the registered VMs, so
 /// that a VM without contact serves on. The rest goes where it is asked for.
-constexpr std::uint64_t even_parts = share_parts * 2 / 5;
+constexpr std::uint64_t even_parts = share_parts / 5;
 
 /// How long a VM uses its share of the rest without hearing of it again.
-constexpr milliseconds share_duration{2500};
+constexpr milliseconds share_duration{8000};
 
 /// How far the fleet may exceed a workspace's limits in one window, as the
 /// operator allows it. It is used for bursts at single VMs, so that a VM that
@@ -46,9 +46,17 @@
     /// Takes over the share of the rest that the duty's holder deals out.
     void use_shares(moment now, const proto::FleetView& view);
 
+    /// Notes that callers of the workspace are here.
+    void expect(const std::string& workspace);
+
     /// Debits one operation.
+    /// @param again whether the operation was refused before
     /// @return false if the workspace's share is used up
-    bool take(moment now, const std::string& workspace);
+    bool take(moment now, const std::string& workspace, bool again = false);
+
+    /// Whether a larger share may come soon, since the fleet as a whole is not
+    /// asked for more than the workspace's rate.
+    bool may_grow(moment now, const std::string& workspace) const;
 
     /// Time until one operation can be debited again.
     milliseconds wait(moment now, const std::string& workspace) const;
@@ -56,6 +64,10 @@
     /// What was asked for since the last call, as operations per second.
     std::vector<proto::WorkspaceDemand> demand(moment now);
 
+    /// Whether operations were refused since the last report, so that the
+    /// shares should move.
+    bool is_short() const { return short_; }
+
     /// Gives back shares that were not confirmed in time.
     void expire(moment now);
 
@@ -66,7 +78,10 @@
         double capacity = 0;     ///< operations at once, of the whole fleet
         std::uint64_t dealt = 0; ///< parts of the rest
         std::uint64_t asked = 0; ///< since the last report
-        double asked_per_s = 0;  ///< smoothed
+        bool exhausted = false;  ///< in the whole fleet
+        moment expected{};       ///< when callers were last here
+        double asked_per_s = 0;  ///< over some seconds
+        double just_asked = 0;   ///< per second, over the last reports
     };
 
     void apply(moment now, allowance& share) const;
@@ -77,6 +92,7 @@
     std::size_t members_ = 1;
     moment dealt_at_{};
     moment reported_{};
+    bool short_ = false;
 };
 
 } // namespace tanagerhoist
--- a/src/fleet/fleet_hub.cpp
+++ b/src/fleet/fleet_hub.cpp
@@ -22,9 +22,13 @@
 /// Time in which a VM that knows of a seal has ended its use of the primary.
 constexpr milliseconds after_news{500};
 
-bool has_lapsed(const fleet_contact& contact, milliseconds store_now)
+/// Age of its row at which a VM that does not report is taken to be gone for
+/// the shares, though not for the primaries.
+constexpr milliseconds silent_row{10000};
+
+bool has_lapsed(const fleet_member& member, milliseconds store_now)
 {
-    return store_now > milliseconds(contact.row.store_ms()) + right_duration +
+    return store_now > milliseconds(member.row.store_ms()) + right_duration +
                            right_slack;
 }
 
@@ -34,6 +38,11 @@
 /// that a caller who comes finds a share.
 constexpr std::uint64_t least_demand = 700;
 
+std::uint64_t weight(std::uint64_t asked)
+{
+    return asked == 0 ? 0 : asked + least_demand;
+}
+
 } // namespace
 
 void fleet_hub::begin(moment former_end)
@@ -49,14 +58,14 @@
     {
         for (auto& [name, grants] : grants_)
         {
-            grants.erase(report.vm()); // a new life has no shares
+            grants.by_vm.erase(report.vm()); // a new life has no shares
         }
     }
     vm.report = report;
     vm.heard = now;
     for (const auto& demand : report.demand())
     {
-        auto& grant = grants_[demand.workspace()][report.vm()];
+        auto& grant = grants_[demand.workspace()].by_vm[report.vm()];
         grant.confirmed = demand.parts();
         grant.asked = demand.asked_per_1000s();
     }
@@ -114,47 +123,42 @@
 
 bool fleet_hub::is_sealed(moment now, const proto::GroupLead& lead,
                           std::uint64_t seal_version, moment sealed,
-                          const fleet_members& members,
-                          const fleet_contacts& contacts) const
+                          const fleet_members& members) const
 {
     if (now >= sealed + right_duration + right_slack)
     {
         return true; // every older right has ended by itself
     }
+    if (members.read_at < sealed)
+    {
+        return false; // a VM may have registered before the seal
+    }
     return std::all_of(
-        members.begin(), members.end(),
+        members.rows.begin(), members.rows.end(),
         [&](const auto& entry)
         {
             const auto& member = entry.second;
-            if (member.version > seal_version || has_acked(lead, member))
+            if (has_acked(lead, member))
             {
                 return true;
             }
-            const auto it = contacts.rows.find(entry.first);
-            if (it == contacts.rows.end() || contacts.read_at < sealed)
-            {
-                return false;
-            }
-            // A renewal after the seal was written by a VM that knew of it.
-            return it->second.version > seal_version
-                       ? now >= contacts.read_at + after_news
-                       : has_lapsed(it->second, contacts.store_now);
+            // A row that is newer than the seal is of a VM that knew of it.
+            return member.version > seal_version
+                       ? now >= members.read_at + after_news
+                       : has_lapsed(member, members.store_now);
         });
 }
 
-std::vector<std::string>
-fleet_hub::lapsed(moment now, const fleet_members& members,
-                  const fleet_contacts& contacts) const
+std::vector<std::string> fleet_hub::lapsed(moment now,
+                                           const fleet_members& members) const
 {
     std::vector<std::string> found;
-    for (const auto& [vm, member] : members)
+    for (const auto& [vm, member] : members.rows)
     {
         const auto report = vms_.find(vm);
         const bool reports = report != vms_.end() &&
                              now < report->second.heard + report_use;
-        const auto it = contacts.rows.find(vm);
-        if (!reports && it != contacts.rows.end() &&
-            has_lapsed(it->second, contacts.store_now))
+        if (!reports && has_lapsed(member, members.store_now))
         {
             found.push_back(vm);
         }
@@ -162,19 +166,28 @@
     return found;
 }
 
+bool fleet_hub::may_hold_shares(const fleet_member& member,
+                                milliseconds store_now) const
+{
+    const auto it = vms_.find(member.row.vm());
+    const bool reports = it != vms_.end() &&
+                         it->second.report.life() == member.row.life();
+    return !reports &&
+           store_now < milliseconds(member.row.store_ms()) + silent_row;
+}
+
 void fleet_hub::deal(moment now, const session_settings& settings,
                      const fleet_members& members)
 {
-    all_reported_ =
-        now >= former_end_ + share_reclaim ||
-        std::all_of(members.begin(), members.end(),
-                    [this](const auto& entry)
-                    {
-                        const auto it = vms_.find(entry.first);
-                        return it != vms_.end() &&
-                               it->second.report.life() ==
-                                   entry.second.row.life();
-                    });
+    const auto store_now =
+        members.store_now +
+        std::chrono::duration_cast<milliseconds>(now - members.read_at);
+    const bool unknown =
+        std::any_of(members.rows.begin(), members.rows.end(),
+                    [&](const auto& entry)
+                    { return may_hold_shares(entry.second, store_now); });
+    all_reported_ = now >= former_end_ + share_reclaim ||
+                    (!members.rows.empty() && !unknown);
     if (!all_reported_)
     {
         return; // a VM not heard from may still use a share
@@ -191,24 +204,29 @@
 void fleet_hub::deal_workspace(moment now, const std::string& workspace,
                                const session_workspace& share)
 {
-    auto& grants = grants_[workspace];
-    std::uint64_t asked = 0; // by all VMs
+    auto& all = grants_[workspace];
+    auto& grants = all.by_vm;
+    std::uint64_t asked = 0; // of all VMs
     std::uint64_t used = 0;
     for (auto it = grants.begin(); it != grants.end();)
     {
         const auto vm = vms_.find(it->first);
-        const bool ended =
-            vm == vms_.end() || now >= vm->second.heard + share_reclaim;
+        const auto& known = it->second;
+        const bool unused =
+            known.asked == 0 && known.parts == 0 && known.confirmed == 0;
+        const bool ended = unused || vm == vms_.end() ||
+                           now >= vm->second.heard + share_reclaim;
         if (ended)
         {
             it = grants.erase(it);
             continue;
         }
-        asked += it->second.asked + least_demand;
+        asked += weight(it->second.asked);
         used += std::max(it->second.parts, it->second.confirmed);
         ++it;
     }
-    static_cast<void>(share);
+    constexpr double per_1000s = 1000;
+    all.exhausted = static_cast<double>(asked) > share.rate * per_1000s;
     if (grants.empty())
     {
         return;
@@ -218,7 +236,7 @@
     for (auto& [vm, grant] : grants)
     {
         const std::uint64_t target =
-            by_demand * (grant.asked + least_demand) / asked;
+            asked == 0 ? 0 : by_demand * weight(grant.asked) / asked;
         const auto held = std::max(grant.parts, grant.confirmed);
         if (target <= held)
         {
@@ -239,12 +257,13 @@
     }
     for (const auto& [workspace, grants] : grants_)
     {
-        const auto it = grants.find(vm);
-        if (it != grants.end())
+        const auto it = grants.by_vm.find(vm);
+        if (it != grants.by_vm.end())
         {
             auto& share = *view.add_shares();
             share.set_workspace(workspace);
             share.set_parts(it->second.parts);
+            share.set_exhausted(grants.exhausted);
         }
     }
 }
--- a/src/session/proxy_sessions.cpp
+++ b/src/session/proxy_sessions.cpp
@@ -15,6 +15,9 @@
 
 constexpr const char* no_signature = "-";
 
+/// Longest time that a statement waits for a larger share.
+constexpr milliseconds longest_hold{300};
+
 bool needs_server(statement_kind kind)
 {
     return kind == statement_kind::read || kind == statement_kind::write ||
@@ -60,6 +63,7 @@
     session.key = key;
     session.last_active = now;
     refresh_route(session);
+    limits_.expect(session.workspace);
     ++figures_.sessions_started;
     outlet_.accept_session(id);
 }
@@ -237,10 +241,14 @@
                      "in a transaction");
         return;
     }
-    if (!admit(now, id, session))
+    if (admit(now, id, session))
     {
-        return;
+        open_transaction(id, session);
     }
+}
+
+void proxy::open_transaction(session_id id, client_session& session)
+{
     session.state = transaction_state::open;
     session.reads_only =
         session.request.what.kind == statement_kind::begin_read;
@@ -282,19 +290,83 @@
     send_next(now, connection_id, connection);
 }
 
-/// Debits the workspace's share, or refuses.
+/// Debits the workspace's share. Otherwise the statement is refused, or held
+/// for a moment if a larger share may come.
 bool proxy::admit(moment now, session_id id, client_session& session)
 {
-    if (session.workspace.empty() || limits_.take(now, session.workspace))
+    const bool again = session.request.stage == request_stage::held;
+    if (session.workspace.empty() ||
+        limits_.take(now, session.workspace, again))
     {
+        session.request.stage = request_stage::waiting;
         return true;
     }
+    if (again)
+    {
+        return false;
+    }
+    if (limits_.may_grow(now, session.workspace))
+    {
+        session.request.stage = request_stage::held;
+        held_.push_back(id);
+        return false;
+    }
+    refuse_rate(now, id, session);
+    return false;
+}
+
+void proxy::refuse_rate(moment now, session_id id, client_session& session)
+{
     const auto wait = limits_.wait(now, session.workspace);
     ++figures_.refusals["over_rate"];
     answer_error(now, id, session, session_error::busy,
                  "over the workspace's rate, not run, retry in " +
                      std::to_string(wait.count()) + " ms");
-    return false;
+}
+
+/// Admits or refuses what was held.
+void proxy::admit_held(moment now)
+{
+    const auto order = std::exchange(held_, {});
+    for (const auto id : order)
+    {
+        const auto it = sessions_.find(id);
+        if (it == sessions_.end() ||
+            it->second.request.stage != request_stage::held)
+        {
+            continue;
+        }
+        auto& session = it->second;
+        const bool over = now >= session.request.arrived + longest_hold;
+        if (admit(now, id, session))
+        {
+            const auto kind = session.request.what.kind;
+            const bool begins = kind == statement_kind::begin ||
+                                kind == statement_kind::begin_read;
+            if (begins)
+            {
+                open_transaction(id, session);
+            }
+            else
+            {
+                ask_server(now, id, session);
+            }
+        }
+        else if (over || !limits_.may_grow(now, session.workspace))
+        {
+            refuse_rate(now, id, session);
+        }
+        else
+        {
+            held_.push_back(id);
+        }
+    }
+}
+
+void proxy::use_shares(moment now, const proto::FleetView& view)
+{
+    limits_.use_shares(now, view);
+    admit_held(now);
 }
 
 void proxy::ask_server(moment now, session_id id, client_session& session)
--- a/src/session/proxy_time.cpp
+++ b/src/session/proxy_time.cpp
@@ -84,8 +84,8 @@
     for (const auto id : ended)
     {
         auto& session = sessions_.at(id);
-        if (session.request.stage == request_stage::waiting ||
-            session.request.stage == request_stage::opening)
+        const auto stage = session.request.stage;
+        if (stage != request_stage::none && stage != request_stage::running)
         {
             refuse_waiting(now, id, session, session_error::no_key,
                            "taken away, not run");
@@ -310,6 +310,7 @@
 void proxy::tick(moment now)
 {
     expire_requests(now);
+    admit_held(now);
     watch_silence(now);
     finish_seals(now);
     for (auto& [name, group] : groups_)
--- a/src/session/workspace_limits.cpp
+++ b/src/session/workspace_limits.cpp
@@ -8,7 +8,10 @@
 namespace
 {
 
-constexpr double demand_memory_s = 2.0; // time constant of the demand
+// Time constants of the demand: the longer keeps the share of callers who
+// pause, the shorter gives one to those who come.
+constexpr double demand_memory_s = 2.0;
+constexpr double short_memory_s = 0.4;
 constexpr milliseconds longest_wait{2000};
 
 /// Part of the tolerated excess that is handed out; the rest covers what is on
@@ -18,6 +21,15 @@
 /// Part of the operations at once that is split evenly over the VMs.
 constexpr double even_capacity = 0.5;
 
+/// VMs up to which each may hold one operation of any workspace unasked.
+constexpr std::size_t few_members = 12;
+
+/// How long a VM whose callers have gone asks for a share.
+constexpr milliseconds expectation{5000};
+
+/// News of the shares younger than this shows that a holder is there.
+constexpr milliseconds fresh_news{1200};
+
 /// Part of its capacity that a VM starts with where others, or an earlier
 /// life, may just have used theirs.
 constexpr double restart_fill = 0.2;
@@ -38,7 +50,9 @@
                          static_cast<double>(share_parts - even_parts);
     const double part = even_capacity / static_cast<double>(members) +
                         (1 - even_capacity) * dealt;
-    const double capacity = std::max(1.0, share.capacity * part);
+    const bool whole = share.dealt != 0 || members <= few_members;
+    const double capacity =
+        std::max(whole ? 1.0 : 0.0, share.capacity * part);
     share.bucket.use_least_capacity(
         static_cast<std::uint64_t>(capacity * token_unit));
     share.bucket.use_parts(now, even + share.dealt);
@@ -96,7 +110,12 @@
     for (const auto& given : view.shares())
     {
         const auto it = shares_.find(given.workspace());
-        if (it != shares_.end() && it->second.dealt != given.parts())
+        if (it == shares_.end())
+        {
+            continue;
+        }
+        it->second.exhausted = given.exhausted();
+        if (it->second.dealt != given.parts())
         {
             it->second.dealt = given.parts();
             apply(now, it->second);
@@ -120,7 +139,25 @@
     }
 }
 
-bool workspace_limits::take(moment now, const std::string& workspace)
+void workspace_limits::expect(const std::string& workspace)
+{
+    const auto it = shares_.find(workspace);
+    if (it != shares_.end())
+    {
+        it->second.expected = reported_;
+        short_ = short_ || it->second.dealt == 0;
+    }
+}
+
+bool workspace_limits::may_grow(moment now, const std::string& workspace) const
+{
+    const auto it = shares_.find(workspace);
+    return it != shares_.end() && !it->second.exhausted &&
+           now < dealt_at_ + fresh_news;
+}
+
+bool workspace_limits::take(moment now, const std::string& workspace,
+                            bool again)
 {
     const auto it = shares_.find(workspace);
     if (it == shares_.end())
@@ -128,8 +165,11 @@
         return false;
     }
     expire(now);
-    ++it->second.asked;
-    return it->second.bucket.take(now, token_unit);
+    it->second.asked += again ? 0 : 1;
+    it->second.expected = now;
+    const bool taken = it->second.bucket.take(now, token_unit);
+    short_ = short_ || !taken;
+    return taken;
 }
 
 milliseconds workspace_limits::wait(moment now,
@@ -146,6 +186,7 @@
     const double seconds =
         std::chrono::duration<double>(now - reported_).count();
     reported_ = now;
+    short_ = false;
     std::vector<proto::WorkspaceDemand> told;
     for (auto& [name, share] : shares_)
     {
@@ -155,12 +196,21 @@
         share.asked_per_s +=
             std::min(1.0, seconds / demand_memory_s) *
             (rate - share.asked_per_s);
+        share.just_asked += std::min(1.0, seconds / short_memory_s) *
+                            (rate - share.just_asked);
+        const double told_rate =
+            std::max(share.asked_per_s, share.just_asked);
         proto::WorkspaceDemand entry;
         entry.set_workspace(name);
-        entry.set_asked_per_1000s(static_cast<std::uint64_t>(
-            std::ceil(share.asked_per_s * 1000)));
+        const bool expects =
+            share.expected != moment{} && now < share.expected + expectation;
+        // Zero gives the share back.
+        entry.set_asked_per_1000s(
+            expects ? static_cast<std::uint64_t>(
+                          std::ceil(told_rate * 1000)) + 1
+                    : 0);
         entry.set_parts(share.dealt);
-        if (entry.asked_per_1000s() != 0 || entry.parts() != 0)
+        if (expects || entry.parts() != 0)
         {
             told.push_back(std::move(entry));
         }
--- a/tools/daemon/fleet_agent.cpp
+++ b/tools/daemon/fleet_agent.cpp
@@ -21,21 +21,35 @@
 using boost::system::error_code;
 
 constexpr const char* fleet_table = "fleet";
-constexpr const char* contact_table = "contact";
-constexpr const char* vm_prefix = "vm.";
+constexpr const char* member_table = "members";
 constexpr const char* group_prefix = "db.";
 
+// The duty's holder notices soon that a watch has gone silent; the others learn
+// of news from it.
 constexpr milliseconds config_wait{2000};
-constexpr milliseconds server_wait{4000};
-constexpr milliseconds fleet_wait{8000}; // datagrams bring news before
-constexpr milliseconds contact_interval{500}; // while a seal is waited for
+constexpr milliseconds server_wait{3000};
+constexpr milliseconds others_wait{15000};
+
+/// Changes that come close together are read at once.
+constexpr milliseconds batching{200};
+
+constexpr milliseconds members_interval{500}; // while a seal is waited for
 constexpr milliseconds removal_interval{5000};
 
+/// How long this VM's own watch, and then a nudged one, has to bring what the
+/// holder has seen.
+constexpr milliseconds own_watch_time{600};
+constexpr milliseconds own_nudge_time{1100};
+
+/// Without news from the holder, this VM asks the store itself about leads.
+constexpr milliseconds lonely_renewal{1000};
+
 /// Rows that one transaction may have conditions on.
 constexpr std::size_t transaction_rows = 90;
 constexpr milliseconds first_store_retry{100};
 constexpr milliseconds longest_store_retry{800};
 constexpr milliseconds report_interval{400};
+constexpr milliseconds hurried_interval{80}; // while something depends on it
 constexpr milliseconds watch_interval{100};
 constexpr milliseconds look_interval{300};
 constexpr milliseconds control_timeout{350};
@@ -88,6 +102,14 @@
                   static_cast<std::uint16_t>(
                       settings.sessions().peer_port()))),
       report_timer_(context),
+      config_watch_{platform::operator_table, config_wait,
+                    [this](const store_answer& answer, bool)
+                    { return take_config(answer); },
+                    make_client()},
+      server_watch_{platform::server_table, server_wait,
+                    [this](const store_answer& answer, bool whole)
+                    { return take_servers(answer, whole); },
+                    make_client()},
       duty_store_(make_client()),
       lead_store_(make_client()),
       right_store_(make_client()),
@@ -96,7 +118,7 @@
 {
 }
 
-platform::store_client fleet_agent::make_client()
+platform::store_client fleet_agent::make_client() const
 {
     return {context_, store_.address, store_.port, now_};
 }
@@ -129,27 +151,8 @@
 void fleet_agent::start()
 {
     receive();
-    run_fiber(
-        [this]
-        {
-            follow(platform::operator_table, config_wait,
-                   [this](const store_answer& answer, bool)
-                   { return take_config(answer); });
-        });
-    run_fiber(
-        [this]
-        {
-            follow(platform::server_table, server_wait,
-                   [this](const store_answer& answer, bool whole)
-                   { return take_servers(answer, whole); });
-        });
-    run_fiber(
-        [this]
-        {
-            follow(fleet_table, fleet_wait,
-                   [this](const store_answer& answer, bool whole)
-                   { return take_fleet(answer, whole); });
-        });
+    run_fiber([this] { follow(config_watch_); });
+    run_fiber([this] { follow(server_watch_); });
     run_fiber([this] { keep_right(); });
     run_fiber([this] { keep_duty(); });
     run_fiber([this] { watch_groups(); });
@@ -158,11 +161,21 @@
 
 // ---- following the store --------------------------------------------------
 
+store_answer fleet_agent::next_answer(table_watch& watch, bool known,
+                                      std::uint64_t version, bool at_once)
+{
+    if (!known)
+    {
+        return watch.client.read(watch.table, "");
+    }
+    const auto wait = holds_duty() ? watch.holder_wait : others_wait;
+    return watch.client.watch(watch.table, version,
+                              at_once ? milliseconds(0) : wait);
+}
+
 /// Reads a table and follows its changes for as long as the process lives.
-void fleet_agent::follow(const char* table, milliseconds wait,
-                         const row_handler& handle)
+void fleet_agent::follow(table_watch& watch)
 {
-    auto store = make_client();
     std::uint64_t version = 0;
     bool known = false;
     bool lost = false;
@@ -171,26 +184,35 @@
     {
         const bool whole = !known;
         // The first call after a failure does not wait, to catch up at once.
-        const auto answer =
-            known ? store.watch(table, version, lost ? milliseconds(0) : wait)
-                  : store.read(table, "");
+        const bool at_once = lost || watch.nudged;
+        watch.nudged = false;
+        const auto answer = next_answer(watch, known, version, at_once);
         if (answer.result == store_result::done)
         {
             if (lost)
             {
                 lines_.write(journal_level::change, "store_regained",
-                             {{"table", table}});
+                             {{"table", watch.table}});
             }
             lost = false;
             retry = first_store_retry;
-            known = handle(answer, whole);
+            for (const auto& row : answer.rows)
+            {
+                watch.newest = std::max(watch.newest, row.version);
+            }
+            known = watch.handle(answer, whole);
             version = std::max(version, answer.version);
+            pause(answer.rows.empty() ? milliseconds(0) : batching);
             continue;
         }
+        if (watch.nudged)
+        {
+            continue; // ended on purpose
+        }
         if (answer.result == store_result::compacted)
         {
             lines_.write(journal_level::change, "store_history_gone",
-                         {{"table", table}});
+                         {{"table", watch.table}});
             known = false;
             continue;
         }
@@ -198,7 +220,7 @@
         {
             lines_.write(
                 journal_level::change, "store_lost",
-                {{"table", table},
+                {{"table", watch.table},
                  {"cause", answer.result == store_result::refused
                                ? "refused"
                            : answer.result == store_result::malformed
@@ -211,34 +233,46 @@
     }
 }
 
-/// Writes this VM's row, so that whoever seals a primary waits for this VM.
+/// Makes a watch look at once, since a peer has seen more.
+void fleet_agent::nudge(table_watch& watch)
+{
+    if (!watch.nudged)
+    {
+        watch.nudged = true;
+        watch.client.cancel();
+    }
+}
+
+/// The store's clock now, at the latest that it can be.
+std::uint64_t fleet_agent::store_time() const
+{
+    return static_cast<std::uint64_t>(store_clock_.count()) +
+           to_ms(now_() - store_clock_at_) + 1;
+}
+
+/// Learns who leads and who is there, so that this VM can register.
 void fleet_agent::register_self()
 {
-    const auto row = self_row();
-    store_transaction change;
-    change.puts.push_back({fleet_table, vm_prefix + row.vm(),
-                           row.SerializeAsString(), 0, false});
-    const auto answer = right_store_.write(change);
-    if (answer.result != store_result::done)
+    const auto leads = right_store_.read(fleet_table, "");
+    if (leads.result != store_result::done)
     {
         return; // tried again soon
     }
-    own_version_ = answer.version;
-    store_clock_ = answer.now;
-    store_clock_at_ = answer.sent;
-    // What was sealed before this row was there must be known first.
-    const auto read = right_store_.read(fleet_table, group_prefix);
-    if (read.result != store_result::done)
+    for (const auto& row : leads.rows)
     {
-        own_version_ = 0;
-        return;
+        take_lead_row(row);
     }
-    for (const auto& lead : read.rows)
+    const auto members = right_store_.read(member_table, "");
+    if (members.result != store_result::done)
     {
-        take_lead_row(lead);
+        return;
     }
-    lines_.write(journal_level::change, "registered",
-                 {{"life", std::to_string(life_)}});
+    take_members(members);
+    store_clock_ = members.now;
+    store_clock_at_ = members.sent;
+    const auto own = members_.rows.find(settings_.vm().name());
+    own_version_ = own == members_.rows.end() ? 0 : own->second.version;
+    known_ = true;
 }
 
 /// Registers this VM and renews its right to use primaries.
@@ -247,14 +281,20 @@
     auto retry = first_store_retry;
     while (!leaving_)
     {
-        if (own_version_ == 0)
+        if (!known_)
         {
             register_self();
         }
-        if (own_version_ != 0 && renew_right())
+        if (known_ && renew_right())
         {
             retry = first_store_retry;
-            pause(right_renewal);
+            const auto renewed = now_();
+            while (!leaving_ && now_() < renewed + right_renewal &&
+                   (now_() < heard_ + duty_silence ||
+                    now_() < renewed + lonely_renewal))
+            {
+                pause(lonely_renewal);
+            }
             continue;
         }
         pause(retry);
@@ -262,17 +302,13 @@
     }
 }
 
-/// Writes this VM's contact if no lead that it knows has changed.
+/// Writes this VM's row if no lead that it knows has changed.
 bool fleet_agent::renew_right()
 {
-    proto::ContactRow contact;
-    contact.set_life(life_);
-    contact.set_store_ms(static_cast<std::uint64_t>(store_clock_.count()) +
-                         to_ms(now_() - store_clock_at_) + 1);
-    const auto vm = settings_.vm().name();
+    auto row = self_row();
+    row.set_store_ms(store_time());
     store_transaction change;
-    change.expected.push_back(
-        {fleet_table, vm_prefix + vm, "", own_version_, false});
+    change.expected.push_back({member_table, row.vm(), "", own_version_, false});
     for (const auto& [group, lead] : lead_rows_)
     {
         if (change.expected.size() < transaction_rows)
@@ -282,10 +318,17 @@
         }
     }
     change.puts.push_back(
-        {contact_table, vm, contact.SerializeAsString(), 0, false});
+        {member_table, row.vm(), row.SerializeAsString(), 0, false});
     const auto answer = right_store_.write(change);
     if (answer.result == store_result::done)
     {
+        if (!registered_)
+        {
+            registered_ = true;
+            lines_.write(journal_level::change, "registered",
+                         {{"life", std::to_string(life_)}});
+        }
+        own_version_ = answer.version;
         store_clock_ = answer.now;
         store_clock_at_ = answer.sent;
         proxy_.prove_right(answer.sent);
@@ -293,14 +336,14 @@
     }
     if (answer.result == store_result::conflict)
     {
-        bool own_row = false;
-        for (const auto& row : answer.rows)
+        for (const auto& current : answer.rows)
         {
-            own_row = own_row || (row.key == vm_prefix + vm &&
-                                  row.version == own_version_);
-            take_lead_row(row);
+            if (current.table == member_table)
+            {
+                own_version_ = current.version; // a late write, or removed
+            }
+            take_lead_row(current);
         }
-        own_version_ = own_row ? own_version_ : 0;
     }
     return false;
 }
@@ -329,61 +372,72 @@
     }
 }
 
-/// Reads when each VM last renewed its right.
-void fleet_agent::read_contacts()
+/// Reads the rows of all VMs.
+void fleet_agent::read_members()
 {
-    if (reading_contacts_)
+    if (reading_members_)
     {
         return;
     }
-    reading_contacts_ = true;
-    contacts_asked_ = now_();
+    reading_members_ = true;
+    members_asked_ = now_();
     run_fiber(
         [this]
         {
             auto store = make_client();
-            const auto answer = store.read(contact_table, "");
+            const auto answer = store.read(member_table, "");
             if (answer.result == store_result::done)
             {
-                contacts_.rows.clear();
-                contacts_.store_now = answer.now;
-                contacts_.read_at = answer.sent;
-                for (const auto& row : answer.rows)
-                {
-                    fleet_contact contact;
-                    contact.version = row.version;
-                    if (contact.row.ParseFromString(row.value))
-                    {
-                        contacts_.rows[row.key] = contact;
-                    }
-                }
+                take_members(answer);
             }
-            reading_contacts_ = false;
+            reading_members_ = false;
         });
 }
 
+void fleet_agent::take_members(const store_answer& answer)
+{
+    members_.rows.clear();
+    members_.store_now = answer.now;
+    members_.read_at = answer.sent;
+    for (const auto& row : answer.rows)
+    {
+        fleet_member member;
+        member.version = row.version;
+        if (!member.row.ParseFromString(row.value))
+        {
+            lines_.write(journal_level::change, "row_unreadable",
+                         {{"table", member_table}, {"key", row.key}});
+            continue;
+        }
+        members_.rows[row.key] = member;
+        error_code error;
+        const auto ip = asio::ip::make_address(member.row.address(), error);
+        if (!error)
+        {
+            peers_[row.key] = {
+                ip, static_cast<std::uint16_t>(member.row.peer_port())};
+        }
+    }
+    const std::size_t others =
+        members_.rows.size() - members_.rows.count(settings_.vm().name());
+    proxy_.use_members(now_(), others + 1);
+}
+
 /// Takes out the rows of VMs that are gone, so that nobody waits for them.
 void fleet_agent::remove_lapsed()
 {
-    for (const auto& vm : hub_.lapsed(now_(), members_, contacts_))
+    for (const auto& vm : hub_.lapsed(now_(), members_))
     {
         store_transaction change;
         change.expected.push_back(
-            {fleet_table, vm_prefix + vm, "", members_.at(vm).version, false});
-        change.expected.push_back(
-            {contact_table, vm, "", contacts_.rows.at(vm).version, false});
-        change.removals.push_back({fleet_table, vm_prefix + vm, "", 0, false});
-        change.removals.push_back({contact_table, vm, "", 0, false});
+            {member_table, vm, "", members_.rows.at(vm).version, false});
+        change.removals.push_back({member_table, vm, "", 0, false});
         const auto answer = lead_store_.write(change);
+        const bool done = answer.result == store_result::done;
         lines_.write(journal_level::change, "vm_removed",
-                     {{"gone", vm},
-                      {"done", answer.result == store_result::done ? "yes"
-                                                                   : "no"}});
-        if (answer.result == store_result::done)
-        {
-            members_.erase(vm);
-            return; // the rest in the next round
-        }
+                     {{"gone", vm}, {"done", done ? "yes" : "no"}});
+        members_.rows.erase(vm); // if not done, the next read brings it back
+        return;                  // the rest in the next round
     }
 }
 
@@ -417,10 +471,6 @@
     config_version_ = settings->version;
     config_text_ = text;
     proxy_.use_settings(now_(), std::move(settings));
-    if (duty_.holds(now_()))
-    {
-        send_views();
-    }
 }
 
 bool fleet_agent::take_servers(const store_answer& answer, bool whole)
@@ -452,44 +502,6 @@
     return true;
 }
 
-bool fleet_agent::take_fleet(const store_answer& answer, bool whole)
-{
-    if (whole)
-    {
-        members_.clear();
-    }
-    for (const auto& row : answer.rows)
-    {
-        if (has_prefix(row.key, vm_prefix))
-        {
-            const auto vm = row.key.substr(
-                std::char_traits<char>::length(vm_prefix));
-            fleet_member member;
-            member.version = row.version;
-            if (row.removed || !member.row.ParseFromString(row.value))
-            {
-                members_.erase(vm);
-                continue;
-            }
-            members_[vm] = member;
-            error_code error;
-            const auto ip =
-                asio::ip::make_address(member.row.address(), error);
-            if (!error)
-            {
-                peers_[vm] = {ip, static_cast<std::uint16_t>(
-                                      member.row.peer_port())};
-            }
-        }
-        else
-        {
-            take_lead_row(row);
-        }
-    }
-    proxy_.use_members(now_(), members_.size());
-    return true;
-}
-
 /// Fetches newer settings from a peer, for a VM that the store turns away.
 void fleet_agent::fetch_config(const std::string& address, std::uint16_t port)
 {
@@ -578,7 +590,11 @@
                   it->second.epoch() < lead.epoch();
         proxy_.use_lead(now, lead);
     }
-    proxy_.limits().use_shares(now, view);
+    if (view.members() != 0)
+    {
+        proxy_.use_members(now, view.members());
+    }
+    proxy_.use_shares(now, view);
     for (const auto& sample : view.positions())
     {
         proxy_.use_position(now, sample);
@@ -587,11 +603,37 @@
     {
         report_soon();
     }
-    if (view.settings_version() > config_version_ &&
-        view.holder() != settings_.vm().name())
+    if (view.holder() == settings_.vm().name())
     {
-        fetch_config(holder_at_.address().to_string(), holder_at_.port());
+        return;
+    }
+    if (is_behind(view.servers_version() > server_watch_.newest,
+                  servers_behind_, own_watch_time))
+    {
+        nudge(server_watch_);
+    }
+    const bool behind = view.settings_version() > config_version_;
+    if (is_behind(behind, config_behind_, own_watch_time))
+    {
+        nudge(config_watch_);
+        if (is_behind(behind, config_behind_, own_nudge_time))
+        {
+            fetch_config(holder_at_.address().to_string(), holder_at_.port());
+        }
+    }
+}
+
+/// Whether something has been missing for `time`.
+bool fleet_agent::is_behind(bool missing, std::optional<moment>& since,
+                            milliseconds time)
+{
+    if (!missing)
+    {
+        since.reset();
+        return false;
     }
+    since = since.value_or(now_());
+    return now_() >= *since + time;
 }
 
 proto::FleetView fleet_agent::view_for(const std::string& vm)
@@ -601,6 +643,8 @@
     view.set_token(duty_.row().token());
     view.set_sequence(++view_sequence_);
     view.set_settings_version(config_version_);
+    view.set_servers_version(server_watch_.newest);
+    view.set_members(members_.rows.size());
     for (const auto& [group, row] : lead_rows_)
     {
         *view.add_leads() = row.lead;
@@ -631,7 +675,7 @@
 
 void fleet_agent::send_views()
 {
-    for (const auto& [vm, member] : members_)
+    for (const auto& [vm, member] : members_.rows)
     {
         send_view(vm);
     }
@@ -686,14 +730,15 @@
 
 void fleet_agent::report_regularly()
 {
+    const bool was_short = proxy_.limits().is_short();
     send_report();
     bool sealed = false;
     for (const auto& [group, lead] : proxy_.leads())
     {
         sealed = sealed || lead.sealed();
     }
-    report_timer_.expires_after(sealed ? report_interval / 8
-                                       : report_interval);
+    const bool hurry = sealed || was_short;
+    report_timer_.expires_after(hurry ? hurried_interval : report_interval);
     report_timer_.async_wait(
         [this](error_code error)
         {
@@ -711,7 +756,7 @@
     std::minstd_rand random(static_cast<unsigned>(life_));
     while (!leaving_)
     {
-        if (own_version_ != 0)
+        if (registered_)
         {
             duty_.step(heard_);
         }
@@ -719,6 +764,9 @@
         if (holds && !held_duty_)
         {
             hub_.begin(duty_.former_end());
+            read_members();
+            nudge(config_watch_);
+            nudge(server_watch_);
             send_views();
         }
         held_duty_ = holds;
@@ -743,15 +791,15 @@
         {
             continue;
         }
-        constexpr int rounds_per_deal = 4;
+        constexpr int rounds_per_deal = 2;
         if (++rounds % rounds_per_deal == 0)
         {
             hub_.deal(now_(), *settings, members_);
             remove_lapsed();
         }
-        if (now_() >= contacts_asked_ + removal_interval)
+        if (now_() >= members_asked_ + removal_interval)
         {
-            read_contacts();
+            read_members();
         }
         for (const auto& [group, ignored] : settings->groups)
         {
@@ -887,15 +935,15 @@
 bool fleet_agent::is_sealed(const proto::GroupLead& lead,
                             std::uint64_t seal_version, moment sealed)
 {
-    if (hub_.is_sealed(now_(), lead, seal_version, sealed, members_,
-                       contacts_))
+    if (hub_.is_sealed(now_(), lead, seal_version, sealed, members_))
     {
         return true;
     }
-    if (now_() >= std::max(contacts_asked_, sealed) + contact_interval / 3 &&
-        now_() >= contacts_asked_ + contact_interval)
+    const auto interval =
+        members_.read_at < sealed ? members_interval / 4 : members_interval;
+    if (members_asked_ < sealed || now_() >= members_asked_ + interval)
     {
-        read_contacts();
+        read_members();
     }
     return false;
 }
@@ -967,7 +1015,7 @@
     duty_.resign();
     store_transaction change;
     change.removals.push_back(
-        {fleet_table, vm_prefix + settings_.vm().name(), "", 0, false});
+        {member_table, settings_.vm().name(), "", 0, false});
     const auto answer = lead_store_.write(change);
     lines_.write(journal_level::change, "left",
                  {{"row_removed",
--- a/tools/daemon/fleet_agent.hpp
+++ b/tools/daemon/fleet_agent.hpp
@@ -19,6 +19,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -62,18 +63,30 @@
     using row_handler = std::function<bool(const store_answer&, bool whole)>;
 
     // Following the store
-    void follow(const char* table, milliseconds wait,
-                const row_handler& handle);
+    struct table_watch
+    {
+        const char* table;
+        milliseconds holder_wait; ///< of a call, by the duty's holder
+        row_handler handle;
+        platform::store_client client;
+        std::uint64_t newest = 0; ///< version of the newest row seen
+        bool nudged = false;      ///< a peer has seen a newer row
+    };
+    void follow(table_watch& watch);
+    void nudge(table_watch& watch);
+    store_answer next_answer(table_watch& watch, bool known,
+                             std::uint64_t version, bool at_once);
     void register_self();
     void keep_right();
     bool renew_right();
     void take_lead_row(const store_row& row);
-    void read_contacts();
+    void read_members();
+    void take_members(const store_answer& answer);
+    std::uint64_t store_time() const;
     void remove_lapsed();
     bool take_config(const store_answer& answer);
     void use_config(const std::string& text);
     bool take_servers(const store_answer& answer, bool whole);
-    bool take_fleet(const store_answer& answer, bool whole);
     void fetch_config(const std::string& address, std::uint16_t port);
 
     // Datagrams
@@ -83,6 +96,8 @@
     void send_report();
     void send_view(const std::string& vm);
     void send_views();
+    bool is_behind(bool missing, std::optional<moment>& since,
+                   milliseconds time);
     proto::FleetView view_for(const std::string& vm);
     void report_regularly();
 
@@ -112,7 +127,7 @@
     std::optional<server_role> ask(const backend_server& server,
                                    const std::string& line);
 
-    platform::store_client make_client();
+    platform::store_client make_client() const;
     proto::MemberRow self_row() const;
     void run_fiber(std::function<void()> body);
 
@@ -128,16 +143,19 @@
     boost::asio::ip::udp::endpoint sender_;
     std::array<char, 65536> datagram_{};
     boost::asio::steady_timer report_timer_;
+    table_watch config_watch_;
+    table_watch server_watch_;
     platform::store_client duty_store_;
     platform::store_client lead_store_;
     platform::store_client right_store_;
     duty_keeper duty_;
     fleet_hub hub_;
     fleet_members members_;
-    fleet_contacts contacts_;
-    moment contacts_asked_{};
-    bool reading_contacts_ = false;
-    std::uint64_t own_version_ = 0;  ///< of this VM's row; 0: not registered
+    moment members_asked_{};
+    bool reading_members_ = false;
+    std::uint64_t own_version_ = 0;  ///< of this VM's row; 0: there is none
+    bool known_ = false;      ///< the leads and members have been read
+    bool registered_ = false; ///< this life has written its row
     milliseconds store_clock_{0};    ///< in the newest answer to a renewal
     moment store_clock_at_{};        ///< when that renewal was sent
     std::map<std::string, lead_row> lead_rows_;
@@ -151,6 +169,8 @@
     std::uint64_t config_version_ = 0;
     bool held_duty_ = false;
     bool fetching_ = false;
+    std::optional<moment> servers_behind_; ///< since when
+    std::optional<moment> config_behind_;
     bool leaving_ = false;
     moment heard_{};           ///< from the duty's holder
     std::string holder_;       ///< as last heard
