Grant operations that are used once, in place of lapsing shares

Change: the holder grants operations from one bucket a workspace; VMs keep a stock for 2.5 s, bounded by the number of holders, return what is not wanted, and ask at once when a statement waits; a holder that resigns leaves its balance in the duty's row.

--- a/include/tanagerhoist/decision/token_bucket.hpp
+++ b/include/tanagerhoist/decision/token_bucket.hpp
@@ -39,6 +39,9 @@
     /// Credits up to the capacity.
     void add(moment now, std::uint64_t amount);
 
+    /// Drops all tokens.
+    void clear() { tokens_ = 0; }
+
     std::uint64_t tokens(moment now) const;
     std::uint64_t capacity() const;
 
--- a/include/tanagerhoist/fleet/duty_keeper.hpp
+++ b/include/tanagerhoist/fleet/duty_keeper.hpp
@@ -9,20 +9,21 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <vector>
 
 namespace tanagerhoist
 {
 
 /// How long the duty stays with its holder after a renewal.
-constexpr milliseconds duty_lease{4000};
+constexpr milliseconds duty_lease{2800};
 
 /// How long before the end of its lease the holder stops to act.
-constexpr milliseconds duty_margin{800};
+constexpr milliseconds duty_margin{600};
 
-constexpr milliseconds duty_renewal{1200};
+constexpr milliseconds duty_renewal{900};
 
 /// A VM without news from the holder for this long looks at the duty's row.
-constexpr milliseconds duty_silence{1500};
+constexpr milliseconds duty_silence{1200};
 
 /// One VM's side of the duty, which at most one VM holds at a time. The row in
 /// the store carries holder, fencing token and the time of its renewal on the
@@ -44,11 +45,15 @@
     /// The duty as last read or written.
     const proto::DutyRow& row() const { return row_; }
 
-    /// When the former holder may have acted for the last time.
+    /// When the former holder granted for the last time, at the latest.
     moment former_end() const { return former_end_; }
 
+    /// What the former holder had left, if it gave the duty back.
+    const proto::DutyRow& former() const { return former_; }
+
     /// Gives the duty back, so that the next holder need not wait.
-    void resign();
+    /// @param left what the holder had left to grant
+    void resign(const std::vector<proto::WorkspaceBalance>& left);
 
 private:
     void renew();
@@ -66,9 +71,10 @@
     journal& lines_;
     moment started_; ///< no earlier life of this VM acts after it
     proto::DutyRow row_;
+    proto::DutyRow former_;
+    moment former_end_{};
     std::uint64_t version_ = 0;
     moment held_until_{};
-    moment former_end_{};
     bool holding_ = false;
     milliseconds store_clock_{0}; ///< of the newest answer
     moment store_clock_at_{};     ///< when that call was sent
--- a/include/tanagerhoist/fleet/fleet_hub.hpp
+++ b/include/tanagerhoist/fleet/fleet_hub.hpp
@@ -3,7 +3,9 @@
 
 #include "fleet.pb.h"
 #include "tanagerhoist/core/time.hpp"
+#include "tanagerhoist/decision/token_bucket.hpp"
 #include "tanagerhoist/session/session_settings.hpp"
+#include "tanagerhoist/session/workspace_limits.hpp"
 
 #include <cstdint>
 #include <map>
@@ -29,17 +31,29 @@
 };
 
 /// What the holder of the duty knows from the reports of all VMs: which
-/// primaries fail, who has left a sealed one, and who gets which share of the
-/// workspaces' rates.
+/// primaries fail, who has left a sealed one, and what each VM may admit of
+/// the workspaces' rates.
 class fleet_hub
 {
 public:
+    /// @param fresh whether the fleet starts for the first time, so that no
+    ///   operation was granted before
+    fleet_hub(limit_tolerance tolerance, bool fresh);
+
     /// Forgets everything; to be called when the duty was taken.
-    /// @param former_end when the former holder's last word may have been
-    void begin(moment former_end);
+    /// @param former_end when the former holder granted for the last time
+    /// @param former its row, with what it had left
+    void begin(moment former_end, const proto::DutyRow& former);
+
+    /// What is left to grant.
+    std::vector<proto::WorkspaceBalance> balances(moment now) const;
 
     void take_report(moment now, const proto::VmReport& report);
 
+    /// Grants a VM what its last report wants, as far as the limits allow.
+    void grant(moment now, const session_settings& settings,
+               const std::string& vm, proto::FleetView& view);
+
     /// Whether more VMs lack a primary than reach it, and have for a while.
     bool is_lost(moment now, const std::string& primary);
 
@@ -55,13 +69,6 @@
     std::vector<std::string> lapsed(moment now,
                                     const fleet_members& members) const;
 
-    /// Deals out the shares anew; to be called a few times a second.
-    void deal(moment now, const session_settings& settings,
-              const fleet_members& members);
-
-    /// Adds a VM's shares to what it is told.
-    void add_shares(const std::string& vm, proto::FleetView& view) const;
-
     /// The newest positions that any VM told, with their present age.
     void add_positions(moment now, proto::FleetView& view) const;
 
@@ -71,21 +78,13 @@
         proto::VmReport report;
         moment heard{};
     };
-    /// Whether a VM that does not report may still use shares.
-    bool may_hold_shares(const fleet_member& member,
-                         milliseconds store_now) const;
-
-    struct grant
-    {
-        std::uint64_t parts = 0;     ///< dealt last
-        std::uint64_t confirmed = 0; ///< what the VM says that it uses
-        std::uint64_t asked = 0;
-        moment sent{};
-    };
-    struct workspace_grants
+    /// What is left of a workspace's limits, and what VMs hold of it.
+    struct workspace_account
     {
-        std::map<std::string, grant> by_vm;
-        bool exhausted = false;
+        token_bucket left;
+        std::uint64_t capacity = 0; ///< of `left` and all stocks together
+        std::map<std::string, std::uint64_t> stocks; ///< by VM
+        bool known = false;
     };
     struct position
     {
@@ -95,15 +94,17 @@
 
     bool has_acked(const proto::GroupLead& lead,
                    const fleet_member& member) const;
-    void deal_workspace(moment now, const std::string& workspace,
-                        const session_workspace& share);
+    workspace_account& account(moment now, const std::string& workspace,
+                               const session_workspace& limits);
 
-    std::map<std::string, vm_state> vms_;
-    std::map<std::string, workspace_grants> grants_; ///< by workspace
-    std::map<std::string, moment> failing_since_; ///< by primary
-    std::map<std::string, position> positions_;   ///< by group
+    limit_tolerance tolerance_;
+    bool fresh_;
     moment former_end_{};
-    bool all_reported_ = false;
+    std::map<std::string, std::uint64_t> former_left_; ///< by workspace
+    std::map<std::string, vm_state> vms_;
+    std::map<std::string, workspace_account> accounts_; ///< by workspace
+    std::map<std::string, moment> failing_since_;       ///< by primary
+    std::map<std::string, position> positions_;         ///< by group
 };
 
 } // namespace tanagerhoist
--- a/include/tanagerhoist/session/proxy.hpp
+++ b/include/tanagerhoist/session/proxy.hpp
@@ -46,7 +46,7 @@
     void use_servers(moment now, const server_list& servers);
     void use_members(moment now, std::size_t members);
     void use_lead(moment now, const proto::GroupLead& lead);
-    void use_shares(moment now, const proto::FleetView& view);
+    void use_grants(moment now, const proto::FleetView& view);
     void use_position(moment now, const proto::PositionSample& sample);
     void prove_right(moment sent) { right_.prove(sent); }
     /// @}
--- a/include/tanagerhoist/session/proxy_outlet.hpp
+++ b/include/tanagerhoist/session/proxy_outlet.hpp
@@ -51,6 +51,9 @@
     virtual void send(connection_id connection,
                       const server_statement& statement) = 0;
     virtual void close(connection_id connection) = 0;
+
+    /// Asks the fleet for more of a workspace's rate; a statement waits for it.
+    virtual void ask_grant() = 0;
 };
 
 } // namespace tanagerhoist
--- a/include/tanagerhoist/session/workspace_limits.hpp
+++ b/include/tanagerhoist/session/workspace_limits.hpp
@@ -13,16 +13,14 @@
 namespace tanagerhoist
 {
 
-/// Share of each workspace that is split evenly over the registered VMs, so
-/// that a VM without contact serves on. The rest goes where it is asked for.
+/// Parts of each workspace's rate that are split evenly over the registered
+/// VMs, so that a VM without contact serves on. The holder of the duty grants
+/// the rest where it is asked for.
 constexpr std::uint64_t even_parts = share_parts / 5;
 
-/// How long a VM uses its share of the rest without hearing of it again.
-constexpr milliseconds share_duration{8000};
-
 /// How far the fleet may exceed a workspace's limits in one window, as the
-/// operator allows it. It is used for bursts at single VMs, so that a VM that
-/// few callers reach can admit them without asking.
+/// operator allows it. It is used for bursts, so that a VM that few callers
+/// reach can admit them from a stock of its own.
 struct limit_tolerance
 {
     std::chrono::seconds window{5};
@@ -30,67 +28,67 @@
     double slack = 20;    ///< operations
 };
 
-/// This VM's part of each workspace's rate and burst.
+/// Operations of a workspace that the whole fleet may admit at once.
+double fleet_capacity(const session_workspace& workspace,
+                      const limit_tolerance& tolerance);
+
+/// What this VM may admit of each workspace: a stock that was granted to it,
+/// and an even share that needs nobody. A granted operation is used once, so
+/// grants need no taking back when VMs or the holder of the duty die.
 class workspace_limits
 {
 public:
-    /// @param fresh whether no VM can have used any share before
-    explicit workspace_limits(limit_tolerance tolerance = {},
-                              bool fresh = true);
+    explicit workspace_limits(limit_tolerance tolerance = {});
 
     void use_settings(moment now, const session_settings& settings);
 
     /// Takes over the number of VMs between which the even share is split.
     void use_members(moment now, std::size_t members);
 
-    /// Takes over the share of the rest that the duty's holder deals out.
-    void use_shares(moment now, const proto::FleetView& view);
+    /// Adds what was granted. Each view is taken once, in order.
+    void use_grants(moment now, const proto::FleetView& view);
 
     /// Notes that callers of the workspace are here.
-    void expect(const std::string& workspace);
+    void expect(moment now, const std::string& workspace);
 
-    /// Debits one operation.
-    /// @param again whether the operation was refused before
-    /// @return false if the workspace's share is used up
+    /// Uses one operation.
+    /// @param again whether the caller was counted before
+    /// @return false if nothing is left
     bool take(moment now, const std::string& workspace, bool again = false);
 
-    /// Whether a larger share may come soon, since the fleet as a whole is not
-    /// asked for more than the workspace's rate.
+    /// Whether a grant may come soon.
     bool may_grow(moment now, const std::string& workspace) const;
 
-    /// Time until one operation can be debited again.
+    /// Time until one operation can be taken again.
     milliseconds wait(moment now, const std::string& workspace) const;
 
-    /// What was asked for since the last call, as operations per second.
+    /// What this VM has and wants. Stock that is no longer wanted goes back.
     std::vector<proto::WorkspaceDemand> demand(moment now);
 
-    /// Whether operations were refused since the last report, so that the
-    /// shares should move.
+    /// Whether a stock has run low since the last report.
     bool is_short() const { return short_; }
 
-    /// Gives back shares that were not confirmed in time.
-    void expire(moment now);
-
 private:
     struct allowance
     {
-        token_bucket bucket;
-        double capacity = 0;     ///< operations at once, of the whole fleet
-        std::uint64_t dealt = 0; ///< parts of the rest
-        std::uint64_t asked = 0; ///< since the last report
-        bool exhausted = false;  ///< in the whole fleet
-        moment expected{};       ///< when callers were last here
-        double asked_per_s = 0;  ///< over some seconds
-        double just_asked = 0;   ///< per second, over the last reports
+        token_bucket even;        ///< needs no grant
+        double fleet_capacity = 0;
+        std::uint64_t stock = 0;
+        std::uint64_t asked = 0;  ///< since the last report
+        std::uint64_t missing = 0; ///< refused or held since the last report
+        double asked_per_s = 0;   ///< over some seconds
+        double just_asked = 0;    ///< per second, over the last reports
+        bool exhausted = false;   ///< in the whole fleet
+        moment expected{};        ///< when callers were last here
     };
 
     void apply(moment now, allowance& share) const;
+    static std::uint64_t wanted(moment now, const allowance& share);
 
     limit_tolerance tolerance_;
-    bool fresh_;
     std::unordered_map<std::string, allowance> shares_;
     std::size_t members_ = 1;
-    moment dealt_at_{};
+    moment heard_{};
     moment reported_{};
     bool short_ = false;
 };
--- a/src/fleet/duty_keeper.cpp
+++ b/src/fleet/duty_keeper.cpp
@@ -1,5 +1,6 @@
 #include "tanagerhoist/fleet/duty_keeper.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace tanagerhoist
@@ -132,7 +133,7 @@
     }
     const auto until = milliseconds(row_.renewed_ms() + row_.lease_ms());
     const bool own_name = row_.holder() == self_.vm();
-    if (own_name || answer.now >= until)
+    if (own_name || row_.lease_ms() == 0 || answer.now >= until)
     {
         take(answer, version_);
     }
@@ -158,12 +159,12 @@
     {
         return; // the next step reads what became of it
     }
-    // The store's clock at the former lease's end, on this VM's own.
-    const auto former = milliseconds(row_.renewed_ms() + row_.lease_ms());
-    const bool own_name = row_.holder() == self_.vm();
-    former_end_ = own_name || row_.renewed_ms() == 0
-                      ? started_
-                      : read.sent + (former - duty_margin - read.now);
+    former_ = row_;
+    // A holder that was killed or gave the duty back has ended already.
+    const auto lease = milliseconds(row_.renewed_ms() + row_.lease_ms());
+    const auto lease_end = read.sent + (lease - duty_margin - read.now);
+    former_end_ =
+        row_.holder() == self_.vm() ? started_ : std::min(lease_end, read.sent);
     row_ = taken;
     version_ = answer.version;
     holding_ = true;
@@ -172,14 +173,19 @@
                  {{"token", std::to_string(row_.token())}});
 }
 
-void duty_keeper::resign()
+void duty_keeper::resign(const std::vector<proto::WorkspaceBalance>& left)
 {
     if (!holding_ || !holds(now_()))
     {
         return;
     }
     auto ended = row_;
-    ended.set_renewed_ms(0);
+    ended.set_lease_ms(0);
+    ended.set_renewed_ms(static_cast<std::uint64_t>(store_now().count()));
+    for (const auto& balance : left)
+    {
+        *ended.add_left() = balance;
+    }
     held_until_ = moment{}; // before the row says so
     holding_ = false;
     const auto answer = write(ended, version_);
--- a/src/fleet/fleet_hub.cpp
+++ b/src/fleet/fleet_hub.cpp
@@ -1,7 +1,6 @@
 #include "tanagerhoist/fleet/fleet_hub.hpp"
 
 #include "tanagerhoist/session/primary_right.hpp"
-#include "tanagerhoist/session/workspace_limits.hpp"
 
 #include <algorithm>
 
@@ -16,59 +15,72 @@
 /// Time over which most VMs must lack a primary before it is replaced.
 constexpr milliseconds lost_for{250};
 
-/// After this a silent VM no longer uses a dealt share.
-constexpr milliseconds share_reclaim = share_duration + milliseconds(400);
+/// A VM that is silent for longer is taken to have lost its stock.
+constexpr milliseconds stock_kept{10000};
+
+constexpr std::uint64_t granted_parts = share_parts - even_parts;
 
 /// Time in which a VM that knows of a seal has ended its use of the primary.
 constexpr milliseconds after_news{500};
 
-/// Age of its row at which a VM that does not report is taken to be gone for
-/// the shares, though not for the primaries.
-constexpr milliseconds silent_row{10000};
-
 bool has_lapsed(const fleet_member& member, milliseconds store_now)
 {
     return store_now > milliseconds(member.row.store_ms()) + right_duration +
                            right_slack;
 }
 
-constexpr std::uint64_t dealt_parts = share_parts - even_parts;
-
-/// Demand that a VM is taken to have at least, in operations in 1,000 s, so
-/// that a caller who comes finds a share.
-constexpr std::uint64_t least_demand = 700;
+} // namespace
 
-std::uint64_t weight(std::uint64_t asked)
+fleet_hub::fleet_hub(limit_tolerance tolerance, bool fresh)
+    : tolerance_(tolerance), fresh_(fresh)
 {
-    return asked == 0 ? 0 : asked + least_demand;
 }
 
-} // namespace
-
-void fleet_hub::begin(moment former_end)
+void fleet_hub::begin(moment former_end, const proto::DutyRow& former)
 {
-    *this = fleet_hub();
     former_end_ = former_end;
+    former_left_.clear();
+    for (const auto& balance : former.left())
+    {
+        former_left_[balance.workspace()] = balance.operations();
+    }
+    fresh_ = fresh_ && former.token() == 0;
+    vms_.clear();
+    accounts_.clear();
+    failing_since_.clear();
+    positions_.clear();
+}
+
+std::vector<proto::WorkspaceBalance> fleet_hub::balances(moment now) const
+{
+    std::vector<proto::WorkspaceBalance> found;
+    for (const auto& [workspace, account] : accounts_)
+    {
+        proto::WorkspaceBalance balance;
+        balance.set_workspace(workspace);
+        balance.set_operations(account.left.tokens(now) / token_unit);
+        found.push_back(std::move(balance));
+    }
+    return found;
 }
 
 void fleet_hub::take_report(moment now, const proto::VmReport& report)
 {
     auto& vm = vms_[report.vm()];
+    if (vm.report.life() == report.life() &&
+        report.sequence() <= vm.report.sequence())
+    {
+        return; // repeated, or overtaken
+    }
     if (vm.report.life() != report.life())
     {
-        for (auto& [name, grants] : grants_)
+        for (auto& [name, account] : accounts_)
         {
-            grants.by_vm.erase(report.vm()); // a new life has no shares
+            account.stocks.erase(report.vm()); // a new life has none
         }
     }
     vm.report = report;
     vm.heard = now;
-    for (const auto& demand : report.demand())
-    {
-        auto& grant = grants_[demand.workspace()].by_vm[report.vm()];
-        grant.confirmed = demand.parts();
-        grant.asked = demand.asked_per_1000s();
-    }
     for (const auto& sample : report.positions())
     {
         auto& known = positions_[sample.group()];
@@ -166,106 +178,83 @@
     return found;
 }
 
-bool fleet_hub::may_hold_shares(const fleet_member& member,
-                                milliseconds store_now) const
+/// The account of a workspace with its limits as they are now.
+fleet_hub::workspace_account&
+fleet_hub::account(moment now, const std::string& workspace,
+                   const session_workspace& limits)
 {
-    const auto it = vms_.find(member.row.vm());
-    const bool reports = it != vms_.end() &&
-                         it->second.report.life() == member.row.life();
-    return !reports &&
-           store_now < milliseconds(member.row.store_ms()) + silent_row;
-}
-
-void fleet_hub::deal(moment now, const session_settings& settings,
-                     const fleet_members& members)
-{
-    const auto store_now =
-        members.store_now +
-        std::chrono::duration_cast<milliseconds>(now - members.read_at);
-    const bool unknown =
-        std::any_of(members.rows.begin(), members.rows.end(),
-                    [&](const auto& entry)
-                    { return may_hold_shares(entry.second, store_now); });
-    all_reported_ = now >= former_end_ + share_reclaim ||
-                    (!members.rows.empty() && !unknown);
-    if (!all_reported_)
-    {
-        return; // a VM not heard from may still use a share
-    }
-    for (const auto& [name, share] : settings.workspaces)
-    {
-        deal_workspace(now, name, share);
-    }
-}
-
-/// Moves a workspace's share towards where it is asked for. What is taken from
-/// a VM is given on once the VM says that it no longer uses it, or is silent
-/// for so long that its share has ended.
-void fleet_hub::deal_workspace(moment now, const std::string& workspace,
-                               const session_workspace& share)
-{
-    auto& all = grants_[workspace];
-    auto& grants = all.by_vm;
-    std::uint64_t asked = 0; // of all VMs
-    std::uint64_t used = 0;
-    for (auto it = grants.begin(); it != grants.end();)
+    auto& account = accounts_[workspace];
+    for (auto it = account.stocks.begin(); it != account.stocks.end();)
     {
         const auto vm = vms_.find(it->first);
-        const auto& known = it->second;
-        const bool unused =
-            known.asked == 0 && known.parts == 0 && known.confirmed == 0;
-        const bool ended = unused || vm == vms_.end() ||
-                           now >= vm->second.heard + share_reclaim;
-        if (ended)
-        {
-            it = grants.erase(it);
-            continue;
-        }
-        asked += weight(it->second.asked);
-        used += std::max(it->second.parts, it->second.confirmed);
-        ++it;
+        const bool gone =
+            vm == vms_.end() || now >= vm->second.heard + stock_kept;
+        it = gone ? account.stocks.erase(it) : std::next(it);
     }
-    constexpr double per_1000s = 1000;
-    all.exhausted = static_cast<double>(asked) > share.rate * per_1000s;
-    if (grants.empty())
+    std::uint64_t held = 0;
+    for (const auto& [vm, stock] : account.stocks)
     {
-        return;
+        held += stock * token_unit;
     }
-    const std::uint64_t by_demand = dealt_parts;
-    std::uint64_t free = dealt_parts - std::min(dealt_parts, used);
-    for (auto& [vm, grant] : grants)
+    const auto capacity = static_cast<std::uint64_t>(
+        fleet_capacity(limits, tolerance_) * token_unit *
+        static_cast<double>(granted_parts) / share_parts);
+    account.capacity = capacity;
+    // What VMs hold is part of what may be admitted at once.
+    account.left.use_least_capacity(capacity - std::min(capacity, held));
+    account.left.use_share(now, static_cast<std::uint64_t>(limits.rate), 0,
+                           granted_parts);
+    if (!account.known)
     {
-        const std::uint64_t target =
-            asked == 0 ? 0 : by_demand * weight(grant.asked) / asked;
-        const auto held = std::max(grant.parts, grant.confirmed);
-        if (target <= held)
-        {
-            grant.parts = target;
-            continue;
-        }
-        const auto more = std::min(free, target - held);
-        grant.parts = held + more;
-        free -= more;
+        account.known = true;
+        const double seconds =
+            std::chrono::duration<double>(now - former_end_).count();
+        const double since = std::max(0.0, seconds) * limits.rate *
+                             static_cast<double>(granted_parts) / share_parts;
+        const auto earned = static_cast<std::uint64_t>(since * token_unit) +
+                            former_left_[workspace] * token_unit;
+        account.left.clear();
+        account.left.add(now, fresh_ ? capacity : std::min(capacity, earned));
     }
+    return account;
 }
 
-void fleet_hub::add_shares(const std::string& vm, proto::FleetView& view) const
+void fleet_hub::grant(moment now, const session_settings& settings,
+                      const std::string& vm, proto::FleetView& view)
 {
-    if (!all_reported_)
+    const auto it = vms_.find(vm);
+    if (it == vms_.end())
     {
         return;
     }
-    for (const auto& [workspace, grants] : grants_)
+    for (const auto& demand : it->second.report.demand())
     {
-        const auto it = grants.by_vm.find(vm);
-        if (it != grants.by_vm.end())
+        const auto limits = settings.workspaces.find(demand.workspace());
+        if (limits == settings.workspaces.end())
         {
-            auto& share = *view.add_shares();
-            share.set_workspace(workspace);
-            share.set_parts(it->second.parts);
-            share.set_exhausted(grants.exhausted);
+            continue;
         }
+        accounts_[demand.workspace()].stocks[vm] = demand.stock();
+        auto& all = account(now, demand.workspace(), limits->second);
+        all.left.add(now, demand.returned() * token_unit);
+        // A VM keeps at most its part of three quarters of what may be held, so that the
+        // rest is there for whoever needs it at once.
+        const auto most =
+            all.capacity * 3 / 4 / token_unit / all.stocks.size();
+        const auto target =
+            std::min(demand.wanted(), std::max<std::uint64_t>(1, most)) +
+            demand.missing();
+        const auto short_by = target - std::min(target, demand.stock());
+        const auto left = all.left.tokens(now) / token_unit;
+        const auto given = std::min(short_by, left);
+        all.left.take(now, given * token_unit);
+        all.stocks[vm] += given;
+        auto& grant = *view.add_grants();
+        grant.set_workspace(demand.workspace());
+        grant.set_operations(given);
+        grant.set_exhausted(left == 0);
     }
+    it->second.report.clear_demand(); // granted once
 }
 
 void fleet_hub::add_positions(moment now, proto::FleetView& view) const
--- a/src/session/proxy_sessions.cpp
+++ b/src/session/proxy_sessions.cpp
@@ -63,7 +63,7 @@
     session.key = key;
     session.last_active = now;
     refresh_route(session);
-    limits_.expect(session.workspace);
+    limits_.expect(now, session.workspace);
     ++figures_.sessions_started;
     outlet_.accept_session(id);
 }
@@ -309,6 +309,7 @@
     {
         session.request.stage = request_stage::held;
         held_.push_back(id);
+        outlet_.ask_grant();
         return false;
     }
     refuse_rate(now, id, session);
@@ -363,9 +364,9 @@
     }
 }
 
-void proxy::use_shares(moment now, const proto::FleetView& view)
+void proxy::use_grants(moment now, const proto::FleetView& view)
 {
-    limits_.use_shares(now, view);
+    limits_.use_grants(now, view);
     admit_held(now);
 }
 
--- a/tools/daemon/fleet_agent.cpp
+++ b/tools/daemon/fleet_agent.cpp
@@ -50,6 +50,7 @@
 constexpr milliseconds longest_store_retry{800};
 constexpr milliseconds report_interval{400};
 constexpr milliseconds hurried_interval{80}; // while something depends on it
+constexpr milliseconds shortest_interval{8};
 constexpr milliseconds watch_interval{100};
 constexpr milliseconds look_interval{300};
 constexpr milliseconds control_timeout{350};
@@ -85,8 +86,8 @@
 
 fleet_agent::fleet_agent(asio::io_context& context,
                          const proto::SessionDaemonSettings& settings,
-                         std::uint64_t life, proxy& decisions, journal& lines,
-                         clock now)
+                         std::uint64_t life, limit_tolerance tolerance,
+                         proxy& decisions, journal& lines, clock now)
     : context_(context),
       settings_(settings),
       life_(life),
@@ -114,6 +115,7 @@
       lead_store_(make_client()),
       right_store_(make_client()),
       duty_(duty_store_, self_row(), now_, lines),
+      hub_(tolerance, settings.sessions().first_start() == "true"),
       duty_stream_(context)
 {
 }
@@ -250,18 +252,27 @@
            to_ms(now_() - store_clock_at_) + 1;
 }
 
-/// Learns who leads and who is there, so that this VM can register.
-void fleet_agent::register_self()
+bool fleet_agent::read_leads()
 {
     const auto leads = right_store_.read(fleet_table, "");
     if (leads.result != store_result::done)
     {
-        return; // tried again soon
+        return false;
     }
     for (const auto& row : leads.rows)
     {
         take_lead_row(row);
     }
+    return true;
+}
+
+/// Learns who leads and who is there, so that this VM can register.
+void fleet_agent::register_self()
+{
+    if (!read_leads())
+    {
+        return; // tried again soon
+    }
     const auto members = right_store_.read(member_table, "");
     if (members.result != store_result::done)
     {
@@ -576,14 +587,25 @@
 
 void fleet_agent::take_view(const proto::FleetView& view)
 {
+    if (view.token() == holder_token_ && view.sequence() <= seen_view_)
+    {
+        return; // repeated, or overtaken
+    }
     const auto now = now_();
     heard_ = now;
     holder_ = view.holder();
     holder_token_ = view.token();
     seen_view_ = view.sequence();
     bool changed = false;
-    for (const auto& lead : view.leads())
+    for (int i = 0; i < view.leads_size(); ++i)
     {
+        const auto& lead = view.leads(i);
+        auto& row = lead_rows_[lead.group()];
+        if (i < view.lead_versions_size() &&
+            view.lead_versions(i) > row.version)
+        {
+            row = {lead, view.lead_versions(i)};
+        }
         const auto& known = proxy_.leads();
         const auto it = known.find(lead.group());
         changed = changed || it == known.end() ||
@@ -594,7 +616,7 @@
     {
         proxy_.use_members(now, view.members());
     }
-    proxy_.use_shares(now, view);
+    proxy_.use_grants(now, view);
     for (const auto& sample : view.positions())
     {
         proxy_.use_position(now, sample);
@@ -648,8 +670,12 @@
     for (const auto& [group, row] : lead_rows_)
     {
         *view.add_leads() = row.lead;
+        view.add_lead_versions(row.version);
+    }
+    if (const auto* settings = proxy_.settings())
+    {
+        hub_.grant(now_(), *settings, vm, view);
     }
-    hub_.add_shares(vm, view);
     hub_.add_positions(now_(), view);
     return view;
 }
@@ -683,11 +709,12 @@
 
 void fleet_agent::send_report()
 {
+    reported_ = now_();
     proto::FleetDatagram datagram;
     auto& report = *datagram.mutable_report();
     report.set_vm(settings_.vm().name());
     report.set_life(life_);
-    report.set_view(seen_view_);
+    report.set_sequence(++report_sequence_);
     report.set_settings_version(config_version_);
     proxy_.describe(now_(), report);
     if (duty_.holds(now_()))
@@ -715,6 +742,15 @@
     }
 }
 
+void fleet_agent::report_if_short()
+{
+    const bool recent = now_() < reported_ + shortest_interval;
+    if (proxy_.limits().is_short() && !recent)
+    {
+        report_soon();
+    }
+}
+
 void fleet_agent::report_soon()
 {
     report_timer_.expires_after(milliseconds(0));
@@ -730,14 +766,13 @@
 
 void fleet_agent::report_regularly()
 {
-    const bool was_short = proxy_.limits().is_short();
     send_report();
     bool sealed = false;
     for (const auto& [group, lead] : proxy_.leads())
     {
         sealed = sealed || lead.sealed();
     }
-    const bool hurry = sealed || was_short;
+    const bool hurry = sealed || proxy_.limits().is_short();
     report_timer_.expires_after(hurry ? hurried_interval : report_interval);
     report_timer_.async_wait(
         [this](error_code error)
@@ -763,7 +798,8 @@
         const bool holds = duty_.holds(now_());
         if (holds && !held_duty_)
         {
-            hub_.begin(duty_.former_end());
+            hub_.begin(duty_.former_end(), duty_.former());
+            read_leads();
             read_members();
             nudge(config_watch_);
             nudge(server_watch_);
@@ -782,7 +818,6 @@
 
 void fleet_agent::watch_groups()
 {
-    int rounds = 0;
     while (!leaving_)
     {
         pause(holds_duty() ? watch_interval : look_interval);
@@ -791,12 +826,7 @@
         {
             continue;
         }
-        constexpr int rounds_per_deal = 2;
-        if (++rounds % rounds_per_deal == 0)
-        {
-            hub_.deal(now_(), *settings, members_);
-            remove_lapsed();
-        }
+        remove_lapsed();
         if (now_() >= members_asked_ + removal_interval)
         {
             read_members();
@@ -1012,7 +1042,7 @@
 void fleet_agent::leave()
 {
     leaving_ = true;
-    duty_.resign();
+    duty_.resign(hub_.balances(now_()));
     store_transaction change;
     change.removals.push_back(
         {member_table, settings_.vm().name(), "", 0, false});
--- a/tools/daemon/fleet_agent.hpp
+++ b/tools/daemon/fleet_agent.hpp
@@ -45,14 +45,17 @@
 
     fleet_agent(boost::asio::io_context& context,
                 const proto::SessionDaemonSettings& settings,
-                std::uint64_t life, proxy& decisions, journal& lines,
-                clock now);
+                std::uint64_t life, limit_tolerance tolerance,
+                proxy& decisions, journal& lines, clock now);
 
     void start();
 
     /// Sends a report soon, since something has changed.
     void report_soon();
 
+    /// Sends a report if a workspace's stock runs low.
+    void report_if_short();
+
     /// Gives back the duty and this VM's row; suspends the calling fiber.
     void leave();
 
@@ -76,6 +79,7 @@
     void nudge(table_watch& watch);
     store_answer next_answer(table_watch& watch, bool known,
                              std::uint64_t version, bool at_once);
+    bool read_leads();
     void register_self();
     void keep_right();
     bool renew_right();
@@ -172,6 +176,8 @@
     std::optional<moment> servers_behind_; ///< since when
     std::optional<moment> config_behind_;
     bool leaving_ = false;
+    moment reported_{};
+    std::uint64_t report_sequence_ = 0;
     moment heard_{};           ///< from the duty's holder
     std::string holder_;       ///< as last heard
     boost::asio::ip::udp::endpoint holder_at_;
--- a/tools/daemon/session_daemon.cpp
+++ b/tools/daemon/session_daemon.cpp
@@ -50,7 +50,7 @@
     return (static_cast<std::uint64_t>(source()) << 32U) | source();
 }
 
-workspace_limits limits_of(const proto::SessionDaemonSettings& settings)
+limit_tolerance tolerance_of(const proto::SessionDaemonSettings& settings)
 {
     const auto& sessions = settings.sessions();
     limit_tolerance tolerance;
@@ -58,7 +58,7 @@
     tolerance.slack = static_cast<double>(sessions.quota_slack());
     // An absent overage is none.
     tolerance.overage = std::strtod(sessions.quota_overage().c_str(), nullptr);
-    return workspace_limits(tolerance, sessions.first_start() == "true");
+    return tolerance;
 }
 
 tcp::endpoint endpoint_of(const std::string& text)
@@ -81,8 +81,10 @@
       now_(make_clock()),
       lines_(settings.vm().name(), settings.sessions().log_lines_per_s(), now_),
       wires_(context_, now_),
-      proxy_(settings.vm().data_centre(), limits_of(settings), wires_, lines_),
-      fleet_(context_, settings, random_life(), proxy_, lines_, now_),
+      proxy_(settings.vm().data_centre(), workspace_limits(tolerance_of(settings)),
+             wires_, lines_),
+      fleet_(context_, settings, random_life(), tolerance_of(settings), proxy_,
+             lines_, now_),
       acceptor_(context_, endpoint_of(settings.sessions().listen())),
       readiness_(context_, endpoint_of(settings.sessions().readiness()),
                  [this](const http_request& request)
@@ -94,7 +96,7 @@
       signals_(context_, SIGTERM, SIGINT, SIGHUP),
       timer_(context_)
 {
-    wires_.attach(proxy_);
+    wires_.attach(proxy_, [this] { fleet_.report_if_short(); });
     if (settings.sessions().metrics_port() != 0)
     {
         metrics_ = std::make_unique<small_door>(
@@ -208,6 +210,7 @@
 {
     const auto now = now_();
     proxy_.tick(now);
+    fleet_.report_if_short();
     const bool ready = proxy_.is_ready(now);
     if (ready != was_ready_)
     {
--- a/tools/daemon/session_wires.hpp
+++ b/tools/daemon/session_wires.hpp
@@ -24,7 +24,12 @@
     session_wires(boost::asio::io_context& context, clock now);
 
     /// Says where inputs go; before the first socket.
-    void attach(proxy& decisions) { proxy_ = &decisions; }
+    /// @param ask_grant called when a statement waits for a grant
+    void attach(proxy& decisions, std::function<void()> ask_grant)
+    {
+        proxy_ = &decisions;
+        ask_grant_ = std::move(ask_grant);
+    }
 
     /// Takes over a client's connection.
     void accept(boost::asio::ip::tcp::socket socket);
@@ -40,6 +45,7 @@
     void send(connection_id connection,
               const server_statement& statement) override;
     void close(connection_id connection) override;
+    void ask_grant() override { ask_grant_(); }
 
 private:
     struct client
@@ -63,6 +69,7 @@
     boost::asio::io_context& context_;
     clock now_;
     proxy* proxy_ = nullptr;
+    std::function<void()> ask_grant_;
     std::unordered_map<session_id, client> clients_;
     std::unordered_map<connection_id, server_wire> servers_;
     session_id next_session_ = 1;
