Ask for grants by small requests; split limits into steady and at once

Change: no stock where the part of a VM is under one; a request with only what is missing, answered with only grants; a server that claims to lead the sealed lead's own term is taken; right 13 s, renewed each 4 s (6 s from 24 VMs on).

--- a/include/tanagerhoist/fleet/fleet_hub.hpp
+++ b/include/tanagerhoist/fleet/fleet_hub.hpp
@@ -50,9 +50,17 @@
 
     void take_report(moment now, const proto::VmReport& report);
 
+    using grants =
+        google::protobuf::RepeatedPtrField<proto::WorkspaceGrant>;
+
     /// Grants a VM what its last report wants, as far as the limits allow.
     void grant(moment now, const session_settings& settings,
-               const std::string& vm, proto::FleetView& view);
+               const std::string& vm, grants& given);
+
+    /// Grants a VM what its statements wait for.
+    /// @return false if the request was repeated or overtaken
+    bool grant(moment now, const session_settings& settings,
+               const proto::GrantRequest& request, grants& given);
 
     /// Whether more VMs lack a primary than reach it, and have for a while.
     bool is_lost(moment now, const std::string& primary);
@@ -94,6 +102,9 @@
 
     bool has_acked(const proto::GroupLead& lead,
                    const fleet_member& member) const;
+    void grant_one(moment now, const session_settings& settings,
+                   const std::string& vm, const proto::WorkspaceDemand& demand,
+                   grants& given);
     workspace_account& account(moment now, const std::string& workspace,
                                const session_workspace& limits);
 
--- a/include/tanagerhoist/session/primary_right.hpp
+++ b/include/tanagerhoist/session/primary_right.hpp
@@ -3,18 +3,22 @@
 
 #include "tanagerhoist/core/time.hpp"
 
+#include <cstddef>
+
 namespace tanagerhoist
 {
 
 /// Longest use of primaries after the last proof. Whoever replaces a primary
 /// waits this long, and `right_slack` more, for a VM that does not answer.
-constexpr milliseconds right_duration{20000};
+constexpr milliseconds right_duration{13000};
 
 /// Covers the drift of clocks.
 constexpr milliseconds right_slack{500};
 
-/// How often a VM renews its right.
-constexpr milliseconds right_renewal{7000};
+/// How often a VM renews its right, in a small and in a large fleet.
+constexpr milliseconds right_renewal{4000};
+constexpr milliseconds large_fleet_renewal{6000};
+constexpr std::size_t large_fleet = 24; ///< VMs
 
 /// A VM's lease on using the primaries that it believes in. It is renewed by
 /// a write to the store that fails if a lead has changed, counted from the
--- a/include/tanagerhoist/session/proxy.hpp
+++ b/include/tanagerhoist/session/proxy.hpp
@@ -46,7 +46,7 @@
     void use_servers(moment now, const server_list& servers);
     void use_members(moment now, std::size_t members);
     void use_lead(moment now, const proto::GroupLead& lead);
-    void use_grants(moment now, const proto::FleetView& view);
+    void use_grants(moment now, const workspace_limits::grants& given);
     void use_position(moment now, const proto::PositionSample& sample);
     void prove_right(moment sent) { right_.prove(sent); }
     /// @}
@@ -82,6 +82,7 @@
     void begin_drain(moment close_idle, moment end_transactions);
 
     bool is_ready(moment now) const;
+    std::size_t members() const { return members_; }
     std::size_t sessions() const { return sessions_.size(); }
     bool has_work() const;
 
--- a/include/tanagerhoist/session/workspace_limits.hpp
+++ b/include/tanagerhoist/session/workspace_limits.hpp
@@ -28,9 +28,16 @@
     double slack = 20;    ///< operations
 };
 
-/// Operations of a workspace that the whole fleet may admit at once.
-double fleet_capacity(const session_workspace& workspace,
-                      const limit_tolerance& tolerance);
+/// How a workspace's limit of one window is admitted: steadily, and at once.
+struct fleet_allowance
+{
+    double rate = 0;     ///< operations per second
+    double capacity = 0; ///< operations at once
+};
+
+/// Splits what the whole fleet may admit in a window.
+fleet_allowance allowance_of(const session_workspace& workspace,
+                             const limit_tolerance& tolerance);
 
 /// What this VM may admit of each workspace: a stock that was granted to it,
 /// and an even share that needs nobody. A granted operation is used once, so
@@ -45,8 +52,11 @@
     /// Takes over the number of VMs between which the even share is split.
     void use_members(moment now, std::size_t members);
 
-    /// Adds what was granted. Each view is taken once, in order.
-    void use_grants(moment now, const proto::FleetView& view);
+    using grants =
+        google::protobuf::RepeatedPtrField<proto::WorkspaceGrant>;
+
+    /// Adds what was granted. Each message is taken once, in order.
+    void use_grants(moment now, const grants& given);
 
     /// Notes that callers of the workspace are here.
     void expect(moment now, const std::string& workspace);
@@ -65,6 +75,9 @@
     /// What this VM has and wants. Stock that is no longer wanted goes back.
     std::vector<proto::WorkspaceDemand> demand(moment now);
 
+    /// What statements wait for now.
+    std::vector<proto::WorkspaceDemand> missing();
+
     /// Whether a stock has run low since the last report.
     bool is_short() const { return short_; }
 
@@ -72,7 +85,7 @@
     struct allowance
     {
         token_bucket even;        ///< needs no grant
-        double fleet_capacity = 0;
+        fleet_allowance fleet;
         std::uint64_t stock = 0;
         std::uint64_t asked = 0;  ///< since the last report
         std::uint64_t missing = 0; ///< refused or held since the last report
--- a/src/fleet/fleet_hub.cpp
+++ b/src/fleet/fleet_hub.cpp
@@ -196,20 +196,21 @@
     {
         held += stock * token_unit;
     }
+    const auto allowed = allowance_of(limits, tolerance_);
     const auto capacity = static_cast<std::uint64_t>(
-        fleet_capacity(limits, tolerance_) * token_unit *
-        static_cast<double>(granted_parts) / share_parts);
+        allowed.capacity * token_unit * static_cast<double>(granted_parts) /
+        share_parts);
     account.capacity = capacity;
     // What VMs hold is part of what may be admitted at once.
     account.left.use_least_capacity(capacity - std::min(capacity, held));
-    account.left.use_share(now, static_cast<std::uint64_t>(limits.rate), 0,
+    account.left.use_share(now, static_cast<std::uint64_t>(allowed.rate), 0,
                            granted_parts);
     if (!account.known)
     {
         account.known = true;
         const double seconds =
             std::chrono::duration<double>(now - former_end_).count();
-        const double since = std::max(0.0, seconds) * limits.rate *
+        const double since = std::max(0.0, seconds) * allowed.rate *
                              static_cast<double>(granted_parts) / share_parts;
         const auto earned = static_cast<std::uint64_t>(since * token_unit) +
                             former_left_[workspace] * token_unit;
@@ -220,7 +221,7 @@
 }
 
 void fleet_hub::grant(moment now, const session_settings& settings,
-                      const std::string& vm, proto::FleetView& view)
+                      const std::string& vm, grants& given)
 {
     const auto it = vms_.find(vm);
     if (it == vms_.end())
@@ -229,34 +230,56 @@
     }
     for (const auto& demand : it->second.report.demand())
     {
-        const auto limits = settings.workspaces.find(demand.workspace());
-        if (limits == settings.workspaces.end())
-        {
-            continue;
-        }
-        accounts_[demand.workspace()].stocks[vm] = demand.stock();
-        auto& all = account(now, demand.workspace(), limits->second);
-        all.left.add(now, demand.returned() * token_unit);
-        // A VM keeps at most its part of three quarters of what may be held, so that the
-        // rest is there for whoever needs it at once.
-        const auto most =
-            all.capacity * 3 / 4 / token_unit / all.stocks.size();
-        const auto target =
-            std::min(demand.wanted(), std::max<std::uint64_t>(1, most)) +
-            demand.missing();
-        const auto short_by = target - std::min(target, demand.stock());
-        const auto left = all.left.tokens(now) / token_unit;
-        const auto given = std::min(short_by, left);
-        all.left.take(now, given * token_unit);
-        all.stocks[vm] += given;
-        auto& grant = *view.add_grants();
-        grant.set_workspace(demand.workspace());
-        grant.set_operations(given);
-        grant.set_exhausted(left == 0);
+        grant_one(now, settings, vm, demand, given);
     }
     it->second.report.clear_demand(); // granted once
 }
 
+bool fleet_hub::grant(moment now, const session_settings& settings,
+                      const proto::GrantRequest& request, grants& given)
+{
+    const auto it = vms_.find(request.vm());
+    if (it == vms_.end() || it->second.report.life() != request.life() ||
+        request.sequence() <= it->second.report.sequence())
+    {
+        return false;
+    }
+    it->second.report.set_sequence(request.sequence());
+    for (const auto& demand : request.demand())
+    {
+        grant_one(now, settings, request.vm(), demand, given);
+    }
+    return true;
+}
+
+void fleet_hub::grant_one(moment now, const session_settings& settings,
+                          const std::string& vm,
+                          const proto::WorkspaceDemand& demand, grants& given)
+{
+    const auto limits = settings.workspaces.find(demand.workspace());
+    if (limits == settings.workspaces.end())
+    {
+        return;
+    }
+    accounts_[demand.workspace()].stocks[vm] = demand.stock();
+    auto& all = account(now, demand.workspace(), limits->second);
+    all.left.add(now, demand.returned() * token_unit);
+    // A VM keeps at most its part of what may be held, so that the rest is
+    // there for whoever needs it at once; with many VMs that is nothing.
+    const auto most =
+        all.capacity * 3 / 4 / token_unit / all.stocks.size();
+    const auto target = std::min(demand.wanted(), most) + demand.missing();
+    const auto short_by = target - std::min(target, demand.stock());
+    const auto left = all.left.tokens(now) / token_unit;
+    const auto operations = std::min(short_by, left);
+    all.left.take(now, operations * token_unit);
+    all.stocks[vm] += operations;
+    auto& grant = *given.Add();
+    grant.set_workspace(demand.workspace());
+    grant.set_operations(operations);
+    grant.set_exhausted(left == 0);
+}
+
 void fleet_hub::add_positions(moment now, proto::FleetView& view) const
 {
     for (const auto& [group, known] : positions_)
--- a/src/fleet/lead_changer.cpp
+++ b/src/fleet/lead_changer.cpp
@@ -175,9 +175,9 @@
             }
             const auto role = port_.role(server);
             all_told = all_told && role.has_value();
-            if (role && role->primary && role->term > lead.term())
+            if (role && role->primary && role->term >= lead.term())
             {
-                return server.id;
+                return server.id; // leads already
             }
             const bool better =
                 role && (!best || (leaving && !server.draining) ||
@@ -227,12 +227,12 @@
                             const proto::GroupLead& lead, milliseconds limit)
 {
     const auto until = port_.now() + limit;
-    const auto least_term =
-        server.id == lead.primary() ? lead.term() : lead.term() + 1;
     while (port_.now() < until)
     {
         const auto role = port_.role(server);
-        if (role && role->primary && role->term >= least_term)
+        // With the lead's own term it is the server that replaced the old
+        // primary and took over its log, or the old primary itself.
+        if (role && role->primary && role->term >= lead.term())
         {
             return role;
         }
--- a/src/session/proxy_sessions.cpp
+++ b/src/session/proxy_sessions.cpp
@@ -364,9 +364,9 @@
     }
 }
 
-void proxy::use_grants(moment now, const proto::FleetView& view)
+void proxy::use_grants(moment now, const workspace_limits::grants& given)
 {
-    limits_.use_grants(now, view);
+    limits_.use_grants(now, given);
     admit_held(now);
 }
 
--- a/src/session/workspace_limits.cpp
+++ b/src/session/workspace_limits.cpp
@@ -22,7 +22,10 @@
 
 /// Part of the tolerated excess that is handed out; the rest covers what is on
 /// its way.
-constexpr double used_tolerance = 0.8;
+constexpr double used_tolerance = 0.75;
+
+/// Part of the burst that is admitted steadily over a window.
+constexpr double steady_burst = 0.8;
 
 /// VMs up to which each may hold one operation of any workspace unasked.
 constexpr std::size_t few_members = 12;
@@ -35,14 +38,18 @@
 
 } // namespace
 
-double fleet_capacity(const session_workspace& workspace,
-                      const limit_tolerance& tolerance)
+fleet_allowance allowance_of(const session_workspace& workspace,
+                             const limit_tolerance& tolerance)
 {
     const auto window = static_cast<double>(tolerance.window.count());
     const double excess =
         tolerance.overage * (workspace.rate * window + workspace.burst) +
         tolerance.slack;
-    return workspace.burst + used_tolerance * excess;
+    fleet_allowance allowed;
+    allowed.rate = workspace.rate + steady_burst * workspace.burst / window;
+    allowed.capacity =
+        (1 - steady_burst) * workspace.burst + used_tolerance * excess;
+    return allowed;
 }
 
 workspace_limits::workspace_limits(limit_tolerance tolerance)
@@ -57,7 +64,7 @@
     const double even = static_cast<double>(even_parts) / share_parts;
     const double capacity =
         std::max(members <= few_members ? 1.0 : 0.0,
-                 share.fleet_capacity * even / static_cast<double>(members));
+                 share.fleet.capacity * even / static_cast<double>(members));
     share.even.use_least_capacity(
         static_cast<std::uint64_t>(capacity * token_unit));
     share.even.use_parts(now, even_parts / members);
@@ -74,15 +81,16 @@
     for (const auto& [name, workspace] : settings.workspaces)
     {
         auto& share = shares_[name];
-        const double before = share.fleet_capacity;
-        share.fleet_capacity = fleet_capacity(workspace, tolerance_);
-        if (share.fleet_capacity < before)
+        const double before = share.fleet.rate;
+        share.fleet = allowance_of(workspace, tolerance_);
+        if (share.fleet.rate < before)
         {
             share.stock = 0; // granted under the higher limit
         }
         // The capacity is set by itself, so the bucket's own burst is none.
         share.even.use_share(
-            now, static_cast<std::uint64_t>(std::floor(workspace.rate)), 0, 0);
+            now, static_cast<std::uint64_t>(std::floor(share.fleet.rate)), 0,
+            0);
         apply(now, share);
     }
 }
@@ -100,10 +108,10 @@
     }
 }
 
-void workspace_limits::use_grants(moment now, const proto::FleetView& view)
+void workspace_limits::use_grants(moment now, const grants& given)
 {
     heard_ = now;
-    for (const auto& grant : view.grants())
+    for (const auto& grant : given)
     {
         const auto it = shares_.find(grant.workspace());
         if (it != shares_.end())
@@ -206,4 +214,22 @@
     return told;
 }
 
+std::vector<proto::WorkspaceDemand> workspace_limits::missing()
+{
+    short_ = false;
+    std::vector<proto::WorkspaceDemand> told;
+    for (auto& [name, share] : shares_)
+    {
+        if (share.missing != 0)
+        {
+            proto::WorkspaceDemand entry;
+            entry.set_workspace(name);
+            entry.set_stock(share.stock);
+            entry.set_missing(std::exchange(share.missing, 0));
+            told.push_back(std::move(entry));
+        }
+    }
+    return told;
+}
+
 } // namespace tanagerhoist
--- a/tools/daemon/fleet_agent.cpp
+++ b/tools/daemon/fleet_agent.cpp
@@ -4,6 +4,7 @@
 #include "platform/operator_config.hpp"
 #include "tanagerhoist/adapter/fiber_await.hpp"
 
+#include <boost/asio/post.hpp>
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/fixedsize_stack.hpp>
 
@@ -50,7 +51,7 @@
 constexpr milliseconds longest_store_retry{800};
 constexpr milliseconds report_interval{400};
 constexpr milliseconds hurried_interval{80}; // while something depends on it
-constexpr milliseconds shortest_interval{8};
+constexpr milliseconds shortest_interval{4};
 constexpr milliseconds watch_interval{100};
 constexpr milliseconds look_interval{300};
 constexpr milliseconds control_timeout{350};
@@ -300,7 +301,10 @@
         {
             retry = first_store_retry;
             const auto renewed = now_();
-            while (!leaving_ && now_() < renewed + right_renewal &&
+            const auto interval = proxy_.members() < large_fleet
+                                      ? right_renewal
+                                      : large_fleet_renewal;
+            while (!leaving_ && now_() < renewed + interval &&
                    (now_() < heard_ + duty_silence ||
                     now_() < renewed + lonely_renewal))
             {
@@ -574,6 +578,14 @@
         hub_.take_report(now_(), datagram.report());
         send_view(vm);
     }
+    else if (datagram.has_request() && duty_.holds(now_()))
+    {
+        reply_to(datagram.request());
+    }
+    else if (datagram.has_reply())
+    {
+        take_reply(datagram.reply());
+    }
     else if (datagram.has_view())
     {
         if (datagram.view().token() < holder_token_)
@@ -585,6 +597,68 @@
     }
 }
 
+void fleet_agent::reply_to(const proto::GrantRequest& request)
+{
+    const auto* settings = proxy_.settings();
+    proto::FleetDatagram datagram;
+    auto& reply = *datagram.mutable_reply();
+    if (settings == nullptr ||
+        !hub_.grant(now_(), *settings, request, *reply.mutable_grants()))
+    {
+        return;
+    }
+    reply.set_token(duty_.row().token());
+    reply.set_sequence(++view_sequence_);
+    if (request.vm() == settings_.vm().name())
+    {
+        take_reply(reply);
+        return;
+    }
+    const auto bytes = datagram.SerializeAsString();
+    error_code ignored; // a lost reply costs the operations in it
+    socket_.send_to(asio::buffer(bytes), sender_, 0, ignored);
+}
+
+void fleet_agent::take_reply(const proto::GrantReply& reply)
+{
+    const bool overtaken =
+        reply.token() != holder_token_ || reply.sequence() <= seen_view_;
+    if (!overtaken)
+    {
+        seen_view_ = reply.sequence();
+        proxy_.use_grants(now_(), reply.grants());
+    }
+}
+
+/// Asks for what statements wait for.
+void fleet_agent::request_grants()
+{
+    reported_ = now_();
+    proto::FleetDatagram datagram;
+    auto& request = *datagram.mutable_request();
+    for (auto& demand : proxy_.limits().missing())
+    {
+        *request.add_demand() = std::move(demand);
+    }
+    if (request.demand_size() == 0)
+    {
+        return;
+    }
+    request.set_vm(settings_.vm().name());
+    request.set_life(life_);
+    request.set_sequence(++report_sequence_);
+    if (duty_.holds(now_()))
+    {
+        reply_to(request);
+    }
+    else if (holder_at_.port() != 0)
+    {
+        const auto bytes = datagram.SerializeAsString();
+        error_code ignored; // what is missing is asked for again
+        socket_.send_to(asio::buffer(bytes), holder_at_, 0, ignored);
+    }
+}
+
 void fleet_agent::take_view(const proto::FleetView& view)
 {
     if (view.token() == holder_token_ && view.sequence() <= seen_view_)
@@ -616,7 +690,7 @@
     {
         proxy_.use_members(now, view.members());
     }
-    proxy_.use_grants(now, view);
+    proxy_.use_grants(now, view.grants());
     for (const auto& sample : view.positions())
     {
         proxy_.use_position(now, sample);
@@ -674,7 +748,7 @@
     }
     if (const auto* settings = proxy_.settings())
     {
-        hub_.grant(now_(), *settings, vm, view);
+        hub_.grant(now_(), *settings, vm, *view.mutable_grants());
     }
     hub_.add_positions(now_(), view);
     return view;
@@ -745,9 +819,16 @@
 void fleet_agent::report_if_short()
 {
     const bool recent = now_() < reported_ + shortest_interval;
-    if (proxy_.limits().is_short() && !recent)
+    if (proxy_.limits().is_short() && !recent && !asking_)
     {
-        report_soon();
+        asking_ = true;
+        // Later, since the proxy is in the middle of a statement.
+        asio::post(context_,
+                   [this]
+                   {
+                       asking_ = false;
+                       request_grants();
+                   });
     }
 }
 
@@ -772,8 +853,7 @@
     {
         sealed = sealed || lead.sealed();
     }
-    const bool hurry = sealed || proxy_.limits().is_short();
-    report_timer_.expires_after(hurry ? hurried_interval : report_interval);
+    report_timer_.expires_after(sealed ? hurried_interval : report_interval);
     report_timer_.async_wait(
         [this](error_code error)
         {
--- a/tools/daemon/fleet_agent.hpp
+++ b/tools/daemon/fleet_agent.hpp
@@ -97,6 +97,9 @@
     void receive();
     void take_datagram(std::size_t size);
     void take_view(const proto::FleetView& view);
+    void reply_to(const proto::GrantRequest& request);
+    void take_reply(const proto::GrantReply& reply);
+    void request_grants();
     void send_report();
     void send_view(const std::string& vm);
     void send_views();
@@ -173,6 +176,7 @@
     std::uint64_t config_version_ = 0;
     bool held_duty_ = false;
     bool fetching_ = false;
+    bool asking_ = false;
     std::optional<moment> servers_behind_; ///< since when
     std::optional<moment> config_behind_;
     bool leaving_ = false;
