Go on at the demand of before when the duty's holder is lost

Ruled out: larger stocks (they take from VMs that need more). Change: views say whether a workspace is calm; a VM without a holder admits 1.3 of its former demand for 6.5 s if so, and a new holder starts without what was earned meanwhile; a connection that ends counts against its server only if nothing was heard from it for 300 ms.

--- a/include/tanagerhoist/fleet/duty_keeper.hpp
+++ b/include/tanagerhoist/fleet/duty_keeper.hpp
@@ -45,9 +45,6 @@
     /// The duty as last read or written.
     const proto::DutyRow& row() const { return row_; }
 
-    /// When the former holder granted for the last time, at the latest.
-    moment former_end() const { return former_end_; }
-
     /// What the former holder had left, if it gave the duty back.
     const proto::DutyRow& former() const { return former_; }
 
@@ -69,10 +66,8 @@
     proto::MemberRow self_;
     clock now_;
     journal& lines_;
-    moment started_; ///< no earlier life of this VM acts after it
     proto::DutyRow row_;
     proto::DutyRow former_;
-    moment former_end_{};
     std::uint64_t version_ = 0;
     moment held_until_{};
     bool holding_ = false;
--- a/include/tanagerhoist/fleet/fleet_hub.hpp
+++ b/include/tanagerhoist/fleet/fleet_hub.hpp
@@ -41,9 +41,8 @@
     fleet_hub(limit_tolerance tolerance, bool fresh);
 
     /// Forgets everything; to be called when the duty was taken.
-    /// @param former_end when the former holder granted for the last time
-    /// @param former its row, with what it had left
-    void begin(moment former_end, const proto::DutyRow& former);
+    /// @param former row of the former holder, with what it had left
+    void begin(const proto::DutyRow& former);
 
     /// What is left to grant.
     std::vector<proto::WorkspaceBalance> balances(moment now) const;
@@ -92,6 +91,7 @@
         token_bucket left;
         std::uint64_t capacity = 0; ///< of `left` and all stocks together
         std::map<std::string, std::uint64_t> stocks; ///< by VM
+        std::map<std::string, std::uint64_t> asked;  ///< in 1,000 s, by VM
         bool known = false;
     };
     struct position
@@ -102,6 +102,8 @@
 
     bool has_acked(const proto::GroupLead& lead,
                    const fleet_member& member) const;
+    static bool is_calm(const workspace_account& account,
+                        const fleet_allowance& allowed);
     void grant_one(moment now, const session_settings& settings,
                    const std::string& vm, const proto::WorkspaceDemand& demand,
                    grants& given);
@@ -110,7 +112,6 @@
 
     limit_tolerance tolerance_;
     bool fresh_;
-    moment former_end_{};
     std::map<std::string, std::uint64_t> former_left_; ///< by workspace
     std::map<std::string, vm_state> vms_;
     std::map<std::string, workspace_account> accounts_; ///< by workspace
--- a/include/tanagerhoist/session/workspace_limits.hpp
+++ b/include/tanagerhoist/session/workspace_limits.hpp
@@ -85,6 +85,8 @@
     struct allowance
     {
         token_bucket even;        ///< needs no grant
+        token_bucket alone;       ///< while no holder of the duty is heard
+        bool calm = false;        ///< the fleet was asked for less than allowed
         fleet_allowance fleet;
         std::uint64_t stock = 0;
         std::uint64_t asked = 0;  ///< since the last report
@@ -96,6 +98,7 @@
     };
 
     void apply(moment now, allowance& share) const;
+    bool take_alone(moment now, allowance& share) const;
     static std::uint64_t wanted(moment now, const allowance& share);
 
     limit_tolerance tolerance_;
--- a/src/fleet/duty_keeper.cpp
+++ b/src/fleet/duty_keeper.cpp
@@ -18,8 +18,7 @@
     : store_(store),
       self_(std::move(self)),
       now_(std::move(now)),
-      lines_(lines),
-      started_(now_())
+      lines_(lines)
 {
 }
 
@@ -160,11 +159,6 @@
         return; // the next step reads what became of it
     }
     former_ = row_;
-    // A holder that was killed or gave the duty back has ended already.
-    const auto lease = milliseconds(row_.renewed_ms() + row_.lease_ms());
-    const auto lease_end = read.sent + (lease - duty_margin - read.now);
-    former_end_ =
-        row_.holder() == self_.vm() ? started_ : std::min(lease_end, read.sent);
     row_ = taken;
     version_ = answer.version;
     holding_ = true;
--- a/src/fleet/fleet_hub.cpp
+++ b/src/fleet/fleet_hub.cpp
@@ -36,9 +36,8 @@
 {
 }
 
-void fleet_hub::begin(moment former_end, const proto::DutyRow& former)
+void fleet_hub::begin(const proto::DutyRow& former)
 {
-    former_end_ = former_end;
     former_left_.clear();
     for (const auto& balance : former.left())
     {
@@ -189,6 +188,10 @@
         const auto vm = vms_.find(it->first);
         const bool gone =
             vm == vms_.end() || now >= vm->second.heard + stock_kept;
+        if (gone)
+        {
+            account.asked.erase(it->first);
+        }
         it = gone ? account.stocks.erase(it) : std::next(it);
     }
     std::uint64_t held = 0;
@@ -208,12 +211,9 @@
     if (!account.known)
     {
         account.known = true;
-        const double seconds =
-            std::chrono::duration<double>(now - former_end_).count();
-        const double since = std::max(0.0, seconds) * allowed.rate *
-                             static_cast<double>(granted_parts) / share_parts;
-        const auto earned = static_cast<std::uint64_t>(since * token_unit) +
-                            former_left_[workspace] * token_unit;
+        // What was earned since the former holder ended without a word was
+        // used by VMs on their own.
+        const auto earned = former_left_[workspace] * token_unit;
         account.left.clear();
         account.left.add(now, fresh_ ? capacity : std::min(capacity, earned));
     }
@@ -230,6 +230,7 @@
     }
     for (const auto& demand : it->second.report.demand())
     {
+        accounts_[demand.workspace()].asked[vm] = demand.asked_per_1000s();
         grant_one(now, settings, vm, demand, given);
     }
     it->second.report.clear_demand(); // granted once
@@ -252,6 +253,19 @@
     return true;
 }
 
+bool fleet_hub::is_calm(const workspace_account& account,
+                        const fleet_allowance& allowed)
+{
+    constexpr double calm_part = 0.8;
+    constexpr double per_1000s = 1000;
+    double asked = 0;
+    for (const auto& [vm, rate] : account.asked)
+    {
+        asked += static_cast<double>(rate);
+    }
+    return asked < calm_part * allowed.rate * per_1000s;
+}
+
 void fleet_hub::grant_one(moment now, const session_settings& settings,
                           const std::string& vm,
                           const proto::WorkspaceDemand& demand, grants& given)
@@ -278,6 +292,8 @@
     grant.set_workspace(demand.workspace());
     grant.set_operations(operations);
     grant.set_exhausted(left == 0);
+    grant.set_calm(left != 0 &&
+                   is_calm(all, allowance_of(limits->second, tolerance_)));
 }
 
 void fleet_hub::add_positions(moment now, proto::FleetView& view) const
--- a/src/session/proxy_answers.cpp
+++ b/src/session/proxy_answers.cpp
@@ -15,6 +15,10 @@
 /// Servers that a read that failed is given to.
 constexpr unsigned most_failures = 2;
 
+/// A server that was heard from within this time is not taken to be lost with
+/// one connection.
+constexpr milliseconds silent_before_loss{300};
+
 const char* kind_name(read_consistency consistency)
 {
     switch (consistency)
@@ -135,7 +139,11 @@
     const auto owner = it->second.owner;
     const bool sent = it->second.runs_request();
     auto* server = find_server(it->second.server);
-    if (server != nullptr && phase != connection_phase::idle)
+    // A single connection may end while the server serves the others.
+    const bool telling = phase == connection_phase::opening ||
+                         (server != nullptr &&
+                          now >= server->last_heard() + silent_before_loss);
+    if (server != nullptr && phase != connection_phase::idle && telling)
     {
         if (!server->is_failing())
         {
--- a/src/session/workspace_limits.cpp
+++ b/src/session/workspace_limits.cpp
@@ -36,6 +36,12 @@
 /// News younger than this shows that a holder of the duty is there.
 constexpr milliseconds fresh_news{1200};
 
+/// How long a VM that lost the holder admits what it was asked for before, if
+/// the fleet was asked for less than allowed: longer than a new holder takes.
+constexpr milliseconds longest_alone{6500};
+constexpr double alone_factor = 1.3; // of the demand before
+constexpr std::uint64_t alone_burst = 3;
+
 } // namespace
 
 fleet_allowance allowance_of(const session_workspace& workspace,
@@ -118,6 +124,7 @@
         {
             it->second.stock += grant.operations();
             it->second.exhausted = grant.exhausted();
+            it->second.calm = grant.calm();
         }
     }
 }
@@ -155,11 +162,23 @@
     }
     const bool granted = share.stock > 0;
     share.stock -= granted ? 1 : 0;
+    if (!granted && take_alone(now, share))
+    {
+        return true;
+    }
     share.missing += granted || again ? 0 : 1;
     short_ = short_ || !granted;
     return granted;
 }
 
+/// Admits on the demand of before while no holder is heard.
+bool workspace_limits::take_alone(moment now, allowance& share) const
+{
+    const bool alone =
+        now >= heard_ + fresh_news && now < heard_ + longest_alone;
+    return alone && share.calm && share.alone.take(now, token_unit);
+}
+
 milliseconds workspace_limits::wait(moment now,
                                     const std::string& workspace) const
 {
@@ -209,6 +228,17 @@
         entry.set_wanted(want);
         entry.set_missing(std::exchange(share.missing, 0));
         entry.set_returned(returned);
+        entry.set_asked_per_1000s(static_cast<std::uint64_t>(
+            std::ceil(share.asked_per_s * 1000)));
+        if (now < heard_ + fresh_news)
+        {
+            const double part =
+                alone_factor * share.asked_per_s / std::max(1.0, share.fleet.rate);
+            share.alone.use_least_capacity(alone_burst * token_unit);
+            share.alone.use_share(
+                now, static_cast<std::uint64_t>(share.fleet.rate), 0,
+                static_cast<std::uint64_t>(std::min(1.0, part) * share_parts));
+        }
         told.push_back(std::move(entry));
     }
     return told;
--- a/tools/daemon/fleet_agent.cpp
+++ b/tools/daemon/fleet_agent.cpp
@@ -878,7 +878,7 @@
         const bool holds = duty_.holds(now_());
         if (holds && !held_duty_)
         {
-            hub_.begin(duty_.former_end(), duty_.former());
+            hub_.begin(duty_.former());
             read_leads();
             read_members();
             nudge(config_watch_);
