--- a/include/tanagerhoist/fleet/fleet_hub.hpp
+++ b/include/tanagerhoist/fleet/fleet_hub.hpp
@@ -49,8 +49,12 @@
 
     void take_report(moment now, const proto::VmReport& report);
 
-    using grants =
-        google::protobuf::RepeatedPtrField<proto::WorkspaceGrant>;
+    /// Notes that a view goes to a VM now.
+    /// @return sequence of the report that it answers
+    std::uint64_t note_view(moment now, const std::string& vm,
+                            std::uint64_t sequence);
+
+    using grants = google::protobuf::RepeatedPtrField<proto::WorkspaceGrant>;
 
     /// Grants a VM what its last report wants, as far as the limits allow.
     void grant(moment now, const session_settings& settings,
@@ -84,6 +88,7 @@
     {
         proto::VmReport report;
         moment heard{};
+        std::map<std::uint64_t, moment> views; ///< sent, by sequence
     };
     /// What is left of a workspace's limits, and what VMs hold of it.
     struct workspace_account
@@ -100,6 +105,7 @@
         moment covers{};
     };
 
+    void take_positions(const vm_state& vm);
     bool has_acked(const proto::GroupLead& lead,
                    const fleet_member& member) const;
     static bool is_calm(const workspace_account& account,
--- a/include/tanagerhoist/fleet/lead_changer.hpp
+++ b/include/tanagerhoist/fleet/lead_changer.hpp
@@ -23,7 +23,7 @@
 {
     bool primary = false;
     std::uint64_t term = 0; ///< newest term that it knows
-    log_position received; ///< end of its log
+    log_position received;  ///< end of its log
 };
 
 /// What a change of lead asks of the world. Calls may suspend the caller.
--- a/include/tanagerhoist/session/backend_server.hpp
+++ b/include/tanagerhoist/session/backend_server.hpp
@@ -19,7 +19,7 @@
     unsigned slots = 1;          ///< statements that run at once
     bool draining = false;       ///< takes no new work
     bool claims_primary = false; ///< its own belief; it may be superseded
-    std::uint64_t born_ms = 0;   ///< start of its process, Unix time; 0: unknown
+    std::uint64_t born_ms = 0; ///< start of its process, Unix time; 0: unknown
 };
 
 /// Servers by id, in a fixed order.
--- a/include/tanagerhoist/session/client_session.hpp
+++ b/include/tanagerhoist/session/client_session.hpp
@@ -40,12 +40,12 @@
     std::string id;
     statement what;
     moment arrived{};
-    moment due{};      ///< aim of its route
-    moment expires{};  ///< end of its route's timeout
-    moment sent{};     ///< to the server that has it
+    moment due{};     ///< aim of its route
+    moment expires{}; ///< end of its route's timeout
+    moment sent{};    ///< to the server that has it
     bool needs_primary = false;
-    bool writes = false; ///< may have an effect by itself: a write, a commit
-    bool first = true;   ///< of its transaction, or on its own
+    bool writes = false;  ///< may have an effect by itself: a write, a commit
+    bool first = true;    ///< of its transaction, or on its own
     bool offered = false; ///< a server has had it
     std::uint64_t epoch = 0; ///< of the group's lead when it was sent
     unsigned attempts = 0;
@@ -66,10 +66,10 @@
     std::map<std::string, std::string> values;
     std::map<std::string, prepared_statement> prepared;
     transaction_state state = transaction_state::none;
-    bool reads_only = false;      ///< of the open transaction
-    bool wrote = false;           ///< in the open transaction
-    bool aborted = false; ///< rolled back without the client knowing yet
-    connection_id pinned = 0;     ///< connection of the open transaction
+    bool reads_only = false;  ///< of the open transaction
+    bool wrote = false;       ///< in the open transaction
+    bool aborted = false;     ///< rolled back without the client knowing yet
+    connection_id pinned = 0; ///< connection of the open transaction
     moment last_active{};
     std::optional<log_position> committed; ///< the session's last commit
     session_request request;
--- a/include/tanagerhoist/session/placement.hpp
+++ b/include/tanagerhoist/session/placement.hpp
@@ -13,12 +13,12 @@
 /// What placing needs to know of one server that could run a statement.
 struct placement_candidate
 {
-    double response_us = 0;    ///< smoothed response time seen from this VM
-    unsigned running = 0;      ///< statements there from this VM
+    double response_us = 0; ///< smoothed response time seen from this VM
+    unsigned running = 0;   ///< statements there from this VM
     unsigned slots = 1;
-    bool near = true;          ///< in this VM's data centre
+    bool near = true; ///< in this VM's data centre
     bool primary = false;
-    bool lagging = false;      ///< lacked a position just now
+    bool lagging = false;       ///< lacked a position just now
     bool has_connection = true; ///< an idle one in the workspace's name
 };
 
--- a/include/tanagerhoist/session/proxy.hpp
+++ b/include/tanagerhoist/session/proxy.hpp
@@ -47,7 +47,8 @@
     void use_members(moment now, std::size_t members);
     void use_lead(moment now, const proto::GroupLead& lead);
     void use_grants(moment now, const workspace_limits::grants& given);
-    void use_position(moment now, const proto::PositionSample& sample);
+    /// @param sent before which the sample's age was not counted
+    void use_position(moment sent, const proto::PositionSample& sample);
     void prove_right(moment sent) { right_.prove(sent); }
     /// @}
 
--- a/include/tanagerhoist/session/server_connection.hpp
+++ b/include/tanagerhoist/session/server_connection.hpp
@@ -31,9 +31,9 @@
     std::map<std::string, std::string> values; ///< as the server holds them
     std::set<std::string> prepared;            ///< names the server holds
     std::deque<server_statement> script;       ///< still to be sent
-    server_statement current; ///< the unanswered one
-    bool busy = false;        ///< a statement is unanswered
-    bool counted = false;     ///< among the server's running statements
+    server_statement current;                  ///< the unanswered one
+    bool busy = false;                         ///< a statement is unanswered
+    bool counted = false; ///< among the server's running statements
     moment opened{};
     moment sent{};
     moment idle_since{};
--- a/include/tanagerhoist/session/server_state.hpp
+++ b/include/tanagerhoist/session/server_state.hpp
@@ -83,8 +83,8 @@
     void measured(moment now, microseconds took)
     {
         constexpr double weight = 0.2;
-        response_us_ += weight * (static_cast<double>(took.count()) -
-                                  response_us_);
+        response_us_ +=
+            weight * (static_cast<double>(took.count()) - response_us_);
         measured_at_ = now;
     }
 
--- a/include/tanagerhoist/session/session_settings.hpp
+++ b/include/tanagerhoist/session/session_settings.hpp
@@ -52,7 +52,7 @@
     std::unordered_map<std::string, session_group> groups;
     std::unordered_map<std::string, session_workspace> workspaces;
     std::unordered_map<std::string, std::string> keys; ///< key to workspace
-    milliseconds transaction_idle{0}; ///< 0: no limit
+    milliseconds transaction_idle{0};                  ///< 0: no limit
 
     const session_route* route(const std::string& database) const
     {
--- a/include/tanagerhoist/session/transaction_state.hpp
+++ b/include/tanagerhoist/session/transaction_state.hpp
@@ -7,7 +7,7 @@
 /// Where a session, or a server's connection, stands.
 enum class transaction_state
 {
-    none,  ///< outside a transaction
+    none, ///< outside a transaction
     open,
     failed ///< only its end is accepted
 };
--- a/include/tanagerhoist/session/workspace_limits.hpp
+++ b/include/tanagerhoist/session/workspace_limits.hpp
@@ -52,8 +52,7 @@
     /// Takes over the number of VMs between which the even share is split.
     void use_members(moment now, std::size_t members);
 
-    using grants =
-        google::protobuf::RepeatedPtrField<proto::WorkspaceGrant>;
+    using grants = google::protobuf::RepeatedPtrField<proto::WorkspaceGrant>;
 
     /// Adds what was granted. Each message is taken once, in order.
     void use_grants(moment now, const grants& given);
@@ -84,17 +83,17 @@
 private:
     struct allowance
     {
-        token_bucket even;        ///< needs no grant
-        token_bucket alone;       ///< while no holder of the duty is heard
-        bool calm = false;        ///< the fleet was asked for less than allowed
+        token_bucket even;  ///< needs no grant
+        token_bucket alone; ///< while no holder of the duty is heard
+        bool calm = false;  ///< the fleet was asked for less than allowed
         fleet_allowance fleet;
         std::uint64_t stock = 0;
-        std::uint64_t asked = 0;  ///< since the last report
+        std::uint64_t asked = 0;   ///< since the last report
         std::uint64_t missing = 0; ///< refused or held since the last report
-        double asked_per_s = 0;   ///< over some seconds
-        double just_asked = 0;    ///< per second, over the last reports
-        bool exhausted = false;   ///< in the whole fleet
-        moment expected{};        ///< when callers were last here
+        double asked_per_s = 0;    ///< over some seconds
+        double just_asked = 0;     ///< per second, over the last reports
+        bool exhausted = false;    ///< in the whole fleet
+        moment expected{};         ///< when callers were last here
     };
 
     void apply(moment now, allowance& share) const;
--- a/src/adapter/line_stream.cpp
+++ b/src/adapter/line_stream.cpp
@@ -11,9 +11,9 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
-constexpr std::size_t read_size = std::size_t{16} * 1024;        // bytes
-constexpr std::size_t backlog_limit = std::size_t{4} << 20U;     // bytes
-constexpr std::size_t kept_capacity = std::size_t{4} * 1024;     // bytes
+constexpr std::size_t read_size = std::size_t{16} * 1024;    // bytes
+constexpr std::size_t backlog_limit = std::size_t{4} << 20U; // bytes
+constexpr std::size_t kept_capacity = std::size_t{4} * 1024; // bytes
 
 /// Gives back the memory of a buffer that has held a lot.
 void shrink(std::string& buffer)
@@ -56,8 +56,7 @@
 {
     thread_local std::array<char, read_size> buffer;
     error_code error;
-    const auto size =
-        socket_.read_some(boost::asio::buffer(buffer), error);
+    const auto size = socket_.read_some(boost::asio::buffer(buffer), error);
     if (error == boost::asio::error::would_block)
     {
         wait_readable();
@@ -74,8 +73,7 @@
     {
         return;
     }
-    if (input_.size() > line_limit_ &&
-        input_.find('\n') == std::string::npos)
+    if (input_.size() > line_limit_ && input_.find('\n') == std::string::npos)
     {
         fail(stream_end::too_long);
         return;
--- a/src/adapter/small_door.cpp
+++ b/src/adapter/small_door.cpp
@@ -13,8 +13,8 @@
 
 constexpr milliseconds idle_timeout{5000};
 constexpr milliseconds write_timeout{2000};
-constexpr std::size_t body_limit = 1024;                     // bytes
-constexpr std::size_t stack_size = std::size_t{64} * 1024;   // bytes
+constexpr std::size_t body_limit = 1024;                   // bytes
+constexpr std::size_t stack_size = std::size_t{64} * 1024; // bytes
 constexpr unsigned bad_request = 400;
 
 } // namespace
--- a/src/fleet/duty_keeper.cpp
+++ b/src/fleet/duty_keeper.cpp
@@ -15,10 +15,7 @@
 
 duty_keeper::duty_keeper(row_store& store, proto::MemberRow self, clock now,
                          journal& lines)
-    : store_(store),
-      self_(std::move(self)),
-      now_(std::move(now)),
-      lines_(lines)
+    : store_(store), self_(std::move(self)), now_(std::move(now)), lines_(lines)
 {
 }
 
@@ -97,8 +94,7 @@
 void duty_keeper::renew()
 {
     auto renewed = row_;
-    renewed.set_renewed_ms(
-        static_cast<std::uint64_t>(store_now().count()));
+    renewed.set_renewed_ms(static_cast<std::uint64_t>(store_now().count()));
     const auto answer = write(renewed, version_);
     if (answer.result == store_result::done)
     {
@@ -183,10 +179,10 @@
     held_until_ = moment{}; // before the row says so
     holding_ = false;
     const auto answer = write(ended, version_);
-    lines_.write(journal_level::change, "duty_resigned",
-                 {{"token", std::to_string(row_.token())},
-                  {"stored", answer.result == store_result::done ? "yes"
-                                                                 : "no"}});
+    lines_.write(
+        journal_level::change, "duty_resigned",
+        {{"token", std::to_string(row_.token())},
+         {"stored", answer.result == store_result::done ? "yes" : "no"}});
 }
 
 } // namespace tanagerhoist
--- a/src/fleet/fleet_hub.cpp
+++ b/src/fleet/fleet_hub.cpp
@@ -25,8 +25,8 @@
 
 bool has_lapsed(const fleet_member& member, milliseconds store_now)
 {
-    return store_now > milliseconds(member.row.store_ms()) + right_duration +
-                           right_slack;
+    return store_now >
+           milliseconds(member.row.store_ms()) + right_duration + right_slack;
 }
 
 } // namespace
@@ -80,11 +80,24 @@
     }
     vm.report = report;
     vm.heard = now;
-    for (const auto& sample : report.positions())
+    take_positions(vm);
+}
+
+/// Takes in positions with the time that they cover for certain: the report
+/// was sent after the view that it names, however long it was on its way.
+void fleet_hub::take_positions(const vm_state& vm)
+{
+    const auto view = vm.views.find(vm.report.view());
+    if (view == vm.views.end())
+    {
+        return;
+    }
+    for (const auto& sample : vm.report.positions())
     {
         auto& known = positions_[sample.group()];
-        const auto covers = now - milliseconds(sample.age_ms());
-        if (sample.term() > known.sample.term() || covers > known.covers)
+        const auto covers = view->second - milliseconds(sample.age_ms());
+        if (sample.term() > known.sample.term() ||
+            (sample.term() == known.sample.term() && covers > known.covers))
         {
             known.sample = sample;
             known.covers = covers;
@@ -92,6 +105,24 @@
     }
 }
 
+std::uint64_t fleet_hub::note_view(moment now, const std::string& vm,
+                                   std::uint64_t sequence)
+{
+    const auto it = vms_.find(vm);
+    if (it == vms_.end())
+    {
+        return 0;
+    }
+    constexpr std::size_t kept_views = 16;
+    auto& views = it->second.views;
+    views[sequence] = now;
+    if (views.size() > kept_views)
+    {
+        views.erase(views.begin());
+    }
+    return it->second.report.sequence();
+}
+
 bool fleet_hub::is_lost(moment now, const std::string& primary)
 {
     unsigned lacking = 0;
@@ -125,8 +156,7 @@
     }
     const auto& acks = it->second.report.sealed();
     return std::any_of(acks.begin(), acks.end(),
-                       [&lead](const proto::SealAck& ack)
-                       {
+                       [&lead](const proto::SealAck& ack) {
                            return ack.group() == lead.group() &&
                                   ack.epoch() == lead.epoch();
                        });
@@ -144,20 +174,20 @@
     {
         return false; // a VM may have registered before the seal
     }
-    return std::all_of(
-        members.rows.begin(), members.rows.end(),
-        [&](const auto& entry)
-        {
-            const auto& member = entry.second;
-            if (has_acked(lead, member))
-            {
-                return true;
-            }
-            // A row that is newer than the seal is of a VM that knew of it.
-            return member.version > seal_version
-                       ? now >= members.read_at + after_news
-                       : has_lapsed(member, members.store_now);
-        });
+    return std::all_of(members.rows.begin(), members.rows.end(),
+                       [&](const auto& entry)
+                       {
+                           const auto& member = entry.second;
+                           if (has_acked(lead, member))
+                           {
+                               return true;
+                           }
+                           // A row that is newer than the seal is of a VM that
+                           // knew of it.
+                           return member.version > seal_version
+                                      ? now >= members.read_at + after_news
+                                      : has_lapsed(member, members.store_now);
+                       });
 }
 
 std::vector<std::string> fleet_hub::lapsed(moment now,
@@ -167,8 +197,8 @@
     for (const auto& [vm, member] : members.rows)
     {
         const auto report = vms_.find(vm);
-        const bool reports = report != vms_.end() &&
-                             now < report->second.heard + report_use;
+        const bool reports =
+            report != vms_.end() && now < report->second.heard + report_use;
         if (!reports && has_lapsed(member, members.store_now))
         {
             found.push_back(vm);
@@ -280,8 +310,7 @@
     all.left.add(now, demand.returned() * token_unit);
     // A VM keeps at most its part of what may be held, so that the rest is
     // there for whoever needs it at once; with many VMs that is nothing.
-    const auto most =
-        all.capacity * 3 / 4 / token_unit / all.stocks.size();
+    const auto most = all.capacity * 3 / 4 / token_unit / all.stocks.size();
     const auto target = std::min(demand.wanted(), most) + demand.missing();
     const auto short_by = target - std::min(target, demand.stock());
     const auto left = all.left.tokens(now) / token_unit;
--- a/src/fleet/lead_changer.cpp
+++ b/src/fleet/lead_changer.cpp
@@ -33,12 +33,12 @@
     const auto answer = port_.write_lead(lead, row.version);
     if (answer.result != store_result::done)
     {
-        lines_.write(journal_level::change, "lead_not_written",
-                     {{"group", lead.group()},
-                      {"epoch", std::to_string(lead.epoch())},
-                      {"cause", answer.result == store_result::conflict
-                                    ? "conflict"
-                                    : "store"}});
+        lines_.write(
+            journal_level::change, "lead_not_written",
+            {{"group", lead.group()},
+             {"epoch", std::to_string(lead.epoch())},
+             {"cause",
+              answer.result == store_result::conflict ? "conflict" : "store"}});
         return false;
     }
     row.lead = lead;
@@ -121,8 +121,7 @@
     {
         demote_old(row.lead);
         const auto id = choose(row.lead, unfit);
-        const auto server =
-            id ? find(row.lead.group(), *id) : std::nullopt;
+        const auto server = id ? find(row.lead.group(), *id) : std::nullopt;
         if (!server)
         {
             unfit.clear();
@@ -130,14 +129,13 @@
             continue;
         }
         const auto answer = port_.order(row.lead.group(), *id);
-        lines_.write(journal_level::change, "promotion_ordered",
-                     {{"group", row.lead.group()},
-                      {"server", *id},
-                      {"answer", answer == promotion_answer::accepted
-                                     ? "accepted"
-                                 : answer == promotion_answer::server_unfit
-                                     ? "unfit"
-                                     : "none"}});
+        lines_.write(
+            journal_level::change, "promotion_ordered",
+            {{"group", row.lead.group()},
+             {"server", *id},
+             {"answer", answer == promotion_answer::accepted       ? "accepted"
+                        : answer == promotion_answer::server_unfit ? "unfit"
+                                                                   : "none"}});
         if (answer == promotion_answer::server_unfit)
         {
             unfit.insert(*id);
@@ -180,9 +178,9 @@
                 return server.id; // leads already
             }
             const bool better =
-                role && (!best || (leaving && !server.draining) ||
-                         (leaving == server.draining &&
-                          ahead < role->received));
+                role &&
+                (!best || (leaving && !server.draining) ||
+                 (leaving == server.draining && ahead < role->received));
             if (better)
             {
                 best = server.id;
@@ -211,8 +209,7 @@
 }
 
 /// The old primary, if no other server answers and it does again.
-std::optional<std::string>
-lead_changer::old_again(const proto::GroupLead& lead)
+std::optional<std::string> lead_changer::old_again(const proto::GroupLead& lead)
 {
     const auto old = find(lead.group(), lead.primary());
     if (old && port_.role(*old))
--- a/src/session/placement.cpp
+++ b/src/session/placement.cpp
@@ -5,7 +5,7 @@
 namespace
 {
 
-constexpr double far_us = 6000;       // two ways and the bytes between
+constexpr double far_us = 6000;        // two ways and the bytes between
 constexpr double handshake_us = 20000; // of a new connection, and its slot
 constexpr double primary_factor = 1.5;
 constexpr double lagging_us = 60000; // a wasted attempt
--- a/src/session/position_history.cpp
+++ b/src/session/position_history.cpp
@@ -7,7 +7,7 @@
 namespace
 {
 
-constexpr milliseconds spacing{20};      // between kept samples
+constexpr milliseconds spacing{20};       // between kept samples
 constexpr milliseconds longest_use{5000}; // older ones cover no read
 
 } // namespace
@@ -37,10 +37,10 @@
 
 std::optional<log_position> position_history::covering(moment oldest) const
 {
-    const auto it = std::lower_bound(
-        samples_.begin(), samples_.end(), oldest,
-        [](const position_sample& sample, moment time)
-        { return sample.covers < time; });
+    const auto it =
+        std::lower_bound(samples_.begin(), samples_.end(), oldest,
+                         [](const position_sample& sample, moment time)
+                         { return sample.covers < time; });
     if (it == samples_.end())
     {
         return std::nullopt;
--- a/src/session/proxy_answers.cpp
+++ b/src/session/proxy_answers.cpp
@@ -70,10 +70,10 @@
     connection.idle_since = now;
     const auto owner = std::exchange(connection.owner, 0);
     const auto session = sessions_.find(owner);
-    const bool awaited = session != sessions_.end() &&
-                         session->second.request.stage ==
-                             request_stage::opening &&
-                         session->second.request.connection == id;
+    const bool awaited =
+        session != sessions_.end() &&
+        session->second.request.stage == request_stage::opening &&
+        session->second.request.connection == id;
     if (!awaited)
     {
         dispatch_for(now, connection.server);
@@ -111,12 +111,12 @@
             server->refused_connection(now);
         }
     }
-    lines_.write(journal_level::refused, "connection_refused",
-                 {{"server", server_id},
-                  {"cause", error == session_error::too_many ? "too_many"
-                            : error == session_error::wrong_server
-                                ? "wrong_server"
-                                : "other"}});
+    lines_.write(
+        journal_level::refused, "connection_refused",
+        {{"server", server_id},
+         {"cause", error == session_error::too_many       ? "too_many"
+                   : error == session_error::wrong_server ? "wrong_server"
+                                                          : "other"}});
     close_connection(id);
     const auto session = sessions_.find(owner);
     if (session != sessions_.end() &&
@@ -140,9 +140,9 @@
     const bool sent = it->second.runs_request();
     auto* server = find_server(it->second.server);
     // A single connection may end while the server serves the others.
-    const bool telling = phase == connection_phase::opening ||
-                         (server != nullptr &&
-                          now >= server->last_heard() + silent_before_loss);
+    const bool telling =
+        phase == connection_phase::opening ||
+        (server != nullptr && now >= server->last_heard() + silent_before_loss);
     if (server != nullptr && phase != connection_phase::idle && telling)
     {
         if (!server->is_failing())
@@ -361,8 +361,9 @@
         session.pinned = 0;
         release(now, id, connection);
     }
-    auto& answers = figures_.answers[{kind_name(session.consistency),
-                                      outcome_name(answer)}];
+    auto& answers =
+        figures_
+            .answers[{kind_name(session.consistency), outcome_name(answer)}];
     answers.add(now - request.arrived);
     note(answer.error ? journal_level::refused : journal_level::served,
          answer.error ? "unknown" : "served", now, session, "");
--- a/src/session/proxy_dispatch.cpp
+++ b/src/session/proxy_dispatch.cpp
@@ -114,20 +114,19 @@
     for (auto& [id, state] : servers_)
     {
         const bool is_primary = &state == primary;
-        const bool fit = state.server.group == session.group &&
-                         state.may_try(now) && has_room(now, state, session) &&
-                         session.request.avoid.count(id) == 0 &&
-                         (is_primary || (session.request.after &&
-                                         !state.server.draining));
+        const bool fit =
+            state.server.group == session.group && state.may_try(now) &&
+            has_room(now, state, session) &&
+            session.request.avoid.count(id) == 0 &&
+            (is_primary || (session.request.after && !state.server.draining));
         if (!fit)
         {
             continue;
         }
-        candidates.push_back({state.response_us(now), state.running,
-                              state.server.slots,
-                              state.server.data_centre == data_centre_,
-                              is_primary, state.is_lagging(now),
-                              idle_connection(id, session) != 0});
+        candidates.push_back(
+            {state.response_us(now), state.running, state.server.slots,
+             state.server.data_centre == data_centre_, is_primary,
+             state.is_lagging(now), idle_connection(id, session) != 0});
         found.push_back(&state);
     }
     const auto chosen = choose_server(candidates);
@@ -293,9 +292,10 @@
     };
     auto held = connection.values;
     auto names = connection.prepared;
-    const bool foreign = std::any_of(
-        held.begin(), held.end(), [&session](const auto& value)
-        { return session.values.count(value.first) == 0; });
+    const bool foreign =
+        std::any_of(held.begin(), held.end(),
+                    [&session](const auto& value)
+                    { return session.values.count(value.first) == 0; });
     if (foreign)
     {
         own(statement_kind::reset);
--- a/src/session/proxy_sessions.cpp
+++ b/src/session/proxy_sessions.cpp
@@ -376,8 +376,8 @@
     const bool in_transaction = session.state == transaction_state::open;
     const bool commit = request.what.kind == statement_kind::commit;
     request.first = session.pinned == 0;
-    request.writes = commit ? session.wrote
-                            : request.what.writes && !in_transaction;
+    request.writes =
+        commit ? session.wrote : request.what.writes && !in_transaction;
     request.needs_primary =
         session.consistency == read_consistency::primary ||
         (in_transaction ? !session.reads_only : request.what.writes);
@@ -432,7 +432,8 @@
 void proxy::leave_if_idle(moment now, session_id id)
 {
     const auto it = sessions_.find(id);
-    if (it == sessions_.end() || it->second.request.stage != request_stage::none)
+    if (it == sessions_.end() ||
+        it->second.request.stage != request_stage::none)
     {
         return;
     }
--- a/src/session/proxy_time.cpp
+++ b/src/session/proxy_time.cpp
@@ -100,8 +100,8 @@
     for (auto& [id, state] : servers_)
     {
         const auto it = servers.find(id);
-        const bool replaced = it != servers.end() &&
-                              it->second.address != state.server.address;
+        const bool replaced =
+            it != servers.end() && it->second.address != state.server.address;
         if (it == servers.end() || replaced)
         {
             gone.push_back(id);
@@ -110,8 +110,7 @@
     for (const auto& id : gone)
     {
         const auto* lead = lead_of(servers_.at(id).server.group);
-        if (lead != nullptr && lead->primary() == id &&
-            servers.count(id) == 0)
+        if (lead != nullptr && lead->primary() == id && servers.count(id) == 0)
         {
             continue; // its entry may have lapsed while it still leads
         }
@@ -238,13 +237,13 @@
     dispatch(now, lead.group());
 }
 
-void proxy::use_position(moment now, const proto::PositionSample& sample)
+void proxy::use_position(moment sent, const proto::PositionSample& sample)
 {
     const auto* lead = lead_of(sample.group());
     if (lead != nullptr && !lead->sealed() && lead->term() == sample.term())
     {
         groups_[sample.group()].history.add(
-            {now - milliseconds(sample.age_ms()),
+            {sent - milliseconds(sample.age_ms()),
              {sample.term(), sample.number()}});
     }
 }
@@ -262,10 +261,10 @@
             continue;
         }
         const auto session = sessions_.find(it->second.owner);
-        const bool primary_use = session == sessions_.end() ||
-                                 session->second.request.needs_primary;
-        const bool effect = session != sessions_.end() &&
-                            session->second.request.writes;
+        const bool primary_use =
+            session == sessions_.end() || session->second.request.needs_primary;
+        const bool effect =
+            session != sessions_.end() && session->second.request.writes;
         if (writes ? primary_use : !effect)
         {
             drop_running(now, id);
@@ -559,20 +558,19 @@
 /// Whether anything that only a primary may run is at the server.
 bool proxy::runs_at(const std::string& server) const
 {
-    return std::any_of(
-        connections_.begin(), connections_.end(),
-        [this, &server](const auto& entry)
-        {
-            const auto& connection = entry.second;
-            if (connection.server != server ||
-                connection.phase != connection_phase::running)
-            {
-                return false;
-            }
-            const auto owner = sessions_.find(connection.owner);
-            return owner == sessions_.end() ||
-                   owner->second.request.needs_primary;
-        });
+    return std::any_of(connections_.begin(), connections_.end(),
+                       [this, &server](const auto& entry)
+                       {
+                           const auto& connection = entry.second;
+                           if (connection.server != server ||
+                               connection.phase != connection_phase::running)
+                           {
+                               return false;
+                           }
+                           const auto owner = sessions_.find(connection.owner);
+                           return owner == sessions_.end() ||
+                                  owner->second.request.needs_primary;
+                       });
 }
 
 bool proxy::is_ready(moment now) const
--- a/src/session/workspace_limits.cpp
+++ b/src/session/workspace_limits.cpp
@@ -212,8 +212,8 @@
         share.asked = 0;
         share.asked_per_s += std::min(1.0, seconds / demand_memory_s) *
                              (rate - share.asked_per_s);
-        share.just_asked += std::min(1.0, seconds / short_memory_s) *
-                            (rate - share.just_asked);
+        share.just_asked +=
+            std::min(1.0, seconds / short_memory_s) * (rate - share.just_asked);
         const auto want = wanted(now, share);
         const auto kept = std::min(share.stock, 2 * want);
         const auto returned = share.stock - kept;
@@ -228,12 +228,12 @@
         entry.set_wanted(want);
         entry.set_missing(std::exchange(share.missing, 0));
         entry.set_returned(returned);
-        entry.set_asked_per_1000s(static_cast<std::uint64_t>(
-            std::ceil(share.asked_per_s * 1000)));
+        entry.set_asked_per_1000s(
+            static_cast<std::uint64_t>(std::ceil(share.asked_per_s * 1000)));
         if (now < heard_ + fresh_news)
         {
-            const double part =
-                alone_factor * share.asked_per_s / std::max(1.0, share.fleet.rate);
+            const double part = alone_factor * share.asked_per_s /
+                                std::max(1.0, share.fleet.rate);
             share.alone.use_least_capacity(alone_burst * token_unit);
             share.alone.use_share(
                 now, static_cast<std::uint64_t>(share.fleet.rate), 0,
--- /dev/null
+++ b/tests/lead_changer_test.cpp
@@ -0,0 +1,335 @@
+#include "proxy_fixture.hpp"
+#include "tanagerhoist/fleet/lead_changer.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <functional>
+
+namespace tanagerhoist
+{
+namespace
+{
+
+/// A group of servers that answer as told, on a clock that pauses advance.
+class fake_group : public lead_change_port
+{
+public:
+    struct member
+    {
+        bool answers = true;
+        server_role role;
+        bool draining = false;
+    };
+
+    fake_group()
+    {
+        members["p"].role = {true, 1, {1, 100}};
+        members["q"].role = {false, 1, {1, 90}};
+        members["r"].role = {false, 1, {1, 95}};
+        row.lead.set_group("g");
+        row.lead.set_epoch(1);
+        row.lead.set_primary("p");
+        row.lead.set_term(1);
+        row.version = 10;
+    }
+
+    moment now() override { return time; }
+    void pause(milliseconds duration) override
+    {
+        time += duration;
+        if (on_pause)
+        {
+            on_pause();
+        }
+    }
+    bool holds_duty() override { return duty && time < give_up; }
+
+    store_answer write_lead(const proto::GroupLead& lead,
+                            std::uint64_t version) override
+    {
+        store_answer answer;
+        if (version != row.version)
+        {
+            answer.result = store_result::conflict;
+            return answer;
+        }
+        row.lead = lead;
+        ++row.version;
+        answer.result = store_result::done;
+        answer.version = row.version;
+        return answer;
+    }
+    bool is_sealed(const proto::GroupLead&, std::uint64_t, moment) override
+    {
+        return all_acked;
+    }
+    std::vector<backend_server> servers(const std::string&) override
+    {
+        std::vector<backend_server> found;
+        for (const auto& [id, entry] : members)
+        {
+            auto server = proxy_fixture::server(id, "a");
+            server.draining = entry.draining;
+            server.claims_primary = entry.role.primary;
+            found.push_back(server);
+        }
+        return found;
+    }
+    unsigned synchronous_replicas(const std::string&) override
+    {
+        return synchronous;
+    }
+    std::optional<server_role> role(const backend_server& server) override
+    {
+        const auto& entry = members.at(server.id);
+        return entry.answers ? std::optional(entry.role) : std::nullopt;
+    }
+    std::optional<server_role> demote(const backend_server& server,
+                                      std::uint64_t) override
+    {
+        auto& entry = members.at(server.id);
+        if (!entry.answers)
+        {
+            return std::nullopt;
+        }
+        entry.role.primary = false;
+        return entry.role;
+    }
+    promotion_answer order(const std::string&,
+                           const std::string& server) override
+    {
+        CPPUNIT_ASSERT(row.lead.sealed());
+        CPPUNIT_ASSERT(all_acked);
+        ordered.push_back(server);
+        if (!members.at(server).answers)
+        {
+            return promotion_answer::server_unfit;
+        }
+        if (!promotion_starts)
+        {
+            return promotion_answer::unanswered;
+        }
+        auto& role = members.at(server).role;
+        role.term = role.primary ? role.term : row.lead.term() + 1;
+        role.primary = true; // for the present primary nothing changes
+        return promotion_answer::accepted;
+    }
+
+    std::optional<lead_row> change(bool planned)
+    {
+        lead_changer changer(*this, lines);
+        return changer.change(row, planned);
+    }
+
+    std::map<std::string, member> members;
+    lead_row row;
+    moment time{std::chrono::hours(1)};
+    moment give_up = time + std::chrono::seconds(30);
+    std::function<void()> on_pause;
+    bool duty = true;
+    bool all_acked = true;
+    bool promotion_starts = true;
+    unsigned synchronous = 0;
+    std::vector<std::string> ordered;
+    silent_journal lines;
+};
+
+} // namespace
+
+class lead_changer_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(lead_changer_test);
+    CPPUNIT_TEST(dead_primary_is_replaced_by_the_server_furthest_ahead);
+    CPPUNIT_TEST(nothing_is_ordered_before_all_have_left_the_primary);
+    CPPUNIT_TEST(duty_lost_while_waiting_ends_the_change);
+    CPPUNIT_TEST(row_changed_by_another_holder_ends_the_change);
+    CPPUNIT_TEST(planned_change_waits_for_the_end_of_the_log);
+    CPPUNIT_TEST(unfit_server_is_passed_over);
+    CPPUNIT_TEST(unanswered_order_is_resolved_by_asking_the_server);
+    CPPUNIT_TEST(promotion_that_an_earlier_holder_ordered_is_taken);
+    CPPUNIT_TEST(successor_at_the_old_primary_s_log_is_taken_in_its_term);
+    CPPUNIT_TEST(synchronous_group_waits_for_all_replicas);
+    CPPUNIT_TEST(draining_replica_is_promoted_only_without_others);
+    CPPUNIT_TEST(group_is_founded_on_the_server_that_leads);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void dead_primary_is_replaced_by_the_server_furthest_ahead()
+    {
+        fake_group f;
+        f.members["p"].answers = false;
+        const auto done = f.change(false);
+        CPPUNIT_ASSERT(done);
+        CPPUNIT_ASSERT_EQUAL(std::string("r"), done->lead.primary());
+        CPPUNIT_ASSERT(!done->lead.sealed());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, done->lead.epoch());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, done->lead.term());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{95}, done->lead.base_number());
+    }
+
+    void nothing_is_ordered_before_all_have_left_the_primary()
+    {
+        fake_group f;
+        f.members["p"].answers = false;
+        f.all_acked = false;
+        int pauses = 0;
+        f.on_pause = [&]
+        {
+            CPPUNIT_ASSERT(f.all_acked || f.ordered.empty());
+            f.all_acked = ++pauses > 100;
+        };
+        CPPUNIT_ASSERT(f.change(false));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.ordered.size());
+    }
+
+    void duty_lost_while_waiting_ends_the_change()
+    {
+        fake_group f;
+        f.all_acked = false;
+        f.on_pause = [&] { f.duty = false; };
+        CPPUNIT_ASSERT(!f.change(false));
+        CPPUNIT_ASSERT(f.ordered.empty());
+        CPPUNIT_ASSERT(f.row.lead.sealed()); // the next holder goes on
+    }
+
+    void row_changed_by_another_holder_ends_the_change()
+    {
+        fake_group f;
+        lead_changer changer(f, f.lines);
+        auto known = f.row;
+        f.row.version = 11;
+        CPPUNIT_ASSERT(!changer.change(known, false));
+        CPPUNIT_ASSERT(f.ordered.empty());
+    }
+
+    void planned_change_waits_for_the_end_of_the_log()
+    {
+        fake_group f;
+        f.members["p"].draining = true;
+        int pauses = 0;
+        f.on_pause = [&]
+        {
+            if (++pauses == 3)
+            {
+                f.members["q"].role.received = {1, 100};
+            }
+        };
+        const auto done = f.change(true);
+        CPPUNIT_ASSERT(done);
+        CPPUNIT_ASSERT_EQUAL(std::string("q"), done->lead.primary());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{100}, done->lead.base_number());
+    }
+
+    void unfit_server_is_passed_over()
+    {
+        fake_group f;
+        f.members["p"].answers = false;
+        f.on_pause = [] {};
+        f.members["r"].role.received = {1, 99};
+        // r answers its status, but is not running for the platform.
+        struct refusing : fake_group
+        {
+            promotion_answer order(const std::string& group,
+                                   const std::string& server) override
+            {
+                if (server == "r")
+                {
+                    ordered.push_back(server);
+                    return promotion_answer::server_unfit;
+                }
+                return fake_group::order(group, server);
+            }
+        } g;
+        g.members["p"].answers = false;
+        const auto done = g.change(false);
+        CPPUNIT_ASSERT(done);
+        CPPUNIT_ASSERT_EQUAL(std::string("q"), done->lead.primary());
+        CPPUNIT_ASSERT_EQUAL(std::string("r"), g.ordered.front());
+    }
+
+    void unanswered_order_is_resolved_by_asking_the_server()
+    {
+        fake_group f;
+        f.members["p"].answers = false;
+        f.promotion_starts = false;
+        int pauses = 0;
+        f.on_pause = [&]
+        {
+            if (!f.ordered.empty() && ++pauses == 5)
+            {
+                f.members["r"].role.primary = true;
+                f.members["r"].role.term = 2;
+            }
+        };
+        const auto done = f.change(false);
+        CPPUNIT_ASSERT(done);
+        CPPUNIT_ASSERT_EQUAL(std::string("r"), done->lead.primary());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.ordered.size());
+    }
+
+    void promotion_that_an_earlier_holder_ordered_is_taken()
+    {
+        fake_group f;
+        f.row.lead.set_sealed(true);
+        f.members["p"].answers = false;
+        f.members["q"].role.primary = true;
+        f.members["q"].role.term = 2;
+        const auto done = f.change(false);
+        CPPUNIT_ASSERT(done);
+        CPPUNIT_ASSERT_EQUAL(std::string("q"), done->lead.primary());
+    }
+
+    void successor_at_the_old_primary_s_log_is_taken_in_its_term()
+    {
+        fake_group f; // fresh-2e30 of pall-lending: no group without a primary
+        f.members.erase("p");
+        f.members["s"].role = {true, 1, {1, 100}};
+        const auto done = f.change(false);
+        CPPUNIT_ASSERT(done);
+        CPPUNIT_ASSERT_EQUAL(std::string("s"), done->lead.primary());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, done->lead.term());
+    }
+
+    void synchronous_group_waits_for_all_replicas()
+    {
+        fake_group f;
+        f.synchronous = 1;
+        f.members["p"].answers = false;
+        f.members["q"].answers = false;
+        f.members["q"].role.received = {1, 99};
+        int pauses = 0;
+        f.on_pause = [&]
+        {
+            CPPUNIT_ASSERT(f.members["q"].answers || f.ordered.empty());
+            f.members["q"].answers = ++pauses > 120;
+        };
+        const auto done = f.change(false);
+        CPPUNIT_ASSERT(done);
+        CPPUNIT_ASSERT_EQUAL(std::string("q"), done->lead.primary());
+    }
+
+    void draining_replica_is_promoted_only_without_others()
+    {
+        fake_group f;
+        f.members["p"].answers = false;
+        f.members["r"].draining = true;
+        const auto done = f.change(false);
+        CPPUNIT_ASSERT(done);
+        CPPUNIT_ASSERT_EQUAL(std::string("q"), done->lead.primary());
+    }
+
+    void group_is_founded_on_the_server_that_leads()
+    {
+        fake_group f;
+        f.row.version = 0;
+        lead_changer changer(f, f.lines);
+        const auto founded = changer.found("g");
+        CPPUNIT_ASSERT(founded);
+        CPPUNIT_ASSERT_EQUAL(std::string("p"), founded->lead.primary());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, founded->lead.term());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(lead_changer_test);
+
+} // namespace tanagerhoist
--- /dev/null
+++ b/tests/platform_formats_test.cpp
@@ -0,0 +1,213 @@
+#include "platform/line_protocol.hpp"
+#include "platform/operator_config.hpp"
+#include "platform/store_client.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace tanagerhoist
+{
+
+class platform_formats_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(platform_formats_test);
+    CPPUNIT_TEST(client_lines_are_read);
+    CPPUNIT_TEST(bytes_that_are_no_line_are_malformed);
+    CPPUNIT_TEST(server_lines_are_read);
+    CPPUNIT_TEST(statements_keep_their_text);
+    CPPUNIT_TEST(statement_for_a_server_carries_id_and_position);
+    CPPUNIT_TEST(unknown_error_is_taken_for_a_failure);
+    CPPUNIT_TEST(status_row_is_read);
+    CPPUNIT_TEST(configuration_is_decoded);
+    CPPUNIT_TEST(broken_configuration_is_told);
+    CPPUNIT_TEST(malformed_server_entries_name_no_server);
+    CPPUNIT_TEST(store_answers_are_read);
+    CPPUNIT_TEST(transaction_names_versions_of_all_rows);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void client_lines_are_read()
+    {
+        using kind = platform::client_line::kind;
+        const auto start = platform::parse_client_line("STARTUP db key");
+        CPPUNIT_ASSERT(start.what == kind::start);
+        CPPUNIT_ASSERT_EQUAL(std::string("db"), start.first);
+        CPPUNIT_ASSERT_EQUAL(std::string("key"), start.second);
+        const auto query = platform::parse_client_line("QUERY 5c READ 1a4");
+        CPPUNIT_ASSERT(query.what == kind::query);
+        CPPUNIT_ASSERT_EQUAL(std::string("READ 1a4"), query.second);
+        CPPUNIT_ASSERT(platform::parse_client_line("TERMINATE").what ==
+                       kind::end);
+    }
+
+    void bytes_that_are_no_line_are_malformed()
+    {
+        for (const auto* line : {"", " ", "GET / HTTP/1.1", "STARTUP", "QUERY",
+                                 "\x01\xff\xfe", "startup db"})
+        {
+            CPPUNIT_ASSERT(platform::parse_client_line(line).what ==
+                           platform::client_line::kind::malformed);
+        }
+        for (const auto* text :
+             {"", "READ", "SET", "PREPARE a", "PREPARE a X b", "BEGIN WRITE",
+              "COMMIT now", "\xff"})
+        {
+            CPPUNIT_ASSERT(platform::parse_statement(text).kind ==
+                           statement_kind::malformed);
+        }
+    }
+
+    void server_lines_are_read()
+    {
+        const auto ready = platform::parse_server_line("READY T 3.1209");
+        CPPUNIT_ASSERT(ready.state == transaction_state::open);
+        const log_position position{3, 1209};
+        CPPUNIT_ASSERT(ready.position == position);
+        CPPUNIT_ASSERT(!platform::parse_server_line("READY I -").position);
+        const auto error = platform::parse_server_line("ERROR READONLY i-7");
+        CPPUNIT_ASSERT(error.error == session_error::read_only);
+        CPPUNIT_ASSERT_EQUAL(std::string("i-7"), error.text);
+        CPPUNIT_ASSERT(platform::parse_server_line("READY X 3.1").what ==
+                       platform::server_line::kind::malformed);
+    }
+
+    void statements_keep_their_text()
+    {
+        const auto write = platform::parse_statement("WRITE 1a4  two  blanks");
+        CPPUNIT_ASSERT(write.kind == statement_kind::write);
+        CPPUNIT_ASSERT(write.writes);
+        server_statement sent;
+        sent.query_id = "9";
+        sent.what = write;
+        CPPUNIT_ASSERT_EQUAL(std::string("QUERY 9 WRITE 1a4  two  blanks\r\n"),
+                             platform::query_line(sent));
+        const auto prepare = platform::parse_statement("PREPARE s1 WRITE q2c");
+        CPPUNIT_ASSERT(prepare.writes);
+        CPPUNIT_ASSERT_EQUAL(std::string("q2c"), prepare.argument);
+    }
+
+    void statement_for_a_server_carries_id_and_position()
+    {
+        server_statement sent;
+        sent.query_id = "5c";
+        sent.after = log_position{3, 1207};
+        sent.what = platform::parse_statement("READ 1a4");
+        CPPUNIT_ASSERT_EQUAL(std::string("QUERY 5c AFTER 3.1207 READ 1a4\r\n"),
+                             platform::query_line(sent));
+        server_statement own;
+        own.what.kind = statement_kind::begin_read;
+        CPPUNIT_ASSERT_EQUAL(std::string("QUERY - BEGIN READ\r\n"),
+                             platform::query_line(own));
+        CPPUNIT_ASSERT_EQUAL(std::string("STARTUP g w i-7\r\n"),
+                             platform::start_line("g", "w", "i-7"));
+    }
+
+    void unknown_error_is_taken_for_a_failure()
+    {
+        const auto error = platform::parse_server_line("ERROR NEWWORD text");
+        CPPUNIT_ASSERT(error.error == session_error::failed);
+        CPPUNIT_ASSERT(!is_not_run(error.error));
+    }
+
+    void status_row_is_read()
+    {
+        const auto status =
+            platform::parse_status("replica 3 3.1209 0 12 2 17");
+        CPPUNIT_ASSERT(status);
+        CPPUNIT_ASSERT(!status->primary);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, status->term);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1209}, status->received.number);
+        CPPUNIT_ASSERT(!platform::parse_status("leader 3 3.1 0 0 0 0"));
+    }
+
+    void configuration_is_decoded()
+    {
+        std::string fault;
+        const auto settings = platform::decode_config(
+            R"({"version":7,"routes":[{"name":"r","database":"d",)"
+            R"("type":"read_your_writes","timeoutMs":1000,)"
+            R"("targetLatencyMs":400,"priority":2,"backend":"g",)"
+            R"("maxStalenessMs":2500,"public":false}],)"
+            R"("services":[{"name":"g","maxConns":33,"syncReplicas":1}],)"
+            R"("limits":{"txIdleMs":3000},"tenants":[{"name":"w",)"
+            R"("apiKeys":["k1","k2"],"ratePerS":131,"burst":100}]})",
+            fault);
+        CPPUNIT_ASSERT(settings);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, settings->version);
+        const auto* route = settings->route("d");
+        CPPUNIT_ASSERT(route != nullptr);
+        CPPUNIT_ASSERT(route->consistency ==
+                       read_consistency::read_your_writes);
+        CPPUNIT_ASSERT(route->max_staleness == milliseconds(2500));
+        CPPUNIT_ASSERT_EQUAL(33U, settings->groups.at("g").connections);
+        CPPUNIT_ASSERT_EQUAL(std::string("w"), *settings->workspace_of("k2"));
+        CPPUNIT_ASSERT(settings->workspace_of("k3") == nullptr);
+    }
+
+    void broken_configuration_is_told()
+    {
+        std::string fault;
+        CPPUNIT_ASSERT(!platform::decode_config("{\"version\":1}", fault));
+        CPPUNIT_ASSERT_EQUAL(std::string("field routes"), fault);
+        CPPUNIT_ASSERT(!platform::decode_config("\xff\x00 not", fault));
+    }
+
+    void malformed_server_entries_name_no_server()
+    {
+        std::string fault;
+        const std::string good =
+            R"({"backend":"g","address":"10.1.0.9:8080","zone":"a",)"
+            R"("slots":5,"state":"ready","dbRole":"primary","seq":4,)"
+            R"("born":17})";
+        const auto server = platform::decode_server("i-1", good, fault);
+        CPPUNIT_ASSERT(server);
+        CPPUNIT_ASSERT(server->claims_primary);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{8080}, server->port);
+        for (
+            const auto* bad :
+            {"", "[]", "\x80\x81", "{\"backend\":1}",
+             R"({"backend":"g","address":"10.1.0.9","zone":"a","slots":5,"state":"ready"})",
+             R"({"backend":"g","address":"10.1.0.9:1","zone":"a","slots":"5","state":"ready"})",
+             R"({"backend":"g","address":"10.1.0.9:1","zone":"a","slots":5,"state":"asleep"})"})
+        {
+            CPPUNIT_ASSERT(!platform::decode_server("i-1", bad, fault));
+        }
+    }
+
+    void store_answers_are_read()
+    {
+        const auto answer = platform::decode_store_answer(
+            200, R"({"rows":[{"table":"my","part":"","key":"owner",)"
+                 R"("value":"bm9kZS0x","ver":412},{"table":"my",)"
+                 R"("key":"old","ver":413,"removed":true}],)"
+                 R"("ver":530,"nowMs":51230})");
+        CPPUNIT_ASSERT(answer.result == store_result::done);
+        CPPUNIT_ASSERT_EQUAL(std::string("node-1"), answer.rows[0].value);
+        CPPUNIT_ASSERT(answer.rows[1].removed);
+        CPPUNIT_ASSERT(answer.now == milliseconds(51230));
+        CPPUNIT_ASSERT(platform::decode_store_answer(412, "{}").result ==
+                       store_result::conflict);
+        CPPUNIT_ASSERT(platform::decode_store_answer(410, "").result ==
+                       store_result::compacted);
+        CPPUNIT_ASSERT(platform::decode_store_answer(503, "").result ==
+                       store_result::refused);
+        CPPUNIT_ASSERT(platform::decode_store_answer(200, "{").result ==
+                       store_result::malformed);
+    }
+
+    void transaction_names_versions_of_all_rows()
+    {
+        store_transaction change;
+        change.expected.push_back({"my", "owner", "", 0, false});
+        change.puts.push_back({"my", "owner", "node-1", 0, false});
+        CPPUNIT_ASSERT_EQUAL(
+            std::string(
+                R"({"expectedRev":[{"table":"my","part":"","key":"owner",)"
+                R"("ver":0}],"puts":[{"table":"my","part":"","key":"owner",)"
+                R"("value":"bm9kZS0x"}],"remove":[]})"),
+            platform::encode_transaction(change));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(platform_formats_test);
+
+} // namespace tanagerhoist
--- /dev/null
+++ b/tests/proxy_outcomes_test.cpp
@@ -0,0 +1,205 @@
+#include "proxy_fixture.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace tanagerhoist
+{
+
+class proxy_outcomes_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(proxy_outcomes_test);
+    CPPUNIT_TEST(write_whose_connection_is_lost_is_unknown);
+    CPPUNIT_TEST(write_is_not_sent_twice_after_a_lost_answer);
+    CPPUNIT_TEST(write_refused_as_not_run_is_sent_again);
+    CPPUNIT_TEST(read_whose_connection_is_lost_is_sent_again);
+    CPPUNIT_TEST(write_answered_after_a_promotion_is_not_acknowledged);
+    CPPUNIT_TEST(write_answered_after_the_right_ended_is_not_acknowledged);
+    CPPUNIT_TEST(sealed_primary_gets_no_write);
+    CPPUNIT_TEST(open_transaction_at_sealed_primary_is_rolled_back);
+    CPPUNIT_TEST(seal_is_acknowledged_only_when_nothing_runs);
+    CPPUNIT_TEST(statement_that_waits_too_long_says_not_run);
+    CPPUNIT_TEST(single_lost_connection_leaves_its_server_in_use);
+    CPPUNIT_TEST(lost_connections_of_a_silent_server_are_told);
+    CPPUNIT_TEST(vm_without_right_uses_no_primary);
+    CPPUNIT_TEST_SUITE_END();
+
+    static session_id run_write(proxy_fixture& f)
+    {
+        const auto id = f.start("primary");
+        f.ask(id, f.make(statement_kind::write, "1"));
+        f.open_last();
+        return id;
+    }
+
+public:
+    void write_whose_connection_is_lost_is_unknown()
+    {
+        proxy_fixture f;
+        const auto id = run_write(f);
+        f.subject.connection_lost(f.now, f.outlet.sent.back().connection);
+        CPPUNIT_ASSERT(f.outlet.last_answer(id).error ==
+                       session_error::outcome_unknown);
+    }
+
+    void write_is_not_sent_twice_after_a_lost_answer()
+    {
+        proxy_fixture f;
+        run_write(f);
+        const auto sent = f.outlet.sent.size();
+        f.subject.connection_lost(f.now, f.outlet.sent.back().connection);
+        f.pass(milliseconds(500));
+        f.subject.tick(f.now);
+        CPPUNIT_ASSERT_EQUAL(sent, f.outlet.sent.size());
+    }
+
+    void write_refused_as_not_run_is_sent_again()
+    {
+        proxy_fixture f;
+        const auto id = run_write(f);
+        f.fail(session_error::busy);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, f.outlet.answers.count(id));
+        f.pass(milliseconds(100));
+        f.subject.tick(f.now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.outlet.sent.size());
+        f.succeed();
+        CPPUNIT_ASSERT(!f.outlet.last_answer(id).error);
+    }
+
+    void read_whose_connection_is_lost_is_sent_again()
+    {
+        proxy_fixture f;
+        const auto id = f.start("primary");
+        f.ask(id, f.make(statement_kind::read, "1"));
+        f.open_last();
+        f.subject.connection_lost(f.now, f.outlet.sent.back().connection);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, f.outlet.answers.count(id));
+        f.pass(milliseconds(200));
+        f.subject.tick(f.now);
+        f.open_last();
+        f.succeed();
+        CPPUNIT_ASSERT(!f.outlet.last_answer(id).error);
+    }
+
+    void write_answered_after_a_promotion_is_not_acknowledged()
+    {
+        proxy_fixture f;
+        const auto id = run_write(f);
+        const auto connection = f.outlet.sent.back().connection;
+        f.promote("q");
+        f.subject.server_complete(connection, "signature");
+        f.subject.server_ready(f.now, connection, transaction_state::none,
+                               log_position{3, 101});
+        CPPUNIT_ASSERT(f.outlet.last_answer(id).error ==
+                       session_error::outcome_unknown);
+    }
+
+    void write_answered_after_the_right_ended_is_not_acknowledged()
+    {
+        proxy_fixture f;
+        const auto id = run_write(f);
+        f.pass(right_duration); // the VM was frozen meanwhile
+        f.succeed();
+        CPPUNIT_ASSERT(f.outlet.last_answer(id).error ==
+                       session_error::outcome_unknown);
+    }
+
+    void sealed_primary_gets_no_write()
+    {
+        proxy_fixture f;
+        f.seal();
+        const auto id = f.start("primary");
+        f.ask(id, f.make(statement_kind::write, "1"));
+        CPPUNIT_ASSERT(f.outlet.opened.empty());
+        f.promote("q");
+        CPPUNIT_ASSERT_EQUAL(std::string("q"), f.outlet.opened.back().server);
+        f.open_last();
+        f.succeed();
+        CPPUNIT_ASSERT(!f.outlet.last_answer(id).error);
+    }
+
+    void open_transaction_at_sealed_primary_is_rolled_back()
+    {
+        proxy_fixture f;
+        const auto id = f.start("primary");
+        f.ask(id, f.make(statement_kind::begin));
+        f.ask(id, f.make(statement_kind::write, "1"));
+        f.open_last();
+        f.succeed(transaction_state::open);
+        f.succeed(transaction_state::open);
+        f.seal();
+        f.ask(id, f.make(statement_kind::commit));
+        CPPUNIT_ASSERT(f.outlet.last_answer(id).error ==
+                       session_error::aborted);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.outlet.closed.size());
+    }
+
+    void seal_is_acknowledged_only_when_nothing_runs()
+    {
+        proxy_fixture f;
+        const auto id = run_write(f);
+        f.seal();
+        proto::VmReport before;
+        f.subject.describe(f.now, before);
+        CPPUNIT_ASSERT_EQUAL(0, before.sealed_size());
+        f.pass(milliseconds(200));
+        f.subject.tick(f.now);
+        CPPUNIT_ASSERT(f.outlet.last_answer(id).error ==
+                       session_error::outcome_unknown);
+        proto::VmReport after;
+        f.subject.describe(f.now, after);
+        CPPUNIT_ASSERT_EQUAL(1, after.sealed_size());
+        CPPUNIT_ASSERT_EQUAL(f.lead.epoch(), after.sealed(0).epoch());
+    }
+
+    void statement_that_waits_too_long_says_not_run()
+    {
+        proxy_fixture f;
+        f.seal();
+        const auto id = f.start("primary");
+        f.ask(id, f.make(statement_kind::write, "1"));
+        f.pass(milliseconds(1000));
+        f.subject.tick(f.now);
+        CPPUNIT_ASSERT(f.outlet.last_answer(id).error == session_error::busy);
+        CPPUNIT_ASSERT(f.outlet.sent.empty());
+    }
+
+    void single_lost_connection_leaves_its_server_in_use()
+    {
+        proxy_fixture f;
+        run_write(f);
+        f.subject.connection_lost(f.now, f.outlet.sent.back().connection);
+        CPPUNIT_ASSERT(!f.subject.server("p")->is_failing());
+    }
+
+    void lost_connections_of_a_silent_server_are_told()
+    {
+        proxy_fixture f;
+        run_write(f);
+        f.pass(milliseconds(400));
+        f.subject.connection_lost(f.now, f.outlet.sent.back().connection);
+        CPPUNIT_ASSERT(f.subject.server("p")->is_failing());
+        f.pass(milliseconds(300));
+        proto::VmReport report;
+        f.subject.describe(f.now, report);
+        CPPUNIT_ASSERT_EQUAL(1, report.unreachable_size());
+        CPPUNIT_ASSERT_EQUAL(std::string("p"), report.unreachable(0));
+    }
+
+    void vm_without_right_uses_no_primary()
+    {
+        proxy_fixture f;
+        f.pass(right_duration);
+        const auto id = f.start("primary");
+        f.ask(id, f.make(statement_kind::read, "1"));
+        CPPUNIT_ASSERT(f.outlet.opened.empty());
+        CPPUNIT_ASSERT(!f.subject.is_ready(f.now));
+        f.subject.prove_right(f.now);
+        f.subject.tick(f.now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.outlet.opened.size());
+        static_cast<void>(id);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(proxy_outcomes_test);
+
+} // namespace tanagerhoist
--- /dev/null
+++ b/tests/proxy_reads_test.cpp
@@ -0,0 +1,166 @@
+#include "proxy_fixture.hpp"
+#include "tanagerhoist/session/placement.hpp"
+#include "tanagerhoist/session/waiting_order.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace tanagerhoist
+{
+
+class proxy_reads_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(proxy_reads_test);
+    CPPUNIT_TEST(bounded_read_without_a_position_goes_to_the_primary);
+    CPPUNIT_TEST(bounded_read_at_replica_asks_for_a_young_position);
+    CPPUNIT_TEST(own_read_asks_for_the_session_s_commit);
+    CPPUNIT_TEST(commit_that_was_rolled_back_is_not_waited_for);
+    CPPUNIT_TEST(lagging_replica_is_left_for_another_server);
+    CPPUNIT_TEST(old_positions_are_forgotten_with_the_lead);
+    CPPUNIT_TEST(draining_replica_gets_no_read);
+    CPPUNIT_TEST(statement_that_can_be_on_time_goes_before_a_late_one);
+    CPPUNIT_TEST(slow_server_loses_reads_to_a_far_one);
+    CPPUNIT_TEST_SUITE_END();
+
+    /// Makes the primary dear, so that reads go to replicas.
+    static void make_replicas_near(proxy_fixture& f)
+    {
+        f.servers["p"].data_centre = "c";
+        f.servers["q"].data_centre = "a";
+        f.subject.use_servers(f.now, f.servers);
+    }
+
+public:
+    void bounded_read_without_a_position_goes_to_the_primary()
+    {
+        proxy_fixture f;
+        make_replicas_near(f);
+        const auto id = f.start("bounded");
+        f.ask(id, f.make(statement_kind::read, "1"));
+        CPPUNIT_ASSERT_EQUAL(std::string("p"), f.outlet.opened.back().server);
+    }
+
+    void bounded_read_at_replica_asks_for_a_young_position()
+    {
+        proxy_fixture f;
+        make_replicas_near(f);
+        f.tell_position(50);
+        f.pass(milliseconds(1000));
+        f.tell_position(60);
+        const auto id = f.start("bounded");
+        f.ask(id, f.make(statement_kind::read, "1"));
+        CPPUNIT_ASSERT_EQUAL(std::string("q"), f.outlet.opened.back().server);
+        f.open_last();
+        const log_position oldest_allowed{proxy_fixture::first_term, 50};
+        CPPUNIT_ASSERT(f.outlet.sent.back().statement.after == oldest_allowed);
+        f.succeed();
+        f.pass(milliseconds(600)); // the first sample is too old now
+        f.ask(id, f.make(statement_kind::read, "1"));
+        const log_position younger{proxy_fixture::first_term, 60};
+        CPPUNIT_ASSERT(f.outlet.sent.back().statement.after == younger);
+    }
+
+    void own_read_asks_for_the_session_s_commit()
+    {
+        proxy_fixture f;
+        make_replicas_near(f);
+        f.tell_position(50);
+        const auto id = f.start("own");
+        f.ask(id, f.make(statement_kind::read, "1"));
+        CPPUNIT_ASSERT_EQUAL(std::string("q"), f.outlet.opened.back().server);
+        const auto replica = f.open_last();
+        f.succeed();
+        f.ask(id, f.make(statement_kind::write, "1"));
+        f.open_last();
+        f.succeed(transaction_state::none, 77);
+        f.ask(id, f.make(statement_kind::read, "1"));
+        CPPUNIT_ASSERT_EQUAL(replica, f.outlet.sent.back().connection);
+        const log_position own{proxy_fixture::first_term, 77};
+        CPPUNIT_ASSERT(f.outlet.sent.back().statement.after == own);
+    }
+
+    void commit_that_was_rolled_back_is_not_waited_for()
+    {
+        proxy_fixture f;
+        make_replicas_near(f);
+        const auto id = f.start("own");
+        f.ask(id, f.make(statement_kind::write, "1"));
+        f.open_last();
+        f.succeed(transaction_state::none, 77);
+        f.lead.set_base_term(proxy_fixture::first_term);
+        f.lead.set_base_number(70);
+        f.promote("r");
+        f.tell_position(70);
+        f.ask(id, f.make(statement_kind::read, "1"));
+        f.open_last();
+        CPPUNIT_ASSERT(f.outlet.sent.back().statement.after);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{70},
+                             f.outlet.sent.back().statement.after->number);
+    }
+
+    void lagging_replica_is_left_for_another_server()
+    {
+        proxy_fixture f;
+        make_replicas_near(f);
+        f.tell_position(50);
+        const auto id = f.start("bounded");
+        f.ask(id, f.make(statement_kind::read, "1"));
+        f.open_last();
+        f.fail(session_error::lagging);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, f.outlet.answers.count(id));
+        CPPUNIT_ASSERT(f.outlet.opened.back().server != "q");
+        f.open_last();
+        f.succeed();
+        CPPUNIT_ASSERT(!f.outlet.last_answer(id).error);
+    }
+
+    void old_positions_are_forgotten_with_the_lead()
+    {
+        proxy_fixture f;
+        make_replicas_near(f);
+        f.tell_position(50);
+        f.promote("r");
+        const auto id = f.start("bounded");
+        f.ask(id, f.make(statement_kind::read, "1"));
+        CPPUNIT_ASSERT_EQUAL(std::string("r"), f.outlet.opened.back().server);
+    }
+
+    void draining_replica_gets_no_read()
+    {
+        proxy_fixture f;
+        make_replicas_near(f);
+        f.servers["q"].draining = true;
+        f.subject.use_servers(f.now, f.servers);
+        f.tell_position(50);
+        const auto id = f.start("bounded");
+        f.ask(id, f.make(statement_kind::read, "1"));
+        CPPUNIT_ASSERT(f.outlet.opened.back().server != "q");
+    }
+
+    void statement_that_can_be_on_time_goes_before_a_late_one()
+    {
+        const moment now{std::chrono::hours(1)};
+        const waiting_entry late{now - milliseconds(1), 0,
+                                 now - milliseconds(300)};
+        const waiting_entry soon{now + milliseconds(10), 2, now};
+        const waiting_entry later{now + milliseconds(90), 0, now};
+        CPPUNIT_ASSERT(goes_before(soon, late, now));
+        CPPUNIT_ASSERT(goes_before(soon, later, now));
+        CPPUNIT_ASSERT(!goes_before(late, later, now));
+    }
+
+    void slow_server_loses_reads_to_a_far_one()
+    {
+        placement_candidate near;
+        near.response_us = 20000;
+        placement_candidate far = near;
+        far.near = false;
+        CPPUNIT_ASSERT(choose_server({near, far}) == std::size_t{0});
+        near.response_us = 100000;
+        CPPUNIT_ASSERT(choose_server({near, far}) == std::size_t{1});
+        CPPUNIT_ASSERT(!choose_server({}));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(proxy_reads_test);
+
+} // namespace tanagerhoist
--- /dev/null
+++ b/tests/proxy_sessions_test.cpp
@@ -0,0 +1,264 @@
+#include "proxy_fixture.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace tanagerhoist
+{
+
+class proxy_sessions_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(proxy_sessions_test);
+    CPPUNIT_TEST(session_with_unknown_database_is_refused);
+    CPPUNIT_TEST(session_with_unknown_key_is_refused);
+    CPPUNIT_TEST(idle_session_ends_when_its_key_is_taken_away);
+    CPPUNIT_TEST(running_session_ends_after_its_answer_when_key_goes);
+    CPPUNIT_TEST(older_settings_are_not_taken);
+    CPPUNIT_TEST(execute_of_unknown_name_is_refused);
+    CPPUNIT_TEST(values_are_set_at_the_server_before_the_statement);
+    CPPUNIT_TEST(connection_with_foreign_values_is_reset);
+    CPPUNIT_TEST(prepared_shape_is_sent_once_and_shared);
+    CPPUNIT_TEST(connection_is_not_shared_between_workspaces);
+    CPPUNIT_TEST(failed_transaction_accepts_only_its_end);
+    CPPUNIT_TEST(commit_of_failed_transaction_says_rolled_back);
+    CPPUNIT_TEST(empty_transaction_commits_at_a_server);
+    CPPUNIT_TEST(client_gone_in_transaction_rolls_back);
+    CPPUNIT_TEST(statement_over_rate_is_refused_at_once);
+    CPPUNIT_TEST(draining_ends_idle_sessions_only_after_the_balancer);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void session_with_unknown_database_is_refused()
+    {
+        proxy_fixture f;
+        const auto id = f.start("nowhere");
+        CPPUNIT_ASSERT(f.outlet.ended.at(id) == session_error::no_database);
+        CPPUNIT_ASSERT(f.outlet.accepted.empty());
+    }
+
+    void session_with_unknown_key_is_refused()
+    {
+        proxy_fixture f;
+        const auto id = f.start("primary", "no such key");
+        CPPUNIT_ASSERT(f.outlet.ended.at(id) == session_error::no_key);
+    }
+
+    void idle_session_ends_when_its_key_is_taken_away()
+    {
+        proxy_fixture f;
+        const auto id = f.start("primary");
+        f.settings.keys.erase("key-w");
+        f.settings.version = 2;
+        f.use_settings();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.outlet.ended.count(id));
+    }
+
+    void running_session_ends_after_its_answer_when_key_goes()
+    {
+        proxy_fixture f;
+        const auto id = f.start("primary");
+        f.ask(id, f.make(statement_kind::read, "1"));
+        f.open_last();
+        f.settings.keys.erase("key-w");
+        f.settings.version = 2;
+        f.use_settings();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, f.outlet.ended.count(id));
+        f.succeed();
+        CPPUNIT_ASSERT(!f.outlet.last_answer(id).error);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.outlet.ended.count(id));
+    }
+
+    void older_settings_are_not_taken()
+    {
+        proxy_fixture f;
+        f.settings.version = 5;
+        f.use_settings();
+        f.settings.version = 4;
+        f.settings.routes.clear();
+        f.use_settings();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, f.subject.settings()->version);
+        CPPUNIT_ASSERT(f.subject.settings()->route("primary") != nullptr);
+    }
+
+    void execute_of_unknown_name_is_refused()
+    {
+        proxy_fixture f;
+        const auto id = f.start("primary");
+        f.ask(id, f.make(statement_kind::execute, "s1", "1"));
+        CPPUNIT_ASSERT(f.outlet.last_answer(id).error ==
+                       session_error::no_statement);
+    }
+
+    void values_are_set_at_the_server_before_the_statement()
+    {
+        proxy_fixture f;
+        const auto id = f.start("primary");
+        f.ask(id, f.make(statement_kind::set, "colour", "red"));
+        CPPUNIT_ASSERT_EQUAL(std::string("-"),
+                             f.outlet.last_answer(id).signature);
+        f.ask(id, f.make(statement_kind::read, "1"));
+        f.open_last();
+        CPPUNIT_ASSERT(f.outlet.sent.back().statement.what.kind ==
+                       statement_kind::set);
+        CPPUNIT_ASSERT(f.outlet.sent.back().statement.query_id.empty());
+        f.succeed();
+        CPPUNIT_ASSERT(f.outlet.sent.back().statement.what.kind ==
+                       statement_kind::read);
+    }
+
+    void connection_with_foreign_values_is_reset()
+    {
+        proxy_fixture f;
+        const auto first = f.start("primary");
+        f.ask(first, f.make(statement_kind::set, "colour", "red"));
+        f.ask(first, f.make(statement_kind::read, "1"));
+        f.open_last();
+        f.succeed();
+        f.succeed();
+        const auto second = f.start("primary");
+        f.ask(second, f.make(statement_kind::read, "2"));
+        CPPUNIT_ASSERT(f.outlet.sent.back().statement.what.kind ==
+                       statement_kind::reset);
+        f.succeed();
+        CPPUNIT_ASSERT_EQUAL(std::string("2"),
+                             f.outlet.sent.back().statement.what.name);
+    }
+
+    void prepared_shape_is_sent_once_and_shared()
+    {
+        proxy_fixture f;
+        const auto first = f.start("primary");
+        f.ask(first, f.make(statement_kind::prepare, "mine", "shape"));
+        f.ask(first, f.make(statement_kind::execute, "mine", "1"));
+        f.open_last();
+        CPPUNIT_ASSERT(f.outlet.sent.back().statement.what.kind ==
+                       statement_kind::prepare);
+        f.succeed();
+        const auto name = f.outlet.sent.back().statement.what.name;
+        f.succeed();
+        const auto second = f.start("primary");
+        f.ask(second, f.make(statement_kind::prepare, "other", "shape"));
+        f.ask(second, f.make(statement_kind::execute, "other", "2"));
+        CPPUNIT_ASSERT(f.outlet.sent.back().statement.what.kind ==
+                       statement_kind::execute);
+        CPPUNIT_ASSERT_EQUAL(name, f.outlet.sent.back().statement.what.name);
+    }
+
+    void connection_is_not_shared_between_workspaces()
+    {
+        proxy_fixture f;
+        const auto first = f.start("primary", "key-w");
+        f.ask(first, f.make(statement_kind::read, "1"));
+        f.open_last();
+        f.succeed();
+        const auto second = f.start("primary", "key-v");
+        f.ask(second, f.make(statement_kind::read, "2"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.outlet.opened.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("v"),
+                             f.outlet.opened.back().workspace);
+    }
+
+    void failed_transaction_accepts_only_its_end()
+    {
+        proxy_fixture f;
+        const auto id = f.start("primary");
+        f.ask(id, f.make(statement_kind::begin));
+        f.ask(id, f.make(statement_kind::read, "1"));
+        f.open_last();
+        f.succeed(transaction_state::open); // the proxy's own BEGIN
+        f.succeed(transaction_state::open);
+        f.ask(id, f.make(statement_kind::write, "1"));
+        f.fail(session_error::failed, transaction_state::failed);
+        CPPUNIT_ASSERT(f.outlet.last_answer(id).state ==
+                       transaction_state::failed);
+        f.ask(id, f.make(statement_kind::read, "2"));
+        CPPUNIT_ASSERT(f.outlet.last_answer(id).error ==
+                       session_error::malformed);
+        f.ask(id, f.make(statement_kind::rollback));
+        CPPUNIT_ASSERT(!f.outlet.last_answer(id).error);
+        CPPUNIT_ASSERT(f.outlet.last_answer(id).state ==
+                       transaction_state::none);
+    }
+
+    void commit_of_failed_transaction_says_rolled_back()
+    {
+        proxy_fixture f;
+        const auto id = f.start("primary");
+        f.ask(id, f.make(statement_kind::begin));
+        f.ask(id, f.make(statement_kind::write, "1"));
+        f.open_last();
+        f.succeed(transaction_state::open);
+        f.succeed(transaction_state::open);
+        f.subject.connection_lost(f.now, f.outlet.sent.back().connection);
+        f.ask(id, f.make(statement_kind::commit));
+        CPPUNIT_ASSERT(f.outlet.last_answer(id).error ==
+                       session_error::aborted);
+        CPPUNIT_ASSERT(f.outlet.last_answer(id).state ==
+                       transaction_state::none);
+    }
+
+    void empty_transaction_commits_at_a_server()
+    {
+        proxy_fixture f;
+        const auto id = f.start("primary");
+        f.ask(id, f.make(statement_kind::begin));
+        f.ask(id, f.make(statement_kind::commit));
+        f.open_last();
+        f.succeed(transaction_state::open);
+        CPPUNIT_ASSERT(f.outlet.sent.back().statement.what.kind ==
+                       statement_kind::commit);
+        f.succeed();
+        CPPUNIT_ASSERT_EQUAL(std::string("signature"),
+                             f.outlet.last_answer(id).signature);
+    }
+
+    void client_gone_in_transaction_rolls_back()
+    {
+        proxy_fixture f;
+        const auto id = f.start("primary");
+        f.ask(id, f.make(statement_kind::begin));
+        f.ask(id, f.make(statement_kind::write, "1"));
+        f.open_last();
+        f.succeed(transaction_state::open);
+        f.succeed(transaction_state::open);
+        f.subject.session_gone(f.now, id);
+        CPPUNIT_ASSERT(f.outlet.sent.back().statement.what.kind ==
+                       statement_kind::rollback);
+    }
+
+    void statement_over_rate_is_refused_at_once()
+    {
+        proxy_fixture f;
+        f.settings.version = 2;
+        f.settings.workspaces["w"] = {1, 1};
+        f.use_settings();
+        const auto id = f.start("primary");
+        std::size_t refused = 0;
+        for (int i = 0; i < 60; ++i)
+        {
+            f.ask(id, f.make(statement_kind::begin));
+            refused += f.outlet.last_answer(id).error ? 1 : 0;
+            f.ask(id, f.make(statement_kind::rollback));
+        }
+        CPPUNIT_ASSERT(refused > 30);
+        CPPUNIT_ASSERT(f.outlet.last_answer(id).state ==
+                       transaction_state::none);
+    }
+
+    void draining_ends_idle_sessions_only_after_the_balancer()
+    {
+        proxy_fixture f;
+        const auto id = f.start("primary");
+        f.subject.begin_drain(f.now + milliseconds(2300),
+                              f.now + milliseconds(3000));
+        f.subject.tick(f.now);
+        CPPUNIT_ASSERT(!f.subject.is_ready(f.now));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, f.outlet.ended.count(id));
+        f.pass(milliseconds(2300));
+        f.subject.tick(f.now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.outlet.ended.count(id));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(proxy_sessions_test);
+
+} // namespace tanagerhoist
--- a/tests/settings_reference_test.cpp
+++ b/tests/settings_reference_test.cpp
@@ -70,11 +70,15 @@
     {
         std::ostringstream out;
         for (const auto* file : {proto::Settings::descriptor(),
-                                 proto::DaemonSettings::descriptor()})
+                                 proto::DaemonSettings::descriptor(),
+                                 proto::SessionDaemonSettings::descriptor()})
         {
             for (int i = 0; i < file->field_count(); ++i)
             {
-                if (file->field(i)->message_type() != nullptr)
+                const bool described =
+                    file == proto::SessionDaemonSettings::descriptor() &&
+                    file->field(i)->name() == "vm";
+                if (file->field(i)->message_type() != nullptr && !described)
                 {
                     add_section(out, *file->field(i));
                 }
--- /dev/null
+++ b/tests/workspace_limits_test.cpp
@@ -0,0 +1,168 @@
+#include "tanagerhoist/session/workspace_limits.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace tanagerhoist
+{
+namespace
+{
+
+struct limits_fixture
+{
+    limits_fixture()
+    {
+        settings.workspaces["w"] = {50, 50};
+        subject.use_settings(now, settings);
+        subject.use_members(now, 7);
+        now += std::chrono::seconds(2); // in which the even share fills
+    }
+
+    int take(int tries)
+    {
+        int taken = 0;
+        for (int i = 0; i < tries; ++i)
+        {
+            taken += subject.take(now, "w") ? 1 : 0;
+        }
+        return taken;
+    }
+
+    void grant(std::uint64_t operations, bool calm)
+    {
+        workspace_limits::grants given;
+        auto& one = *given.Add();
+        one.set_workspace("w");
+        one.set_operations(operations);
+        one.set_calm(calm);
+        subject.use_grants(now, given);
+    }
+
+    moment now{std::chrono::hours(1)};
+    session_settings settings;
+    workspace_limits subject;
+};
+
+} // namespace
+
+class workspace_limits_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(workspace_limits_test);
+    CPPUNIT_TEST(vm_alone_admits_its_even_share);
+    CPPUNIT_TEST(granted_operations_are_used_once);
+    CPPUNIT_TEST(missing_operations_are_told);
+    CPPUNIT_TEST(stock_without_callers_goes_back);
+    CPPUNIT_TEST(calm_workspace_goes_on_when_the_holder_is_lost);
+    CPPUNIT_TEST(busy_workspace_does_not_go_on_when_the_holder_is_lost);
+    CPPUNIT_TEST(lower_limit_drops_what_was_granted);
+    CPPUNIT_TEST(split_of_a_window_stays_inside_the_operator_s_bound);
+    CPPUNIT_TEST_SUITE_END();
+
+    /// Asks ten times a second for three seconds, with grants for all.
+    static void use_for_a_while(limits_fixture& f, bool calm)
+    {
+        for (int i = 0; i < 30; ++i)
+        {
+            f.now += milliseconds(100);
+            f.subject.take(f.now, "w");
+            f.subject.demand(f.now);
+            f.grant(1, calm);
+        }
+        f.take(100); // uses up the stock
+    }
+
+    static int taken_alone(limits_fixture& f)
+    {
+        f.now += milliseconds(1300);
+        int taken = 0;
+        for (int i = 0; i < 20; ++i)
+        {
+            f.now += milliseconds(100);
+            taken += f.take(1);
+        }
+        return taken;
+    }
+
+public:
+    void vm_alone_admits_its_even_share()
+    {
+        limits_fixture f;
+        CPPUNIT_ASSERT_EQUAL(1, f.take(20));
+        f.now += std::chrono::seconds(1);
+        CPPUNIT_ASSERT_EQUAL(1, f.take(20));
+    }
+
+    void granted_operations_are_used_once()
+    {
+        limits_fixture f;
+        f.grant(5, true);
+        CPPUNIT_ASSERT_EQUAL(6, f.take(20));
+        CPPUNIT_ASSERT_EQUAL(0, f.take(20));
+    }
+
+    void missing_operations_are_told()
+    {
+        limits_fixture f;
+        f.take(4);
+        CPPUNIT_ASSERT(f.subject.is_short());
+        const auto missing = f.subject.missing();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, missing.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, missing.front().missing());
+        CPPUNIT_ASSERT(f.subject.missing().empty());
+    }
+
+    void stock_without_callers_goes_back()
+    {
+        limits_fixture f;
+        f.take(1);
+        f.grant(10, true);
+        f.now += std::chrono::seconds(6);
+        const auto told = f.subject.demand(f.now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, told.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, told.front().returned());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, told.front().stock());
+    }
+
+    void calm_workspace_goes_on_when_the_holder_is_lost()
+    {
+        limits_fixture f;
+        use_for_a_while(f, true);
+        CPPUNIT_ASSERT(taken_alone(f) >= 15);
+        f.now += std::chrono::seconds(10); // too long without a holder
+        f.take(20);
+        CPPUNIT_ASSERT_EQUAL(0, f.take(20));
+    }
+
+    void busy_workspace_does_not_go_on_when_the_holder_is_lost()
+    {
+        limits_fixture f;
+        use_for_a_while(f, false);
+        CPPUNIT_ASSERT(taken_alone(f) <= 6);
+    }
+
+    void lower_limit_drops_what_was_granted()
+    {
+        limits_fixture f;
+        f.grant(30, true);
+        f.settings.workspaces["w"] = {5, 5};
+        f.subject.use_settings(f.now, f.settings);
+        CPPUNIT_ASSERT(f.take(40) <= 1);
+    }
+
+    void split_of_a_window_stays_inside_the_operator_s_bound()
+    {
+        const limit_tolerance tolerance;
+        for (const double rate : {1.0, 10.0, 131.0, 5000.0})
+        {
+            const session_workspace workspace{rate, rate};
+            const auto allowed = allowance_of(workspace, tolerance);
+            const double window = 5;
+            const double bound = (rate * window + rate) * 1.1 + 20;
+            CPPUNIT_ASSERT(allowed.capacity + allowed.rate * window < bound);
+            CPPUNIT_ASSERT(allowed.rate >= rate);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(workspace_limits_test);
+
+} // namespace tanagerhoist
--- a/tools/daemon/fleet_agent.cpp
+++ b/tools/daemon/fleet_agent.cpp
@@ -101,8 +101,7 @@
               udp::endpoint(
                   asio::ip::make_address(
                       split_endpoint(settings.sessions().listen()).address),
-                  static_cast<std::uint16_t>(
-                      settings.sessions().peer_port()))),
+                  static_cast<std::uint16_t>(settings.sessions().peer_port()))),
       report_timer_(context),
       config_watch_{platform::operator_table, config_wait,
                     [this](const store_answer& answer, bool)
@@ -224,8 +223,7 @@
             lines_.write(
                 journal_level::change, "store_lost",
                 {{"table", watch.table},
-                 {"cause", answer.result == store_result::refused
-                               ? "refused"
+                 {"cause", answer.result == store_result::refused ? "refused"
                            : answer.result == store_result::malformed
                                ? "unreadable"
                                : "no answer"}});
@@ -323,13 +321,14 @@
     auto row = self_row();
     row.set_store_ms(store_time());
     store_transaction change;
-    change.expected.push_back({member_table, row.vm(), "", own_version_, false});
+    change.expected.push_back(
+        {member_table, row.vm(), "", own_version_, false});
     for (const auto& [group, lead] : lead_rows_)
     {
         if (change.expected.size() < transaction_rows)
         {
-            change.expected.push_back({fleet_table, group_prefix + group, "",
-                                       lead.version, false});
+            change.expected.push_back(
+                {fleet_table, group_prefix + group, "", lead.version, false});
         }
     }
     change.puts.push_back(
@@ -548,20 +547,19 @@
 
 void fleet_agent::receive()
 {
-    socket_.async_receive_from(
-        asio::buffer(datagram_), sender_,
-        [this](error_code error, std::size_t size)
-        {
-            if (error == asio::error::operation_aborted)
-            {
-                return;
-            }
-            if (!error)
-            {
-                take_datagram(size);
-            }
-            receive();
-        });
+    socket_.async_receive_from(asio::buffer(datagram_), sender_,
+                               [this](error_code error, std::size_t size)
+                               {
+                                   if (error == asio::error::operation_aborted)
+                                   {
+                                       return;
+                                   }
+                                   if (!error)
+                                   {
+                                       take_datagram(size);
+                                   }
+                                   receive();
+                               });
 }
 
 void fleet_agent::take_datagram(std::size_t size)
@@ -667,6 +665,7 @@
     }
     const auto now = now_();
     heard_ = now;
+    newest_view_ = view.sequence();
     holder_ = view.holder();
     holder_token_ = view.token();
     seen_view_ = view.sequence();
@@ -682,8 +681,8 @@
         }
         const auto& known = proxy_.leads();
         const auto it = known.find(lead.group());
-        changed = changed || it == known.end() ||
-                  it->second.epoch() < lead.epoch();
+        changed =
+            changed || it == known.end() || it->second.epoch() < lead.epoch();
         proxy_.use_lead(now, lead);
     }
     if (view.members() != 0)
@@ -691,9 +690,15 @@
         proxy_.use_members(now, view.members());
     }
     proxy_.use_grants(now, view.grants());
+    // The view was made after the report that it answers was sent, so what it
+    // tells is at least as new as that.
+    const auto answered = reports_.find(view.report());
     for (const auto& sample : view.positions())
     {
-        proxy_.use_position(now, sample);
+        if (answered != reports_.end())
+        {
+            proxy_.use_position(answered->second, sample);
+        }
     }
     if (changed)
     {
@@ -751,6 +756,7 @@
         hub_.grant(now_(), *settings, vm, *view.mutable_grants());
     }
     hub_.add_positions(now_(), view);
+    view.set_report(hub_.note_view(now_(), vm, view.sequence()));
     return view;
 }
 
@@ -789,6 +795,13 @@
     report.set_vm(settings_.vm().name());
     report.set_life(life_);
     report.set_sequence(++report_sequence_);
+    report.set_view(newest_view_);
+    reports_[report_sequence_] = now_();
+    constexpr std::size_t kept_reports = 16;
+    if (reports_.size() > kept_reports)
+    {
+        reports_.erase(reports_.begin());
+    }
     report.set_settings_version(config_version_);
     proxy_.describe(now_(), report);
     if (duty_.holds(now_()))
@@ -1127,9 +1140,9 @@
     change.removals.push_back(
         {member_table, settings_.vm().name(), "", 0, false});
     const auto answer = lead_store_.write(change);
-    lines_.write(journal_level::change, "left",
-                 {{"row_removed",
-                   answer.result == store_result::done ? "yes" : "no"}});
+    lines_.write(
+        journal_level::change, "left",
+        {{"row_removed", answer.result == store_result::done ? "yes" : "no"}});
 }
 
 } // namespace tanagerhoist
--- a/tools/daemon/fleet_agent.hpp
+++ b/tools/daemon/fleet_agent.hpp
@@ -45,8 +45,8 @@
 
     fleet_agent(boost::asio::io_context& context,
                 const proto::SessionDaemonSettings& settings,
-                std::uint64_t life, limit_tolerance tolerance,
-                proxy& decisions, journal& lines, clock now);
+                std::uint64_t life, limit_tolerance tolerance, proxy& decisions,
+                journal& lines, clock now);
 
     void start();
 
@@ -160,11 +160,11 @@
     fleet_members members_;
     moment members_asked_{};
     bool reading_members_ = false;
-    std::uint64_t own_version_ = 0;  ///< of this VM's row; 0: there is none
-    bool known_ = false;      ///< the leads and members have been read
-    bool registered_ = false; ///< this life has written its row
-    milliseconds store_clock_{0};    ///< in the newest answer to a renewal
-    moment store_clock_at_{};        ///< when that renewal was sent
+    std::uint64_t own_version_ = 0; ///< of this VM's row; 0: there is none
+    bool known_ = false;            ///< the leads and members have been read
+    bool registered_ = false;       ///< this life has written its row
+    milliseconds store_clock_{0};   ///< in the newest answer to a renewal
+    moment store_clock_at_{};       ///< when that renewal was sent
     std::map<std::string, lead_row> lead_rows_;
     std::map<std::string, backend_server> servers_;
     std::map<std::string, moment> misled_since_;
@@ -182,8 +182,10 @@
     bool leaving_ = false;
     moment reported_{};
     std::uint64_t report_sequence_ = 0;
-    moment heard_{};           ///< from the duty's holder
-    std::string holder_;       ///< as last heard
+    std::map<std::uint64_t, moment> reports_; ///< when sent, by sequence
+    std::uint64_t newest_view_ = 0;
+    moment heard_{};     ///< from the duty's holder
+    std::string holder_; ///< as last heard
     boost::asio::ip::udp::endpoint holder_at_;
     std::uint64_t holder_token_ = 0;
     std::uint64_t view_sequence_ = 0;
--- a/tools/daemon/session_daemon.cpp
+++ b/tools/daemon/session_daemon.cpp
@@ -81,8 +81,8 @@
       now_(make_clock()),
       lines_(settings.vm().name(), settings.sessions().log_lines_per_s(), now_),
       wires_(context_, now_),
-      proxy_(settings.vm().data_centre(), workspace_limits(tolerance_of(settings)),
-             wires_, lines_),
+      proxy_(settings.vm().data_centre(),
+             workspace_limits(tolerance_of(settings)), wires_, lines_),
       fleet_(context_, settings, random_life(), tolerance_of(settings), proxy_,
              lines_, now_),
       acceptor_(context_, endpoint_of(settings.sessions().listen())),
@@ -171,8 +171,7 @@
             BOOST_LEAF_AUTO(read, read_session_daemon_settings(file_));
             settings_.mutable_sessions()->set_grace_s(
                 read.sessions().grace_s());
-            lines_.write(journal_level::change, "reload",
-                         {{"result", "done"}});
+            lines_.write(journal_level::change, "reload", {{"result", "done"}});
             return {};
         },
         [this](const settings_faults& faults)
@@ -233,8 +232,8 @@
 
 void session_daemon::end_if_drained(moment now)
 {
-    const bool drained = draining_ && now >= close_idle_ + idle_tick &&
-                         wires_.clients() == 0;
+    const bool drained =
+        draining_ && now >= close_idle_ + idle_tick && wires_.clients() == 0;
     if (ending_ || !draining_ || (!drained && now < drain_ends_))
     {
         return;
@@ -274,8 +273,7 @@
 {
     const auto& figures = proxy_.figures();
     std::ostringstream out;
-    const auto counter = [&out](const char* name, std::uint64_t value)
-    {
+    const auto counter = [&out](const char* name, std::uint64_t value) {
         out << "# TYPE " << name << " counter\n"
             << name << ' ' << value << '\n';
     };
@@ -293,15 +291,14 @@
     out << "# TYPE tanagerhoist_statement_seconds histogram\n";
     for (const auto& [labels, histogram] : figures.answers)
     {
-        const std::string pair = "route=\"" + labels.first + "\",outcome=\"" +
-                                 labels.second + '"';
+        const std::string pair =
+            "route=\"" + labels.first + "\",outcome=\"" + labels.second + '"';
         std::uint64_t sum = 0;
         for (std::size_t i = 0; i < latency_histogram::buckets; ++i)
         {
             sum += histogram.count(i);
             const bool last = i + 1 == latency_histogram::buckets;
-            out << "tanagerhoist_statement_seconds_bucket{" << pair
-                << ",le=\"";
+            out << "tanagerhoist_statement_seconds_bucket{" << pair << ",le=\"";
             if (last)
             {
                 out << "+Inf";
--- a/tools/daemon/session_wires.cpp
+++ b/tools/daemon/session_wires.cpp
@@ -141,8 +141,7 @@
 
 // ---- servers --------------------------------------------------------------
 
-void session_wires::open(connection_id connection,
-                         const backend_server& server,
+void session_wires::open(connection_id connection, const backend_server& server,
                          const std::string& workspace)
 {
     error_code error;
