--- a/include/tanagerhoist/fleet/duty_keeper.hpp
+++ b/include/tanagerhoist/fleet/duty_keeper.hpp
@@ -38,7 +38,8 @@
 
     /// Reads, takes or renews, whichever is due.
     /// @param heard when the holder was last heard from
-    void step(moment heard);
+    /// @return false if a renewal did not succeed and is to be tried again
+    bool step(moment heard);
 
     bool holds(moment now) const { return now < held_until_; }
 
@@ -53,7 +54,7 @@
     void resign(const std::vector<proto::WorkspaceBalance>& left);
 
 private:
-    void renew();
+    bool renew();
     void look();
     void take(const store_answer& read, std::uint64_t version);
     bool take_in(const store_answer& answer);
--- a/src/fleet/duty_keeper.cpp
+++ b/src/fleet/duty_keeper.cpp
@@ -30,7 +30,7 @@
     return store_clock_ + milliseconds(to_ms(now_() - store_clock_at_) + 1);
 }
 
-void duty_keeper::step(moment heard)
+bool duty_keeper::step(moment heard)
 {
     if (holding_ && !holds(now_()))
     {
@@ -38,12 +38,13 @@
     }
     if (holding_)
     {
-        renew();
+        return renew();
     }
-    else if (now_() >= heard + duty_silence)
+    if (now_() >= heard + duty_silence)
     {
         look();
     }
+    return true;
 }
 
 void duty_keeper::lose(const char* cause)
@@ -91,7 +92,7 @@
     return false;
 }
 
-void duty_keeper::renew()
+bool duty_keeper::renew()
 {
     auto renewed = row_;
     renewed.set_renewed_ms(static_cast<std::uint64_t>(store_now().count()));
@@ -101,8 +102,9 @@
         row_ = renewed;
         version_ = answer.version;
         held_until_ = answer.sent + duty_lease - duty_margin;
+        return true;
     }
-    else if (answer.result == store_result::conflict)
+    if (answer.result == store_result::conflict)
     {
         // A renewal whose answer was lost leaves the row ours.
         if (!take_in(answer) || !is_own())
@@ -110,6 +112,7 @@
             lose("another VM holds it");
         }
     }
+    return false;
 }
 
 void duty_keeper::look()
--- a/tools/daemon/fleet_agent.cpp
+++ b/tools/daemon/fleet_agent.cpp
@@ -8,7 +8,9 @@
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/fixedsize_stack.hpp>
 
+#include <algorithm>
 #include <charconv>
+#include <cstdlib>
 #include <random>
 #include <utility>
 
@@ -54,6 +56,10 @@
 constexpr milliseconds shortest_interval{4};
 constexpr milliseconds watch_interval{100};
 constexpr milliseconds look_interval{300};
+constexpr milliseconds smaller_wait{900}; // of VMs that are not the largest
+
+/// How long a grant is waited for before it is asked for again.
+constexpr milliseconds grant_timeout{60};
 constexpr milliseconds control_timeout{350};
 constexpr milliseconds fetch_timeout{1000};
 
@@ -68,6 +74,14 @@
     return key.substr(std::char_traits<char>::length(group_prefix));
 }
 
+/// An absent share is a whole core.
+std::uint64_t percent_of(const std::string& share)
+{
+    constexpr double whole = 100;
+    return static_cast<std::uint64_t>(
+        share.empty() ? whole : std::strtod(share.c_str(), nullptr) * whole);
+}
+
 bool has_prefix(const std::string& key, const char* prefix)
 {
     return key.rfind(prefix, 0) == 0;
@@ -92,6 +106,7 @@
     : context_(context),
       settings_(settings),
       life_(life),
+      cpu_percent_(percent_of(settings.sessions().cpu_share())),
       proxy_(decisions),
       lines_(lines),
       now_(std::move(now)),
@@ -133,6 +148,7 @@
     row.set_address(split_endpoint(settings_.sessions().listen()).address);
     row.set_peer_port(settings_.sessions().peer_port());
     row.set_life(life_);
+    row.set_cpu_percent(cpu_percent_);
     return row;
 }
 
@@ -619,6 +635,7 @@
 
 void fleet_agent::take_reply(const proto::GrantReply& reply)
 {
+    awaiting_grant_ = false;
     const bool overtaken =
         reply.token() != holder_token_ || reply.sequence() <= seen_view_;
     if (!overtaken)
@@ -642,6 +659,7 @@
     {
         return;
     }
+    awaiting_grant_ = true;
     request.set_vm(settings_.vm().name());
     request.set_life(life_);
     request.set_sequence(++report_sequence_);
@@ -832,7 +850,8 @@
 void fleet_agent::report_if_short()
 {
     const bool recent = now_() < reported_ + shortest_interval;
-    if (proxy_.limits().is_short() && !recent && !asking_)
+    const bool awaited = awaiting_grant_ && now_() < reported_ + grant_timeout;
+    if (proxy_.limits().is_short() && !recent && !awaited && !asking_)
     {
         asking_ = true;
         // Later, since the proxy is in the middle of a statement.
@@ -879,14 +898,26 @@
 
 // ---- duty -----------------------------------------------------------------
 
+/// How long this VM leaves a silent holder's duty to larger VMs.
+milliseconds fleet_agent::duty_patience() const
+{
+    const bool largest =
+        std::all_of(members_.rows.begin(), members_.rows.end(),
+                    [this](const auto& entry)
+                    { return entry.second.row.cpu_percent() <= cpu_percent_; });
+    return duty_.holds(now_()) || largest ? milliseconds(0)
+                                          : duty_silence + smaller_wait;
+}
+
 void fleet_agent::keep_duty()
 {
     std::minstd_rand random(static_cast<unsigned>(life_));
     while (!leaving_)
     {
-        if (registered_)
+        bool done = true;
+        if (registered_ && now_() >= heard_ + duty_patience())
         {
-            duty_.step(heard_);
+            done = duty_.step(heard_);
         }
         const bool holds = duty_.holds(now_());
         if (holds && !held_duty_)
@@ -900,7 +931,9 @@
         }
         held_duty_ = holds;
         const milliseconds spread(random() % look_interval.count());
-        pause(holds ? duty_renewal : look_interval + spread);
+        pause(!done   ? first_store_retry
+              : holds ? duty_renewal
+                      : look_interval + spread);
     }
 }
 
--- a/tools/daemon/fleet_agent.hpp
+++ b/tools/daemon/fleet_agent.hpp
@@ -109,6 +109,7 @@
     void report_regularly();
 
     // Duty
+    milliseconds duty_patience() const;
     void keep_duty();
     void watch_groups();
     void change_lead(const std::string& group, bool planned);
@@ -141,6 +142,7 @@
     boost::asio::io_context& context_;
     proto::SessionDaemonSettings settings_;
     std::uint64_t life_;
+    std::uint64_t cpu_percent_;
     proxy& proxy_;
     journal& lines_;
     clock now_;
@@ -177,6 +179,7 @@
     bool held_duty_ = false;
     bool fetching_ = false;
     bool asking_ = false;
+    bool awaiting_grant_ = false;
     std::optional<moment> servers_behind_; ///< since when
     std::optional<moment> config_behind_;
     bool leaving_ = false;
