--- a/include/tanagerhoist/session/proxy.hpp
+++ b/include/tanagerhoist/session/proxy.hpp
@@ -111,7 +111,8 @@
     // Sessions: proxy_sessions.cpp
     bool refresh_route(client_session& session);
     void run_locally(moment now, session_id id, client_session& session);
-    void set_value(client_session& session);
+    bool reject_by_state(moment now, session_id id, client_session& session);
+    static void set_value(client_session& session);
     bool rename_execute(client_session& session);
     void begin(moment now, session_id id, client_session& session);
     void open_transaction(session_id id, client_session& session);
--- a/src/session/proxy_sessions.cpp
+++ b/src/session/proxy_sessions.cpp
@@ -1,7 +1,5 @@
 #include "tanagerhoist/session/proxy.hpp"
 
-#include "tanagerhoist/decision/hash.hpp"
-
 #include <xxhash.h>
 
 #include <algorithm>
@@ -18,17 +16,6 @@
 /// Longest time that a statement waits for a larger share.
 constexpr milliseconds longest_hold{300};
 
-bool needs_server(statement_kind kind)
-{
-    return kind == statement_kind::read || kind == statement_kind::write ||
-           kind == statement_kind::execute || kind == statement_kind::commit;
-}
-
-bool ends_transaction(statement_kind kind)
-{
-    return kind == statement_kind::commit || kind == statement_kind::rollback;
-}
-
 } // namespace
 
 std::string prepared_statement::shared_name() const
@@ -135,24 +122,11 @@
 /// Answers what needs no server; passes the rest on.
 void proxy::run_locally(moment now, session_id id, client_session& session)
 {
-    const auto kind = session.request.what.kind;
-    if (session.aborted && kind != statement_kind::rollback)
+    if (reject_by_state(now, id, session))
     {
-        session.aborted = false;
-        session.state = kind == statement_kind::commit
-                            ? transaction_state::none
-                            : transaction_state::failed;
-        answer_error(now, id, session, session_error::aborted,
-                     "transaction was rolled back");
         return;
     }
-    if (session.state == transaction_state::failed && !ends_transaction(kind))
-    {
-        answer_error(now, id, session, session_error::malformed,
-                     "transaction has failed");
-        return;
-    }
-    switch (kind)
+    switch (session.request.what.kind)
     {
     case statement_kind::begin:
     case statement_kind::begin_read:
@@ -178,33 +152,59 @@
     default:
         break;
     }
-    if (!needs_server(kind) || (kind == statement_kind::commit &&
-                                session.state == transaction_state::none))
+    if (session.request.what.kind == statement_kind::execute &&
+        !rename_execute(session))
     {
-        answer_error(now, id, session, session_error::malformed,
-                     "not a statement here");
+        answer_error(now, id, session, session_error::no_statement,
+                     session.request.what.name);
         return;
     }
-    if (kind == statement_kind::commit &&
-        session.state == transaction_state::failed)
+    if (session.state != transaction_state::none || admit(now, id, session))
+    {
+        ask_server(now, id, session);
+    }
+}
+
+/// Answers a statement that the session's transaction, or the lack of one,
+/// does not allow.
+/// @return whether it was answered
+bool proxy::reject_by_state(moment now, session_id id, client_session& session)
+{
+    const auto kind = session.request.what.kind;
+    const bool commit = kind == statement_kind::commit;
+    if (session.aborted && kind != statement_kind::rollback)
+    {
+        session.aborted = false;
+        session.state =
+            commit ? transaction_state::none : transaction_state::failed;
+        answer_error(now, id, session, session_error::aborted,
+                     "transaction was rolled back");
+        return true;
+    }
+    if (session.state == transaction_state::failed && commit)
     {
         session.state = transaction_state::none;
         drop_transaction(now, session);
         answer_error(now, id, session, session_error::aborted,
                      "transaction had failed");
-        return;
+        return true;
     }
-    if (kind == statement_kind::execute && !rename_execute(session))
+    if (session.state == transaction_state::failed &&
+        kind != statement_kind::rollback)
     {
-        answer_error(now, id, session, session_error::no_statement,
-                     session.request.what.name);
-        return;
+        answer_error(now, id, session, session_error::malformed,
+                     "transaction has failed");
+        return true;
     }
-    if (session.state == transaction_state::none && !admit(now, id, session))
+    const bool outside = commit && session.state == transaction_state::none;
+    if (kind == statement_kind::malformed || kind == statement_kind::reset ||
+        outside)
     {
-        return;
+        answer_error(now, id, session, session_error::malformed,
+                     "not a statement here");
+        return true;
     }
-    ask_server(now, id, session);
+    return false;
 }
 
 void proxy::set_value(client_session& session)
--- a/src/session/workspace_limits.cpp
+++ b/src/session/workspace_limits.cpp
@@ -86,7 +86,8 @@
     }
     for (const auto& [name, workspace] : settings.workspaces)
     {
-        auto& share = shares_[name];
+        const auto [it, added] = shares_.try_emplace(name);
+        auto& share = it->second;
         const double before = share.fleet.rate;
         share.fleet = allowance_of(workspace, tolerance_);
         if (share.fleet.rate < before)
@@ -98,6 +99,8 @@
             now, static_cast<std::uint64_t>(std::floor(share.fleet.rate)), 0,
             0);
         apply(now, share);
+        // Restarts of all VMs together stay within the tolerated excess.
+        share.even.add(now, added ? share.even.capacity() : 0);
     }
 }
 
