Remove state that nothing reads

Cause: the last read of the change found members that are written and never read: offered and epoch of a request, the time a session was last active, the agent's unused HTTP stream and its copy of the holder's name. Ruled out: using the epoch for was_rightful, which would change behaviour. Change: they are gone; no decision read them. Before / after: the daemon and the tests build without a warning; 348 unit tests pass before and after.

--- a/include/tanagerhoist/session/client_session.hpp
+++ b/include/tanagerhoist/session/client_session.hpp
@@ -44,10 +44,8 @@
     moment expires{}; ///< end of its route's timeout
     moment sent{};    ///< to the server that has it
     bool needs_primary = false;
-    bool writes = false;  ///< may have an effect by itself: a write, a commit
-    bool first = true;    ///< of its transaction, or on its own
-    bool offered = false; ///< a server has had it
-    std::uint64_t epoch = 0; ///< of the group's lead when it was sent
+    bool writes = false; ///< may have an effect by itself: a write, a commit
+    bool first = true;   ///< of its transaction, or on its own
     unsigned attempts = 0;
     unsigned priority = 0;
     std::set<std::string> avoid; ///< servers that did not serve it
@@ -70,7 +68,6 @@
     bool wrote = false;       ///< in the open transaction
     bool aborted = false;     ///< rolled back without the client knowing yet
     connection_id pinned = 0; ///< connection of the open transaction
-    moment last_active{};
     std::optional<log_position> committed; ///< the session's last commit
     session_request request;
     bool leaving = false; ///< ends once nothing is outstanding
--- a/src/session/proxy_dispatch.cpp
+++ b/src/session/proxy_dispatch.cpp
@@ -260,11 +260,6 @@
     request.stage = request_stage::running;
     request.connection = connection_number;
     request.sent = now;
-    request.offered = true;
-    if (const auto* lead = lead_of(session.group))
-    {
-        request.epoch = lead->epoch();
-    }
     if (auto* server = find_server(connection.server))
     {
         ++server->running;
--- a/src/session/proxy_sessions.cpp
+++ b/src/session/proxy_sessions.cpp
@@ -48,7 +48,6 @@
     auto& session = sessions_[id];
     session.database = database;
     session.key = key;
-    session.last_active = now;
     refresh_route(session);
     limits_.expect(now, session.workspace);
     ++figures_.sessions_started;
@@ -89,7 +88,6 @@
     }
     auto& session = it->second;
     auto& request = session.request;
-    session.last_active = now;
     request = session_request{};
     request.stage = request_stage::waiting;
     request.id = query_id;
--- a/tools/daemon/fleet_agent.cpp
+++ b/tools/daemon/fleet_agent.cpp
@@ -130,8 +130,7 @@
       lead_store_(make_client()),
       right_store_(make_client()),
       duty_(duty_store_, self_row(), now_, lines),
-      hub_(tolerance, settings.sessions().first_start() == "true"),
-      duty_stream_(context)
+      hub_(tolerance, settings.sessions().first_start() == "true")
 {
 }
 
@@ -684,7 +683,6 @@
     const auto now = now_();
     heard_ = now;
     newest_view_ = view.sequence();
-    holder_ = view.holder();
     holder_token_ = view.token();
     seen_view_ = view.sequence();
     bool changed = false;
--- a/tools/daemon/fleet_agent.hpp
+++ b/tools/daemon/fleet_agent.hpp
@@ -173,7 +173,6 @@
     std::map<std::string, std::unique_ptr<platform::server_control>> controls_;
     std::set<std::string> changing_;
     std::map<std::string, boost::asio::ip::udp::endpoint> peers_;
-    http_client_stream duty_stream_;
     std::string config_text_;
     std::uint64_t config_version_ = 0;
     bool held_duty_ = false;
@@ -187,8 +186,7 @@
     std::uint64_t report_sequence_ = 0;
     std::map<std::uint64_t, moment> reports_; ///< when sent, by sequence
     std::uint64_t newest_view_ = 0;
-    moment heard_{};     ///< from the duty's holder
-    std::string holder_; ///< as last heard
+    moment heard_{}; ///< from the duty's holder
     boost::asio::ip::udp::endpoint holder_at_;
     std::uint64_t holder_token_ = 0;
     std::uint64_t view_sequence_ = 0;
