End transactions that rest too long; answer a line above the limit

Cause: the operator's limit for idle transactions (txIdleMs) was decoded and never used, so a client that rests inside a transaction kept its server connection until it left. A line above 1 MiB ended the session without a word, since the stream was closed before its owner could answer. A request's log line had its own "ms" over the clock's, and lost the server's name once the connection had ended.

Ruled out: ending them only when a connection is wanted.

Change: tick rolls back a pinned transaction whose last answer is older than the limit; the next statement is told ABORTED. The line stream stops reading and leaves the last word to its owner. Log lines say took_ms, and the server that had the statement last.

--- a/include/tanagerhoist/adapter/line_stream.hpp
+++ b/include/tanagerhoist/adapter/line_stream.hpp
@@ -16,7 +16,7 @@
 enum class stream_end
 {
     closed,   ///< by the other side, or by a failure on the way
-    too_long, ///< a line above the limit
+    too_long, ///< a line above the limit; the stream can still be written
     backlog   ///< the other side does not read what it is sent
 };
 
@@ -55,6 +55,7 @@
     void wait_readable();
     void read_some();
     void hand_out();
+    void refuse_input();
     void flush();
     void finish();
     void fail(stream_end why);
--- a/include/tanagerhoist/session/client_session.hpp
+++ b/include/tanagerhoist/session/client_session.hpp
@@ -51,6 +51,7 @@
     std::set<std::string> avoid; ///< servers that did not serve it
     std::optional<log_position> after;
     connection_id connection = 0;
+    std::string server; ///< that had it last
 };
 
 /// One client's session: a connection, its values, names and transaction.
@@ -68,6 +69,7 @@
     bool wrote = false;       ///< in the open transaction
     bool aborted = false;     ///< rolled back without the client knowing yet
     connection_id pinned = 0; ///< connection of the open transaction
+    moment answered{};        ///< when its last answer was given
     std::optional<log_position> committed; ///< the session's last commit
     session_request request;
     bool leaving = false; ///< ends once nothing is outstanding
--- a/include/tanagerhoist/session/proxy.hpp
+++ b/include/tanagerhoist/session/proxy.hpp
@@ -115,13 +115,13 @@
     static void set_value(client_session& session);
     bool rename_execute(client_session& session);
     void begin(moment now, session_id id, client_session& session);
-    void open_transaction(session_id id, client_session& session);
+    void open_transaction(moment now, session_id id, client_session& session);
     void end_locally(moment now, session_id id, client_session& session);
     bool admit(moment now, session_id id, client_session& session);
     void refuse_rate(moment now, session_id id, client_session& session);
     void admit_held(moment now);
     void ask_server(moment now, session_id id, client_session& session);
-    void answer_done(session_id id, client_session& session);
+    void answer_done(moment now, session_id id, client_session& session);
     void answer_error(moment now, session_id id, client_session& session,
                       session_error error, const std::string& text);
     void leave_if_idle(moment now, session_id id);
@@ -183,6 +183,7 @@
     void refuse_waiting(moment now, session_id id, client_session& session,
                         session_error error, const std::string& text);
     void expire_requests(moment now);
+    void end_idle_transactions(moment now);
     void expire_running(moment now, session_id id, client_session& session);
     void watch_silence(moment now);
     void probe_failing_primaries(
--- a/src/adapter/line_stream.cpp
+++ b/src/adapter/line_stream.cpp
@@ -75,7 +75,7 @@
     }
     if (input_.size() > line_limit_ && input_.find('\n') == std::string::npos)
     {
-        fail(stream_end::too_long);
+        refuse_input();
         return;
     }
     if (!paused_ || input_.size() < line_limit_)
@@ -84,6 +84,17 @@
     }
 }
 
+/// Stops reading, and leaves the last word to the owner.
+void line_stream::refuse_input()
+{
+    input_.clear();
+    shrink(input_);
+    auto end = std::move(calls_.end);
+    calls_ = {};
+    boost::asio::post(socket_.get_executor(),
+                      [end = std::move(end)] { end(stream_end::too_long); });
+}
+
 /// Hands out whole lines until paused.
 void line_stream::hand_out()
 {
--- a/src/session/proxy_answers.cpp
+++ b/src/session/proxy_answers.cpp
@@ -355,6 +355,7 @@
         session.committed = answer.position;
     }
     request.stage = request_stage::none;
+    session.answered = now;
     session.state = answer.state;
     if (!in_transaction)
     {
@@ -495,7 +496,6 @@
         return;
     }
     const auto& request = session.request;
-    const auto connection = connections_.find(request.connection);
     const auto* lead = lead_of(session.group);
     lines_.write(
         level, event,
@@ -503,13 +503,11 @@
          {"workspace", session.workspace},
          {"database", session.database},
          {"group", session.group},
-         {"server", connection == connections_.end()
-                        ? std::string("-")
-                        : connection->second.server},
+         {"server", request.server.empty() ? std::string("-") : request.server},
          {"after", request.after ? std::to_string(request.after->term) + '.' +
                                        std::to_string(request.after->number)
                                  : std::string("-")},
-         {"ms", std::to_string(to_ms(now - request.arrived))},
+         {"took_ms", std::to_string(to_ms(now - request.arrived))},
          {"attempts", std::to_string(request.attempts)},
          {"settings",
           settings_ ? std::to_string(settings_->version) : std::string("-")},
--- a/src/session/proxy_dispatch.cpp
+++ b/src/session/proxy_dispatch.cpp
@@ -259,6 +259,7 @@
     connection.owner = id;
     request.stage = request_stage::running;
     request.connection = connection_number;
+    request.server = connection.server;
     request.sent = now;
     if (auto* server = find_server(connection.server))
     {
--- a/src/session/proxy_sessions.cpp
+++ b/src/session/proxy_sessions.cpp
@@ -133,7 +133,7 @@
     case statement_kind::set:
     case statement_kind::prepare:
         set_value(session);
-        answer_done(id, session);
+        answer_done(now, id, session);
         return;
     case statement_kind::deallocate:
         if (session.prepared.erase(session.request.what.name) == 0)
@@ -142,7 +142,7 @@
                          session.request.what.name);
             return;
         }
-        answer_done(id, session);
+        answer_done(now, id, session);
         return;
     case statement_kind::rollback:
         end_locally(now, id, session);
@@ -241,18 +241,18 @@
     }
     if (admit(now, id, session))
     {
-        open_transaction(id, session);
+        open_transaction(now, id, session);
     }
 }
 
-void proxy::open_transaction(session_id id, client_session& session)
+void proxy::open_transaction(moment now, session_id id, client_session& session)
 {
     session.state = transaction_state::open;
     session.reads_only =
         session.request.what.kind == statement_kind::begin_read;
     session.wrote = false;
     session.aborted = false;
-    answer_done(id, session);
+    answer_done(now, id, session);
 }
 
 /// Rolls back.
@@ -261,7 +261,7 @@
     drop_transaction(now, session);
     session.state = transaction_state::none;
     session.aborted = false;
-    answer_done(id, session);
+    answer_done(now, id, session);
     leave_if_idle(now, id);
 }
 
@@ -344,7 +344,7 @@
                                 kind == statement_kind::begin_read;
             if (begins)
             {
-                open_transaction(id, session);
+                open_transaction(now, id, session);
             }
             else
             {
@@ -405,9 +405,10 @@
     run_on(now, id, session, session.pinned);
 }
 
-void proxy::answer_done(session_id id, client_session& session)
+void proxy::answer_done(moment now, session_id id, client_session& session)
 {
     session.request.stage = request_stage::none;
+    session.answered = now;
     session_answer answer;
     answer.signature = no_signature;
     answer.state = session.state;
--- a/src/session/proxy_time.cpp
+++ b/src/session/proxy_time.cpp
@@ -309,6 +309,7 @@
 void proxy::tick(moment now)
 {
     expire_requests(now);
+    end_idle_transactions(now);
     admit_held(now);
     watch_silence(now);
     finish_seals(now);
@@ -382,6 +383,31 @@
     }
 }
 
+/// Rolls back transactions whose clients have sent nothing for too long: each
+/// keeps a connection from others.
+void proxy::end_idle_transactions(moment now)
+{
+    const bool limited =
+        settings_ && settings_->transaction_idle > milliseconds(0);
+    if (!limited)
+    {
+        return;
+    }
+    for (auto& [id, session] : sessions_)
+    {
+        const bool resting =
+            session.pinned != 0 && session.request.stage == request_stage::none;
+        if (resting && now >= session.answered + settings_->transaction_idle)
+        {
+            note(journal_level::change, "transaction_idle", now, session,
+                 "rolled back");
+            ++figures_.refusals["transaction_idle"];
+            session.aborted = true;
+            drop_transaction(now, session);
+        }
+    }
+}
+
 /// Gives up a statement that a server has had for too long.
 void proxy::expire_running(moment now, session_id id, client_session& session)
 {
--- a/tests/proxy_outcomes_test.cpp
+++ b/tests/proxy_outcomes_test.cpp
@@ -21,6 +21,9 @@
     CPPUNIT_TEST(single_lost_connection_leaves_its_server_in_use);
     CPPUNIT_TEST(lost_connections_of_a_silent_server_are_told);
     CPPUNIT_TEST(vm_without_right_uses_no_primary);
+    CPPUNIT_TEST(idle_transaction_is_rolled_back_at_its_limit);
+    CPPUNIT_TEST(transaction_with_short_pauses_is_kept);
+    CPPUNIT_TEST(statement_after_an_idle_end_is_told_aborted);
     CPPUNIT_TEST_SUITE_END();
 
     static session_id run_write(proxy_fixture& f)
@@ -31,7 +34,67 @@
         return id;
     }
 
+    static session_id run_transaction(proxy_fixture& f)
+    {
+        const auto id = f.start("primary");
+        f.ask(id, f.make(statement_kind::begin));
+        f.ask(id, f.make(statement_kind::write, "1"));
+        f.open_last();
+        f.succeed(transaction_state::open);
+        f.succeed(transaction_state::open);
+        return id;
+    }
+
 public:
+    void idle_transaction_is_rolled_back_at_its_limit()
+    {
+        proxy_fixture f;
+        run_transaction(f);
+        f.pass(f.settings.transaction_idle);
+        f.subject.prove_right(f.now);
+        f.subject.tick(f.now);
+        CPPUNIT_ASSERT(f.outlet.sent.back().statement.what.kind ==
+                       statement_kind::rollback);
+        f.succeed();
+        const auto opened = f.outlet.opened.size();
+        const auto other = f.start("primary");
+        f.ask(other, f.make(statement_kind::read, "2"));
+        CPPUNIT_ASSERT_EQUAL(opened, f.outlet.opened.size());
+        f.succeed();
+        CPPUNIT_ASSERT(!f.outlet.last_answer(other).error);
+    }
+
+    void transaction_with_short_pauses_is_kept()
+    {
+        proxy_fixture f;
+        const auto id = run_transaction(f);
+        for (int i = 0; i < 3; ++i)
+        {
+            f.pass(f.settings.transaction_idle - milliseconds(1));
+            f.subject.prove_right(f.now);
+            f.subject.tick(f.now);
+            f.ask(id, f.make(statement_kind::read, "1"));
+            f.succeed(transaction_state::open);
+            CPPUNIT_ASSERT(!f.outlet.last_answer(id).error);
+        }
+    }
+
+    void statement_after_an_idle_end_is_told_aborted()
+    {
+        proxy_fixture f;
+        const auto id = run_transaction(f);
+        f.pass(f.settings.transaction_idle);
+        f.subject.prove_right(f.now);
+        f.subject.tick(f.now);
+        const auto sent = f.outlet.sent.size();
+        f.ask(id, f.make(statement_kind::commit));
+        CPPUNIT_ASSERT(f.outlet.last_answer(id).error ==
+                       session_error::aborted);
+        CPPUNIT_ASSERT(f.outlet.last_answer(id).state ==
+                       transaction_state::none);
+        CPPUNIT_ASSERT_EQUAL(sent, f.outlet.sent.size());
+    }
+
     void write_whose_connection_is_lost_is_unknown()
     {
         proxy_fixture f;
--- a/tools/daemon/session_wires.cpp
+++ b/tools/daemon/session_wires.cpp
@@ -66,8 +66,8 @@
 {
     if (why == stream_end::too_long)
     {
-        // The stream has ended; the limit is far above what clients send.
-        clients_.erase(id);
+        reject(id, session_error::malformed);
+        return;
     }
     clients_.erase(id);
     proxy_->session_gone(now_(), id);
