Leave replicas that lack a position; credit operations that did not run

Ruled out: only raising the price of a lagging replica in placing; it is still chosen when it is the only one with room. Ruled out: more attempts.

Change: a server's log position is kept from each of its answers. A replica that refused is passed over for as long as it pauses (100 to 600 ms) by reads that need more than it held; others go on. An operation of which no server has run anything is credited again: limits count what runs. A refusal for the rate logs stock, state of the fleet, age of the news and rates.

Tests: replicas_that_lack_a_position_are_not_asked_again_at_once, replica_that_lacks_a_position_serves_older_ones, operation_that_did_not_run_does_not_count, operation_that_ran_counts.

--- a/include/tanagerhoist/session/client_session.hpp
+++ b/include/tanagerhoist/session/client_session.hpp
@@ -70,6 +70,10 @@
     bool aborted = false;     ///< rolled back without the client knowing yet
     connection_id pinned = 0; ///< connection of the open transaction
     moment answered{};        ///< when its last answer was given
+
+    /// The workspace's limit was debited for an operation of which no server
+    /// has run anything.
+    bool unused_operation = false;
     std::optional<log_position> committed; ///< the session's last commit
     session_request request;
     bool leaving = false; ///< ends once nothing is outstanding
--- a/include/tanagerhoist/session/placement.hpp
+++ b/include/tanagerhoist/session/placement.hpp
@@ -18,7 +18,6 @@
     unsigned slots = 1;
     bool near = true; ///< in this VM's data centre
     bool primary = false;
-    bool lagging = false;       ///< lacked a position just now
     bool has_connection = true; ///< an idle one in the workspace's name
 };
 
--- a/include/tanagerhoist/session/proxy.hpp
+++ b/include/tanagerhoist/session/proxy.hpp
@@ -87,6 +87,9 @@
     std::size_t sessions() const { return sessions_.size(); }
     bool has_work() const;
 
+    /// Whether a sealed primary still runs something of this VM.
+    bool is_ending_use() const;
+
     /// Takes what this VM tells the holder of the duty.
     void describe(moment now, proto::VmReport& report);
 
@@ -118,12 +121,14 @@
     void open_transaction(moment now, session_id id, client_session& session);
     void end_locally(moment now, session_id id, client_session& session);
     bool admit(moment now, session_id id, client_session& session);
+    void give_back(client_session& session);
     void refuse_rate(moment now, session_id id, client_session& session);
     void admit_held(moment now);
     void ask_server(moment now, session_id id, client_session& session);
     void answer_done(moment now, session_id id, client_session& session);
     void answer_error(moment now, session_id id, client_session& session,
-                      session_error error, const std::string& text);
+                      session_error error, const std::string& text,
+                      const std::string& inputs = {});
     void leave_if_idle(moment now, session_id id);
     void end_session(moment now, session_id id,
                      std::optional<session_error> error);
@@ -135,6 +140,8 @@
     bool place_at(moment now, session_id id, client_session& session,
                   server_state& server);
     server_state* usable_primary(moment now, const client_session& session);
+    static bool may_read_replica(moment now, const session_request& request,
+                                 const server_state& replica);
     server_state* choose_for_read(moment now, client_session& session);
     std::optional<log_position> needed_position(moment now,
                                                 const client_session& session);
--- a/include/tanagerhoist/session/server_state.hpp
+++ b/include/tanagerhoist/session/server_state.hpp
@@ -55,15 +55,25 @@
     moment last_heard() const { return last_heard_; }
     bool may_try(moment now) const { return !failing_ || now >= retry_at_; }
 
+    /// Takes in how far the server's log reaches.
+    void reached(const log_position& position) { position_ = position; }
+
     /// A read asked for a position that the server's log lacks.
-    void lagged(moment now)
+    /// @param position where its log ends; nothing if it did not tell
+    void lagged(moment now, const std::optional<log_position>& position)
     {
+        position_ = position.value_or(log_position{});
         lag_until_ = now + lag_pause_;
         lag_pause_ = std::min(lag_pause_ * 2, longest_lag_pause);
     }
 
     void kept_up() { lag_pause_ = first_lag_pause; }
-    bool is_lagging(moment now) const { return now < lag_until_; }
+
+    /// Whether a read that needs `after` would most likely be refused.
+    bool lacks(moment now, const log_position& after) const
+    {
+        return now < lag_until_ && position_ < after;
+    }
 
     /// The server had no room; no new work until a moment later.
     void was_full(moment now) { full_until_ = now + first_retry / 3; }
@@ -104,6 +114,7 @@
     moment last_heard_{};
     moment retry_at_{};
     milliseconds retry_pause_ = first_retry;
+    log_position position_;
     moment lag_until_{};
     milliseconds lag_pause_ = first_lag_pause;
     moment full_until_{};
--- a/include/tanagerhoist/session/workspace_limits.hpp
+++ b/include/tanagerhoist/session/workspace_limits.hpp
@@ -65,6 +65,12 @@
     /// @return false if nothing is left
     bool take(moment now, const std::string& workspace, bool again = false);
 
+    /// Takes an operation back that was not run.
+    void give_back(const std::string& workspace);
+
+    /// What decides about the workspace's operations now, for log lines.
+    std::string describe(moment now, const std::string& workspace) const;
+
     /// Whether a grant may come soon.
     bool may_grow(moment now, const std::string& workspace) const;
 
--- a/src/session/placement.cpp
+++ b/src/session/placement.cpp
@@ -8,7 +8,6 @@
 constexpr double far_us = 6000;        // two ways and the bytes between
 constexpr double handshake_us = 20000; // of a new connection, and its slot
 constexpr double primary_factor = 1.5;
-constexpr double lagging_us = 60000; // a wasted attempt
 
 double expected_us(const placement_candidate& server)
 {
@@ -18,7 +17,6 @@
     cost *= server.primary ? primary_factor : 1.0;
     cost += server.near ? 0 : far_us;
     cost += server.has_connection ? 0 : handshake_us;
-    cost += server.lagging ? lagging_us : 0;
     return cost;
 }
 
--- a/src/session/proxy_answers.cpp
+++ b/src/session/proxy_answers.cpp
@@ -227,6 +227,10 @@
     {
         note_position(now, connection, *position, connection.sent);
     }
+    if (position && server != nullptr)
+    {
+        server->reached(*position);
+    }
     if (!connection.busy)
     {
         close_connection(id); // an answer to nothing: its state is in doubt
@@ -355,6 +359,7 @@
         session.committed = answer.position;
     }
     request.stage = request_stage::none;
+    session.unused_operation = false;
     session.answered = now;
     session.state = answer.state;
     if (!in_transaction)
@@ -392,7 +397,7 @@
     {
         if (error == session_error::lagging)
         {
-            server->lagged(now);
+            server->lagged(now, connection.answer.position);
         }
         else if (is_not_run(error))
         {
@@ -412,6 +417,7 @@
         request.first && harmless && now < request.expires &&
         request.attempts < (failure ? most_failures : most_attempts);
     const bool ended = request.what.kind == statement_kind::commit;
+    session.unused_operation = session.unused_operation && !failure;
     if (clean)
     {
         release(now, id, connection);
@@ -442,6 +448,7 @@
 {
     auto& request = session.request;
     const bool ended = request.what.kind == statement_kind::commit;
+    session.unused_operation = session.unused_operation && !sent;
     if (request.writes && sent)
     {
         session.pinned = 0;
--- a/src/session/proxy_dispatch.cpp
+++ b/src/session/proxy_dispatch.cpp
@@ -105,6 +105,14 @@
     return left ? nullptr : server;
 }
 
+/// Whether a replica most likely holds what the read must have seen.
+bool proxy::may_read_replica(moment now, const session_request& request,
+                             const server_state& replica)
+{
+    return request.after && !replica.server.draining &&
+           !replica.lacks(now, *request.after);
+}
+
 server_state* proxy::choose_for_read(moment now, client_session& session)
 {
     auto* primary = usable_primary(now, session);
@@ -118,15 +126,15 @@
             state.server.group == session.group && state.may_try(now) &&
             has_room(now, state, session) &&
             session.request.avoid.count(id) == 0 &&
-            (is_primary || (session.request.after && !state.server.draining));
+            (is_primary || may_read_replica(now, session.request, state));
         if (!fit)
         {
             continue;
         }
-        candidates.push_back(
-            {state.response_us(now), state.running, state.server.slots,
-             state.server.data_centre == data_centre_, is_primary,
-             state.is_lagging(now), idle_connection(id, session) != 0});
+        candidates.push_back({state.response_us(now), state.running,
+                              state.server.slots,
+                              state.server.data_centre == data_centre_,
+                              is_primary, idle_connection(id, session) != 0});
         found.push_back(&state);
     }
     const auto chosen = choose_server(candidates);
--- a/src/session/proxy_sessions.cpp
+++ b/src/session/proxy_sessions.cpp
@@ -293,9 +293,11 @@
 bool proxy::admit(moment now, session_id id, client_session& session)
 {
     const bool again = session.request.stage == request_stage::held;
+    session.unused_operation = false;
     if (session.workspace.empty() ||
         limits_.take(now, session.workspace, again))
     {
+        session.unused_operation = !session.workspace.empty();
         session.request.stage = request_stage::waiting;
         return true;
     }
@@ -314,13 +316,24 @@
     return false;
 }
 
+/// Credits the workspace for an operation that no server has run anything of:
+/// limits count what runs, and its client will ask again.
+void proxy::give_back(client_session& session)
+{
+    if (std::exchange(session.unused_operation, false))
+    {
+        limits_.give_back(session.workspace);
+    }
+}
+
 void proxy::refuse_rate(moment now, session_id id, client_session& session)
 {
     const auto wait = limits_.wait(now, session.workspace);
     ++figures_.refusals["over_rate"];
     answer_error(now, id, session, session_error::busy,
                  "over the workspace's rate, not run, retry in " +
-                     std::to_string(wait.count()) + " ms");
+                     std::to_string(wait.count()) + " ms",
+                 limits_.describe(now, session.workspace));
 }
 
 /// Admits or refuses what was held.
@@ -416,14 +429,17 @@
 }
 
 void proxy::answer_error(moment now, session_id id, client_session& session,
-                         session_error error, const std::string& text)
+                         session_error error, const std::string& text,
+                         const std::string& inputs)
 {
     session.request.stage = request_stage::none;
     session_answer answer;
     answer.error = error;
     answer.text = text;
     answer.state = session.state;
-    note(journal_level::refused, "refused", now, session, text);
+    give_back(session);
+    note(journal_level::refused, "refused", now, session,
+         inputs.empty() ? text : text + "; " + inputs);
     outlet_.answer(id, answer);
     leave_if_idle(now, id);
 }
@@ -479,6 +495,7 @@
             running->second.owner = 0;
         }
     }
+    give_back(session);
     drop_transaction(now, session);
     sessions_.erase(it);
     dispatch(now, group);
--- a/src/session/proxy_time.cpp
+++ b/src/session/proxy_time.cpp
@@ -425,6 +425,7 @@
         close_connection(connection);
     }
     session.pinned = 0;
+    session.unused_operation = session.unused_operation && !sent;
     const bool ended = request.what.kind == statement_kind::commit;
     auto error = session_error::timeout;
     if (request.writes && sent)
@@ -581,6 +582,16 @@
     }
 }
 
+bool proxy::is_ending_use() const
+{
+    return std::any_of(leads_.begin(), leads_.end(),
+                       [this](const auto& entry)
+                       {
+                           const auto& lead = entry.second;
+                           return lead.sealed() && runs_at(lead.primary());
+                       });
+}
+
 /// Whether anything that only a primary may run is at the server.
 bool proxy::runs_at(const std::string& server) const
 {
--- a/src/session/workspace_limits.cpp
+++ b/src/session/workspace_limits.cpp
@@ -174,6 +174,36 @@
     return granted;
 }
 
+void workspace_limits::give_back(const std::string& workspace)
+{
+    const auto it = shares_.find(workspace);
+    if (it != shares_.end())
+    {
+        ++it->second.stock;
+    }
+}
+
+std::string workspace_limits::describe(moment now,
+                                       const std::string& workspace) const
+{
+    const auto it = shares_.find(workspace);
+    if (it == shares_.end())
+    {
+        return "no limits known";
+    }
+    const auto& share = it->second;
+    return "stock " + std::to_string(share.stock) + ", fleet " +
+           (share.exhausted ? "exhausted"
+            : share.calm    ? "calm"
+                            : "busy") +
+           ", news " + std::to_string(to_ms(now - heard_)) +
+           " ms old, rate " +
+           std::to_string(static_cast<std::uint64_t>(share.fleet.rate)) +
+           "/s, asked here " +
+           std::to_string(static_cast<std::uint64_t>(share.asked_per_s)) +
+           "/s, VMs " + std::to_string(members_);
+}
+
 /// Admits on the demand of before while no holder is heard.
 bool workspace_limits::take_alone(moment now, allowance& share) const
 {
--- a/tests/proxy_outcomes_test.cpp
+++ b/tests/proxy_outcomes_test.cpp
@@ -21,6 +21,8 @@
     CPPUNIT_TEST(single_lost_connection_leaves_its_server_in_use);
     CPPUNIT_TEST(lost_connections_of_a_silent_server_are_told);
     CPPUNIT_TEST(vm_without_right_uses_no_primary);
+    CPPUNIT_TEST(operation_that_did_not_run_does_not_count);
+    CPPUNIT_TEST(operation_that_ran_counts);
     CPPUNIT_TEST(idle_transaction_is_rolled_back_at_its_limit);
     CPPUNIT_TEST(transaction_with_short_pauses_is_kept);
     CPPUNIT_TEST(statement_after_an_idle_end_is_told_aborted);
@@ -46,6 +48,50 @@
     }
 
 public:
+    /// Lowers the limit so that a few operations use it up.
+    static void lower_limit(proxy_fixture& f)
+    {
+        f.settings.workspaces["w"] = {1, 0};
+        ++f.settings.version;
+        f.use_settings();
+    }
+
+    void operation_that_did_not_run_does_not_count()
+    {
+        proxy_fixture f;
+        lower_limit(f);
+        f.seal(); // so that no server can take a write
+        const auto id = f.start("primary");
+        for (int i = 0; i < 100; ++i)
+        {
+            f.ask(id, f.make(statement_kind::write, "1"));
+            f.pass(milliseconds(1000));
+            f.subject.tick(f.now);
+            CPPUNIT_ASSERT_EQUAL(std::string("no server in time, not run"),
+                                 f.outlet.last_answer(id).text);
+        }
+    }
+
+    void operation_that_ran_counts()
+    {
+        proxy_fixture f;
+        lower_limit(f);
+        const auto id = run_write(f);
+        f.succeed();
+        int admitted = 1;
+        for (int i = 0; i < 100; ++i)
+        {
+            f.ask(id, f.make(statement_kind::write, "1"));
+            if (!f.outlet.sent.back().statement.query_id.empty() &&
+                f.outlet.answers[id].size() == static_cast<std::size_t>(i) + 1)
+            {
+                ++admitted;
+                f.fail(session_error::failed);
+            }
+        }
+        CPPUNIT_ASSERT(admitted < 50);
+    }
+
     void idle_transaction_is_rolled_back_at_its_limit()
     {
         proxy_fixture f;
--- a/tests/proxy_reads_test.cpp
+++ b/tests/proxy_reads_test.cpp
@@ -15,6 +15,8 @@
     CPPUNIT_TEST(own_read_asks_for_the_session_s_commit);
     CPPUNIT_TEST(commit_that_was_rolled_back_is_not_waited_for);
     CPPUNIT_TEST(lagging_replica_is_left_for_another_server);
+    CPPUNIT_TEST(replicas_that_lack_a_position_are_not_asked_again_at_once);
+    CPPUNIT_TEST(replica_that_lacks_a_position_serves_older_ones);
     CPPUNIT_TEST(old_positions_are_forgotten_with_the_lead);
     CPPUNIT_TEST(draining_replica_gets_no_read);
     CPPUNIT_TEST(statement_that_can_be_on_time_goes_before_a_late_one);
@@ -113,6 +115,51 @@
         CPPUNIT_ASSERT(!f.outlet.last_answer(id).error);
     }
 
+    void replicas_that_lack_a_position_are_not_asked_again_at_once()
+    {
+        proxy_fixture f;
+        f.servers.erase("r");
+        f.servers["q"].data_centre = "a";
+        f.servers["p"].data_centre = "c";
+        f.servers["p"].slots = 2; // both taken by writes
+        f.subject.use_servers(f.now, f.servers);
+        f.tell_position(50);
+        connection_id at_primary = 0;
+        for (int i = 0; i < 2; ++i)
+        {
+            f.ask(f.start("primary"), f.make(statement_kind::write, "1"));
+            at_primary = f.open_last();
+        }
+        const auto id = f.start("bounded");
+        f.ask(id, f.make(statement_kind::read, "1"));
+        CPPUNIT_ASSERT_EQUAL(std::string("q"), f.outlet.opened.back().server);
+        f.open_last();
+        const auto sent = f.outlet.sent.size();
+        f.fail(session_error::lagging);
+        CPPUNIT_ASSERT_EQUAL(sent, f.outlet.sent.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, f.outlet.answers.count(id));
+        f.subject.server_complete(at_primary, "signature");
+        f.subject.server_ready(f.now, at_primary, transaction_state::none,
+                               log_position{proxy_fixture::first_term, 51});
+        CPPUNIT_ASSERT_EQUAL(at_primary, f.outlet.sent.back().connection);
+        f.succeed();
+        CPPUNIT_ASSERT(!f.outlet.last_answer(id).error);
+    }
+
+    void replica_that_lacks_a_position_serves_older_ones()
+    {
+        server_state subject(proxy_fixture::server("q", "a"));
+        const moment now{std::chrono::hours(1)};
+        subject.lagged(now, log_position{3, 40});
+        CPPUNIT_ASSERT(subject.lacks(now, {3, 41}));
+        CPPUNIT_ASSERT(!subject.lacks(now, {3, 40}));
+        CPPUNIT_ASSERT(!subject.lacks(now + first_lag_pause, {3, 41}));
+        subject.lagged(now, std::nullopt);
+        CPPUNIT_ASSERT(subject.lacks(now, {3, 1}));
+        subject.reached({3, 41});
+        CPPUNIT_ASSERT(!subject.lacks(now, {3, 41}));
+    }
+
     void old_positions_are_forgotten_with_the_lead()
     {
         proxy_fixture f;
