Hurry only VMs that a seal waits for; one store client for one fiber

Besides, the new holder read the leads on the client that the renewal of the right uses on another fiber; the timeout of one call could be switched off by the end of the other.

Ruled out: the store itself. No call was refused, and renewals that failed now log their cause ("no answer" of VMs that were cut off, nothing else).

Change: a VM hurries while a sealed primary still runs something of it. The new holder reads on its own client. Renewals that fail are logged with cause and time taken.

--- a/include/tanagerhoist/fleet/row_store.hpp
+++ b/include/tanagerhoist/fleet/row_store.hpp
@@ -31,6 +31,26 @@
     malformed   ///< the answer could not be read
 };
 
+/// For log lines.
+inline const char* store_result_name(store_result result)
+{
+    switch (result)
+    {
+    case store_result::done:
+        return "done";
+    case store_result::conflict:
+        return "conflict";
+    case store_result::refused:
+        return "refused";
+    case store_result::compacted:
+        return "history gone";
+    case store_result::unanswered:
+        return "no answer";
+    default:
+        return "unreadable";
+    }
+}
+
 /// Answer of a call.
 struct store_answer
 {
--- a/src/fleet/duty_keeper.cpp
+++ b/src/fleet/duty_keeper.cpp
@@ -104,6 +104,10 @@
         held_until_ = answer.sent + duty_lease - duty_margin;
         return true;
     }
+    lines_.write(journal_level::change, "duty_not_renewed",
+                 {{"token", std::to_string(row_.token())},
+                  {"cause", store_result_name(answer.result)},
+                  {"took_ms", std::to_string(to_ms(now_() - answer.sent))}});
     if (answer.result == store_result::conflict)
     {
         // A renewal whose answer was lost leaves the row ours.
--- a/tools/daemon/fleet_agent.cpp
+++ b/tools/daemon/fleet_agent.cpp
@@ -52,7 +52,7 @@
 constexpr milliseconds first_store_retry{100};
 constexpr milliseconds longest_store_retry{800};
 constexpr milliseconds report_interval{400};
-constexpr milliseconds hurried_interval{80}; // while something depends on it
+constexpr milliseconds hurried_interval{80}; // while a seal waits for this VM
 constexpr milliseconds shortest_interval{4};
 constexpr milliseconds watch_interval{100};
 constexpr milliseconds look_interval{300};
@@ -235,13 +235,9 @@
         }
         if (!lost)
         {
-            lines_.write(
-                journal_level::change, "store_lost",
-                {{"table", watch.table},
-                 {"cause", answer.result == store_result::refused ? "refused"
-                           : answer.result == store_result::malformed
-                               ? "unreadable"
-                               : "no answer"}});
+            lines_.write(journal_level::change, "store_lost",
+                         {{"table", watch.table},
+                          {"cause", store_result_name(answer.result)}});
         }
         lost = true;
         pause(retry);
@@ -266,9 +262,10 @@
            to_ms(now_() - store_clock_at_) + 1;
 }
 
-bool fleet_agent::read_leads()
+/// @param store not in use by another fiber
+bool fleet_agent::read_leads(row_store& store)
 {
-    const auto leads = right_store_.read(fleet_table, "");
+    const auto leads = store.read(fleet_table, "");
     if (leads.result != store_result::done)
     {
         return false;
@@ -283,7 +280,7 @@
 /// Learns who leads and who is there, so that this VM can register.
 void fleet_agent::register_self()
 {
-    if (!read_leads())
+    if (!read_leads(right_store_))
     {
         return; // tried again soon
     }
@@ -363,6 +360,9 @@
         proxy_.prove_right(answer.sent);
         return true;
     }
+    lines_.write(journal_level::change, "right_not_renewed",
+                 {{"cause", store_result_name(answer.result)},
+                  {"took_ms", std::to_string(to_ms(now_() - answer.sent))}});
     if (answer.result == store_result::conflict)
     {
         for (const auto& current : answer.rows)
@@ -878,12 +878,8 @@
 void fleet_agent::report_regularly()
 {
     send_report();
-    bool sealed = false;
-    for (const auto& [group, lead] : proxy_.leads())
-    {
-        sealed = sealed || lead.sealed();
-    }
-    report_timer_.expires_after(sealed ? hurried_interval : report_interval);
+    report_timer_.expires_after(proxy_.is_ending_use() ? hurried_interval
+                                                       : report_interval);
     report_timer_.async_wait(
         [this](error_code error)
         {
@@ -921,7 +917,7 @@
         if (holds && !held_duty_)
         {
             hub_.begin(duty_.former());
-            read_leads();
+            read_leads(duty_store_);
             read_members();
             nudge(config_watch_);
             nudge(server_watch_);
--- a/tools/daemon/fleet_agent.hpp
+++ b/tools/daemon/fleet_agent.hpp
@@ -79,7 +79,7 @@
     void nudge(table_watch& watch);
     store_answer next_answer(table_watch& watch, bool known,
                              std::uint64_t version, bool at_once);
-    bool read_leads();
+    bool read_leads(row_store& store);
     void register_self();
     void keep_right();
     bool renew_right();
