Pass on changes of the servers; leave the duty to larger VMs

A small VM (0.12 cores, 10 Mbit/s) that took the duty after a crash could not carry it: the pause for smaller VMs was counted from the last news, and was over before the lease ended; at the first start all VMs took themselves for the largest. And where a workspace's limit is used up in the whole fleet, each refused operation sent a request to the holder.

Ruled out: reading the configuration through the holder too. A watch that went silent at the holder alone would then be late for all.

Change: row_mirror keeps the table as of a version; a view carries the rows that the VM's report lacks, and the VM watches the store itself only without news from the holder. duty_keeper::step takes a patience that counts from the end of the lease, or from when no row was found. What the fleet lacks is asked for every 3 ms times the number of VMs.

--- a/include/tanagerhoist/fleet/duty_keeper.hpp
+++ b/include/tanagerhoist/fleet/duty_keeper.hpp
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,11 +39,16 @@
 
     /// Reads, takes or renews, whichever is due.
     /// @param heard when the holder was last heard from
+    /// @param patience how long this VM leaves a duty that nobody holds to
+    ///                 others, which may be better fit for it
     /// @return false if a renewal did not succeed and is to be tried again
-    bool step(moment heard);
+    bool step(moment heard, milliseconds patience = milliseconds(0));
 
     bool holds(moment now) const { return now < held_until_; }
 
+    /// Whether it is known who holds the duty, or held it last.
+    bool knows_holder() const { return !row_.holder().empty(); }
+
     /// The duty as last read or written.
     const proto::DutyRow& row() const { return row_; }
 
@@ -55,7 +61,7 @@
 
 private:
     bool renew();
-    void look();
+    void look(milliseconds patience);
     void take(const store_answer& read, std::uint64_t version);
     bool take_in(const store_answer& answer);
     bool is_own() const;
@@ -72,6 +78,7 @@
     std::uint64_t version_ = 0;
     moment held_until_{};
     bool holding_ = false;
+    std::optional<moment> unclaimed_since_; ///< when no row was found first
     milliseconds store_clock_{0}; ///< of the newest answer
     moment store_clock_at_{};     ///< when that call was sent
 };
--- a/include/tanagerhoist/fleet/fleet_hub.hpp
+++ b/include/tanagerhoist/fleet/fleet_hub.hpp
@@ -49,6 +49,9 @@
 
     void take_report(moment now, const proto::VmReport& report);
 
+    /// Version that a VM's list of servers reflects; 0: not known.
+    std::uint64_t servers_version(const std::string& vm) const;
+
     /// Notes that a view goes to a VM now.
     /// @return sequence of the report that it answers
     std::uint64_t note_view(moment now, const std::string& vm,
--- /dev/null
+++ b/include/tanagerhoist/fleet/row_mirror.hpp
@@ -0,0 +1,56 @@
+#ifndef TANAGERHOIST_FLEET_ROW_MIRROR_HPP
+#define TANAGERHOIST_FLEET_ROW_MIRROR_HPP
+
+#include "tanagerhoist/fleet/row_store.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace tanagerhoist
+{
+
+/// A copy of one table as of one version of the store. Whoever holds a copy
+/// that is not too old can be brought up to date from another, without the
+/// store.
+class row_mirror
+{
+public:
+    /// @param keeps_values false: the values are not passed on
+    explicit row_mirror(bool keeps_values) : keeps_values_(keeps_values) {}
+
+    /// Takes in the answer to a read or a watch.
+    /// @param whole whether it holds the whole table
+    /// @return what has changed here; rows that are gone are marked `removed`
+    std::vector<store_row> take(const store_answer& answer, bool whole);
+
+    /// What changed after `version`; nothing if this copy can't tell.
+    std::optional<std::vector<store_row>> since(std::uint64_t version) const;
+
+    /// Takes in what another copy says has changed between two versions.
+    /// @return what has changed here
+    std::vector<store_row> take_changes(std::uint64_t from, std::uint64_t to,
+                                        const std::vector<store_row>& rows);
+
+    /// The store's version that the copy reflects; 0: none.
+    std::uint64_t version() const { return version_; }
+
+    /// Version of the newest row that was seen.
+    std::uint64_t newest() const { return newest_; }
+
+private:
+    bool put(const store_row& row);
+    std::vector<store_row> mark_missing(const store_answer& answer);
+
+    bool keeps_values_;
+    std::map<std::string, store_row> rows_; ///< by key, with removed ones
+    std::uint64_t version_ = 0;
+    std::uint64_t newest_ = 0;
+    std::uint64_t complete_from_ = 0; ///< removals since then are known
+};
+
+} // namespace tanagerhoist
+
+#endif
--- a/include/tanagerhoist/session/workspace_limits.hpp
+++ b/include/tanagerhoist/session/workspace_limits.hpp
@@ -81,10 +81,11 @@
     std::vector<proto::WorkspaceDemand> demand(moment now);
 
     /// What statements wait for now.
-    std::vector<proto::WorkspaceDemand> missing();
+    std::vector<proto::WorkspaceDemand> missing(moment now);
 
-    /// Whether a stock has run low since the last report.
-    bool is_short() const { return short_; }
+    /// Whether to ask the holder for more now. Where the whole fleet's limit
+    /// is used up, the VMs together ask at a bounded pace.
+    bool is_short(moment now) const;
 
 private:
     struct allowance
@@ -111,7 +112,9 @@
     std::size_t members_ = 1;
     moment heard_{};
     moment reported_{};
-    bool short_ = false;
+    moment asked_{};     ///< when grants were last asked for
+    bool short_ = false; ///< since then a stock was empty
+    bool dry_ = false;   ///< since then a stock was empty, and the fleet's too
 };
 
 } // namespace tanagerhoist
--- a/src/fleet/duty_keeper.cpp
+++ b/src/fleet/duty_keeper.cpp
@@ -30,7 +30,7 @@
     return store_clock_ + milliseconds(to_ms(now_() - store_clock_at_) + 1);
 }
 
-bool duty_keeper::step(moment heard)
+bool duty_keeper::step(moment heard, milliseconds patience)
 {
     if (holding_ && !holds(now_()))
     {
@@ -42,7 +42,7 @@
     }
     if (now_() >= heard + duty_silence)
     {
-        look();
+        look(patience);
     }
     return true;
 }
@@ -119,7 +119,7 @@
     return false;
 }
 
-void duty_keeper::look()
+void duty_keeper::look(milliseconds patience)
 {
     const auto answer = store_.read(duty_table, "");
     if (answer.result != store_result::done)
@@ -130,12 +130,17 @@
     store_clock_at_ = answer.sent;
     if (!take_in(answer))
     {
-        take(answer, answer.rows.empty() ? 0 : version_);
+        unclaimed_since_ = unclaimed_since_.value_or(now_());
+        if (now_() >= *unclaimed_since_ + patience)
+        {
+            take(answer, answer.rows.empty() ? 0 : version_);
+        }
         return;
     }
     const auto until = milliseconds(row_.renewed_ms() + row_.lease_ms());
     const bool own_name = row_.holder() == self_.vm();
-    if (own_name || row_.lease_ms() == 0 || answer.now >= until)
+    const bool resigned = row_.lease_ms() == 0 && patience.count() == 0;
+    if (own_name || resigned || answer.now >= until + patience)
     {
         take(answer, version_);
     }
--- a/src/fleet/fleet_hub.cpp
+++ b/src/fleet/fleet_hub.cpp
@@ -83,6 +83,12 @@
     take_positions(vm);
 }
 
+std::uint64_t fleet_hub::servers_version(const std::string& vm) const
+{
+    const auto it = vms_.find(vm);
+    return it == vms_.end() ? 0 : it->second.report.servers_version();
+}
+
 /// Takes in positions with the time that they cover for certain: the report
 /// was sent after the view that it names, however long it was on its way.
 void fleet_hub::take_positions(const vm_state& vm)
--- a/src/session/workspace_limits.cpp
+++ b/src/session/workspace_limits.cpp
@@ -30,6 +30,10 @@
 /// VMs up to which each may hold one operation of any workspace unasked.
 constexpr std::size_t few_members = 12;
 
+/// Pause, for each VM of the fleet, between requests for what the fleet lacks:
+/// at most some hundred a second reach the holder.
+constexpr milliseconds dry_pause_per_vm{3};
+
 /// How long a VM whose callers have gone wants a stock.
 constexpr milliseconds expectation{5000};
 
@@ -170,10 +174,16 @@
         return true;
     }
     share.missing += granted || again ? 0 : 1;
-    short_ = short_ || !granted;
+    short_ = short_ || (!granted && !share.exhausted);
+    dry_ = dry_ || !granted;
     return granted;
 }
 
+bool workspace_limits::is_short(moment now) const
+{
+    return short_ || (dry_ && now >= asked_ + dry_pause_per_vm * members_);
+}
+
 void workspace_limits::give_back(const std::string& workspace)
 {
     const auto it = shares_.find(workspace);
@@ -196,8 +206,7 @@
            (share.exhausted ? "exhausted"
             : share.calm    ? "calm"
                             : "busy") +
-           ", news " + std::to_string(to_ms(now - heard_)) +
-           " ms old, rate " +
+           ", news " + std::to_string(to_ms(now - heard_)) + " ms old, rate " +
            std::to_string(static_cast<std::uint64_t>(share.fleet.rate)) +
            "/s, asked here " +
            std::to_string(static_cast<std::uint64_t>(share.asked_per_s)) +
@@ -236,7 +245,9 @@
     const double seconds =
         std::chrono::duration<double>(now - reported_).count();
     reported_ = now;
+    asked_ = now;
     short_ = false;
+    dry_ = false;
     std::vector<proto::WorkspaceDemand> told;
     for (auto& [name, share] : shares_)
     {
@@ -277,9 +288,11 @@
     return told;
 }
 
-std::vector<proto::WorkspaceDemand> workspace_limits::missing()
+std::vector<proto::WorkspaceDemand> workspace_limits::missing(moment now)
 {
+    asked_ = now;
     short_ = false;
+    dry_ = false;
     std::vector<proto::WorkspaceDemand> told;
     for (auto& [name, share] : shares_)
     {
--- a/tests/duty_keeper_test.cpp
+++ b/tests/duty_keeper_test.cpp
@@ -34,6 +34,8 @@
     CPPUNIT_TEST_SUITE(duty_keeper_test);
     CPPUNIT_TEST(first_to_look_holds_the_duty);
     CPPUNIT_TEST(second_waits_until_the_lease_has_ended);
+    CPPUNIT_TEST(smaller_vm_leaves_an_ended_lease_to_others_for_a_while);
+    CPPUNIT_TEST(unclaimed_duty_is_left_to_others_for_a_while);
     CPPUNIT_TEST(token_rises_with_the_holder);
     CPPUNIT_TEST(renewing_holder_keeps_the_duty);
     CPPUNIT_TEST(holder_without_the_store_stops_before_its_lease_ends);
@@ -67,6 +69,31 @@
         CPPUNIT_ASSERT(f.b.holds(f.now));
     }
 
+    void smaller_vm_leaves_an_ended_lease_to_others_for_a_while()
+    {
+        two_keepers f;
+        const milliseconds patience(900);
+        f.a.step(f.never);
+        f.now += duty_lease + milliseconds(10);
+        f.b.step(f.never, patience);
+        CPPUNIT_ASSERT(!f.b.holds(f.now));
+        f.now += patience;
+        f.b.step(f.never, patience);
+        CPPUNIT_ASSERT(f.b.holds(f.now));
+    }
+
+    void unclaimed_duty_is_left_to_others_for_a_while()
+    {
+        two_keepers f;
+        f.a.step(f.never, milliseconds(600));
+        CPPUNIT_ASSERT(!f.a.holds(f.now));
+        CPPUNIT_ASSERT(!f.a.knows_holder());
+        f.now += milliseconds(600);
+        f.a.step(f.never, milliseconds(600));
+        CPPUNIT_ASSERT(f.a.holds(f.now));
+        CPPUNIT_ASSERT(f.a.knows_holder());
+    }
+
     void token_rises_with_the_holder()
     {
         two_keepers f;
--- a/tests/workspace_limits_test.cpp
+++ b/tests/workspace_limits_test.cpp
@@ -26,13 +26,14 @@
         return taken;
     }
 
-    void grant(std::uint64_t operations, bool calm)
+    void grant(std::uint64_t operations, bool calm, bool exhausted = false)
     {
         workspace_limits::grants given;
         auto& one = *given.Add();
         one.set_workspace("w");
         one.set_operations(operations);
         one.set_calm(calm);
+        one.set_exhausted(exhausted);
         subject.use_grants(now, given);
     }
 
@@ -49,6 +50,7 @@
     CPPUNIT_TEST(started_vm_admits_its_even_share_at_once);
     CPPUNIT_TEST(granted_operations_are_used_once);
     CPPUNIT_TEST(missing_operations_are_told);
+    CPPUNIT_TEST(what_the_fleet_lacks_is_asked_for_at_a_bounded_pace);
     CPPUNIT_TEST(stock_without_callers_goes_back);
     CPPUNIT_TEST(calm_workspace_goes_on_when_the_holder_is_lost);
     CPPUNIT_TEST(busy_workspace_does_not_go_on_when_the_holder_is_lost);
@@ -102,11 +104,31 @@
     {
         limits_fixture f;
         f.take(4);
-        CPPUNIT_ASSERT(f.subject.is_short());
-        const auto missing = f.subject.missing();
+        CPPUNIT_ASSERT(f.subject.is_short(f.now));
+        const auto missing = f.subject.missing(f.now);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, missing.size());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, missing.front().missing());
-        CPPUNIT_ASSERT(f.subject.missing().empty());
+        CPPUNIT_ASSERT(f.subject.missing(f.now).empty());
+    }
+
+    void what_the_fleet_lacks_is_asked_for_at_a_bounded_pace()
+    {
+        limits_fixture f;
+        f.subject.use_members(f.now, 100);
+        f.grant(0, false, true);
+        int requests = 0;
+        for (int i = 0; i < 1000; ++i)
+        {
+            f.now += milliseconds(1);
+            f.take(1);
+            if (f.subject.is_short(f.now))
+            {
+                f.subject.missing(f.now);
+                ++requests;
+            }
+        }
+        CPPUNIT_ASSERT(requests >= 1);
+        CPPUNIT_ASSERT(requests <= 5); // of 100 VMs: 500 a second
     }
 
     void stock_without_callers_goes_back()
--- a/tools/daemon/fleet_agent.cpp
+++ b/tools/daemon/fleet_agent.cpp
@@ -33,6 +33,10 @@
 constexpr milliseconds server_wait{3000};
 constexpr milliseconds others_wait{15000};
 
+/// Rows of the list of servers that a view carries at most; a datagram must
+/// hold them.
+constexpr std::size_t most_passed_rows = 40;
+
 /// Changes that come close together are read at once.
 constexpr milliseconds batching{200};
 
@@ -57,6 +61,7 @@
 constexpr milliseconds watch_interval{100};
 constexpr milliseconds look_interval{300};
 constexpr milliseconds smaller_wait{900}; // of VMs that are not the largest
+constexpr milliseconds newcomer_wait{600}; // for all VMs to register
 
 /// How long a grant is waited for before it is asked for again.
 constexpr milliseconds grant_timeout{60};
@@ -119,13 +124,11 @@
                   static_cast<std::uint16_t>(settings.sessions().peer_port()))),
       report_timer_(context),
       config_watch_{platform::operator_table, config_wait,
-                    [this](const store_answer& answer, bool)
-                    { return take_config(answer); },
-                    make_client()},
+                    [this](const auto& rows) { take_config(rows); },
+                    make_client(), false},
       server_watch_{platform::server_table, server_wait,
-                    [this](const store_answer& answer, bool whole)
-                    { return take_servers(answer, whole); },
-                    make_client()},
+                    [this](const auto& rows) { take_servers(rows); },
+                    make_client(), true},
       duty_store_(make_client()),
       lead_store_(make_client()),
       right_store_(make_client()),
@@ -179,31 +182,44 @@
 // ---- following the store --------------------------------------------------
 
 store_answer fleet_agent::next_answer(table_watch& watch, bool known,
-                                      std::uint64_t version, bool at_once)
+                                      bool at_once)
 {
     if (!known)
     {
         return watch.client.read(watch.table, "");
     }
     const auto wait = holds_duty() ? watch.holder_wait : others_wait;
-    return watch.client.watch(watch.table, version,
+    return watch.client.watch(watch.table, watch.rows.version(),
                               at_once ? milliseconds(0) : wait);
 }
 
+/// Whether the duty's holder passes the table's changes on to this VM.
+bool fleet_agent::is_told(const table_watch& watch)
+{
+    return watch.told_by_holder && !watch.nudged && !holds_duty() &&
+           now_() < heard_ + duty_silence;
+}
+
 /// Reads a table and follows its changes for as long as the process lives.
 void fleet_agent::follow(table_watch& watch)
 {
-    std::uint64_t version = 0;
     bool known = false;
     bool lost = false;
+    bool told = false;
     auto retry = first_store_retry;
     while (!leaving_)
     {
-        const bool whole = !known;
+        if (known && is_told(watch))
+        {
+            told = true;
+            pause(look_interval);
+            continue;
+        }
         // The first call after a failure does not wait, to catch up at once.
-        const bool at_once = lost || watch.nudged;
+        const bool at_once = lost || watch.nudged || told;
+        told = false;
         watch.nudged = false;
-        const auto answer = next_answer(watch, known, version, at_once);
+        const auto answer = next_answer(watch, known, at_once);
         if (answer.result == store_result::done)
         {
             if (lost)
@@ -213,12 +229,8 @@
             }
             lost = false;
             retry = first_store_retry;
-            for (const auto& row : answer.rows)
-            {
-                watch.newest = std::max(watch.newest, row.version);
-            }
-            known = watch.handle(answer, whole);
-            version = std::max(version, answer.version);
+            watch.handle(watch.rows.take(answer, !known));
+            known = true;
             pause(answer.rows.empty() ? milliseconds(0) : batching);
             continue;
         }
@@ -470,16 +482,15 @@
     }
 }
 
-bool fleet_agent::take_config(const store_answer& answer)
+void fleet_agent::take_config(const std::vector<store_row>& rows)
 {
-    for (const auto& row : answer.rows)
+    for (const auto& row : rows)
     {
         if (row.key == platform::config_key && !row.removed)
         {
             use_config(row.value);
         }
     }
-    return true;
 }
 
 void fleet_agent::use_config(const std::string& text)
@@ -502,13 +513,9 @@
     proxy_.use_settings(now_(), std::move(settings));
 }
 
-bool fleet_agent::take_servers(const store_answer& answer, bool whole)
+void fleet_agent::take_servers(const std::vector<store_row>& rows)
 {
-    if (whole)
-    {
-        servers_.clear();
-    }
-    for (const auto& row : answer.rows)
+    for (const auto& row : rows)
     {
         servers_.erase(row.key);
         if (row.removed)
@@ -528,7 +535,46 @@
         }
     }
     proxy_.use_servers(now_(), servers_);
-    return true;
+}
+
+/// Adds what a VM's list of servers lacks, if that is known and not much.
+void fleet_agent::add_server_changes(const std::string& vm,
+                                     proto::FleetView& view)
+{
+    const auto from = hub_.servers_version(vm);
+    const auto& rows = server_watch_.rows;
+    const auto changes = rows.since(from);
+    if (!changes || changes->size() > most_passed_rows ||
+        from >= rows.version())
+    {
+        return; // it reads them itself if it is behind for long
+    }
+    view.set_servers_from(from);
+    view.set_servers_to(rows.version());
+    for (const auto& row : *changes)
+    {
+        auto& passed = *view.add_server_rows();
+        passed.set_key(row.key);
+        passed.set_value(row.value);
+        passed.set_version(row.version);
+        passed.set_removed(row.removed);
+    }
+}
+
+void fleet_agent::take_server_changes(const proto::FleetView& view)
+{
+    std::vector<store_row> rows;
+    for (const auto& passed : view.server_rows())
+    {
+        rows.push_back({platform::server_table, passed.key(), passed.value(),
+                        passed.version(), passed.removed()});
+    }
+    const auto changed = server_watch_.rows.take_changes(
+        view.servers_from(), view.servers_to(), rows);
+    if (!changed.empty())
+    {
+        take_servers(changed);
+    }
 }
 
 /// Fetches newer settings from a peer, for a VM that the store turns away.
@@ -650,7 +696,7 @@
     reported_ = now_();
     proto::FleetDatagram datagram;
     auto& request = *datagram.mutable_request();
-    for (auto& demand : proxy_.limits().missing())
+    for (auto& demand : proxy_.limits().missing(now_()))
     {
         *request.add_demand() = std::move(demand);
     }
@@ -724,7 +770,8 @@
     {
         return;
     }
-    if (is_behind(view.servers_version() > server_watch_.newest,
+    take_server_changes(view);
+    if (is_behind(view.servers_version() > server_watch_.rows.newest(),
                   servers_behind_, own_watch_time))
     {
         nudge(server_watch_);
@@ -760,7 +807,8 @@
     view.set_token(duty_.row().token());
     view.set_sequence(++view_sequence_);
     view.set_settings_version(config_version_);
-    view.set_servers_version(server_watch_.newest);
+    view.set_servers_version(server_watch_.rows.newest());
+    add_server_changes(vm, view);
     view.set_members(members_.rows.size());
     for (const auto& [group, row] : lead_rows_)
     {
@@ -819,6 +867,7 @@
         reports_.erase(reports_.begin());
     }
     report.set_settings_version(config_version_);
+    report.set_servers_version(server_watch_.rows.version());
     proxy_.describe(now_(), report);
     if (duty_.holds(now_()))
     {
@@ -849,7 +898,7 @@
 {
     const bool recent = now_() < reported_ + shortest_interval;
     const bool awaited = awaiting_grant_ && now_() < reported_ + grant_timeout;
-    if (proxy_.limits().is_short() && !recent && !awaited && !asking_)
+    if (proxy_.limits().is_short(now_()) && !recent && !awaited && !asking_)
     {
         asking_ = true;
         // Later, since the proxy is in the middle of a statement.
@@ -892,15 +941,15 @@
 
 // ---- duty -----------------------------------------------------------------
 
-/// How long this VM leaves a silent holder's duty to larger VMs.
+/// How long this VM leaves the duty to larger VMs once a lease has ended.
 milliseconds fleet_agent::duty_patience() const
 {
     const bool largest =
         std::all_of(members_.rows.begin(), members_.rows.end(),
                     [this](const auto& entry)
                     { return entry.second.row.cpu_percent() <= cpu_percent_; });
-    return duty_.holds(now_()) || largest ? milliseconds(0)
-                                          : duty_silence + smaller_wait;
+    return (largest ? milliseconds(0) : smaller_wait) +
+           (duty_.knows_holder() ? milliseconds(0) : newcomer_wait);
 }
 
 void fleet_agent::keep_duty()
@@ -909,9 +958,13 @@
     while (!leaving_)
     {
         bool done = true;
-        if (registered_ && now_() >= heard_ + duty_patience())
+        if (registered_)
+        {
+            done = duty_.step(heard_, duty_patience());
+        }
+        if (!duty_.knows_holder() && now_() >= heard_ + duty_silence)
         {
-            done = duty_.step(heard_);
+            read_members(); // tells which VM is the largest
         }
         const bool holds = duty_.holds(now_());
         if (holds && !held_duty_)
--- a/tools/daemon/fleet_agent.hpp
+++ b/tools/daemon/fleet_agent.hpp
@@ -9,6 +9,7 @@
 #include "tanagerhoist/fleet/duty_keeper.hpp"
 #include "tanagerhoist/fleet/fleet_hub.hpp"
 #include "tanagerhoist/fleet/lead_changer.hpp"
+#include "tanagerhoist/fleet/row_mirror.hpp"
 #include "tanagerhoist/session/proxy.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -22,6 +23,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace tanagerhoist
 {
@@ -63,7 +65,7 @@
     const std::string& config_text() const { return config_text_; }
 
 private:
-    using row_handler = std::function<bool(const store_answer&, bool whole)>;
+    using row_handler = std::function<void(const std::vector<store_row>&)>;
 
     // Following the store
     struct table_watch
@@ -72,13 +74,16 @@
         milliseconds holder_wait; ///< of a call, by the duty's holder
         row_handler handle;
         platform::store_client client;
-        std::uint64_t newest = 0; ///< version of the newest row seen
-        bool nudged = false;      ///< a peer has seen a newer row
+        bool told_by_holder; ///< the duty's holder passes changes on
+        row_mirror rows{told_by_holder};
+        bool nudged = false; ///< a peer has seen a newer row
     };
     void follow(table_watch& watch);
     void nudge(table_watch& watch);
-    store_answer next_answer(table_watch& watch, bool known,
-                             std::uint64_t version, bool at_once);
+    store_answer next_answer(table_watch& watch, bool known, bool at_once);
+    bool is_told(const table_watch& watch);
+    void add_server_changes(const std::string& vm, proto::FleetView& view);
+    void take_server_changes(const proto::FleetView& view);
     bool read_leads(row_store& store);
     void register_self();
     void keep_right();
@@ -88,9 +93,9 @@
     void take_members(const store_answer& answer);
     std::uint64_t store_time() const;
     void remove_lapsed();
-    bool take_config(const store_answer& answer);
+    void take_config(const std::vector<store_row>& rows);
     void use_config(const std::string& text);
-    bool take_servers(const store_answer& answer, bool whole);
+    void take_servers(const std::vector<store_row>& rows);
     void fetch_config(const std::string& address, std::uint16_t port);
 
     // Datagrams
