Turn reads away at once when replicas lag and the primary is full

Change: a read whose replicas lack its position while the primary in use has no room is answered "not run" at once. In a gap between two primaries it waits. What the fleet lacks is asked for each 1 ms times the number of VMs.

--- a/include/tanagerhoist/session/proxy.hpp
+++ b/include/tanagerhoist/session/proxy.hpp
@@ -136,6 +136,8 @@
 
     // Placing: proxy_dispatch.cpp
     void dispatch(moment now, const std::string& group);
+    bool is_turned_away(moment now, const client_session& session);
+    void turn_away(moment now, const std::vector<session_id>& ids);
     bool place(moment now, session_id id, client_session& session);
     bool place_at(moment now, session_id id, client_session& session,
                   server_state& server);
--- a/src/session/proxy_dispatch.cpp
+++ b/src/session/proxy_dispatch.cpp
@@ -44,16 +44,54 @@
                      { return goes_before(entry(a), entry(b), now); });
     const auto order = std::exchange(waiting, {});
     std::vector<session_id> left;
+    std::vector<session_id> turned_away;
     for (const auto id : order)
     {
-        if (!place(now, id, sessions_.at(id)))
+        auto& session = sessions_.at(id);
+        if (!place(now, id, session))
         {
-            left.push_back(id);
+            const bool away = is_turned_away(now, session);
+            (away ? turned_away : left).push_back(id);
         }
     }
     auto& added = groups_[group].waiting; // while placing
     left.insert(left.end(), added.begin(), added.end());
     added = std::move(left);
+    turn_away(now, turned_away);
+}
+
+/// Whether a read's replicas lag behind and the primary has no room: reads that
+/// wait there would make each other, and the writes, late.
+bool proxy::is_turned_away(moment now, const client_session& session)
+{
+    if (session.request.needs_primary || !session.request.after ||
+        usable_primary(now, session) == nullptr)
+    {
+        return false;
+    }
+    return std::any_of(servers_.begin(), servers_.end(),
+                       [&](const auto& entry)
+                       {
+                           const auto& state = entry.second;
+                           return state.server.group == session.group &&
+                                  state.may_try(now) &&
+                                  state.lacks(now, *session.request.after);
+                       });
+}
+
+void proxy::turn_away(moment now, const std::vector<session_id>& ids)
+{
+    for (const auto id : ids)
+    {
+        const auto it = sessions_.find(id);
+        if (it != sessions_.end() &&
+            it->second.request.stage == request_stage::waiting)
+        {
+            ++figures_.refusals["replicas_lag"];
+            refuse_waiting(now, id, it->second, session_error::lagging,
+                           "replicas lag and the primary is full, not run");
+        }
+    }
 }
 
 bool proxy::place(moment now, session_id id, client_session& session)
--- a/src/session/workspace_limits.cpp
+++ b/src/session/workspace_limits.cpp
@@ -31,8 +31,8 @@
 constexpr std::size_t few_members = 12;
 
 /// Pause, for each VM of the fleet, between requests for what the fleet lacks:
-/// at most some hundred a second reach the holder.
-constexpr milliseconds dry_pause_per_vm{3};
+/// at most a thousand a second reach the holder.
+constexpr milliseconds dry_pause_per_vm{1};
 
 /// How long a VM whose callers have gone wants a stock.
 constexpr milliseconds expectation{5000};
