Go on alone as soon as the holder does not answer; grant all in large fleets

The new holder began with nothing and called a workspace exhausted that was asked for less than allowed; its callers were refused at once and came back. The even fifth of each rate, split by 83, never made up one operation and was lost.

Ruled out: starting a new holder with more than was earned. What the former one granted last is not known, and the limit of a window must hold.

Change: a request that is not answered for 150 ms shows that the holder is gone. An account that is empty but asked for less than 80 % of its rate is not exhausted: operations wait up to 300 ms for it. Above 12 VMs there is no even share, from 24 on the holder grants it.

Tests: calm_workspace_goes_on_when_a_request_is_not_answered, vm_of_a_large_fleet_has_no_even_share, empty_account_of_a_calm_workspace_is_not_exhausted.

--- a/include/tanagerhoist/fleet/duty_keeper.hpp
+++ b/include/tanagerhoist/fleet/duty_keeper.hpp
@@ -79,8 +79,8 @@
     moment held_until_{};
     bool holding_ = false;
     std::optional<moment> unclaimed_since_; ///< when no row was found first
-    milliseconds store_clock_{0}; ///< of the newest answer
-    moment store_clock_at_{};     ///< when that call was sent
+    milliseconds store_clock_{0};           ///< of the newest answer
+    moment store_clock_at_{};               ///< when that call was sent
 };
 
 } // namespace tanagerhoist
--- a/include/tanagerhoist/fleet/fleet_hub.hpp
+++ b/include/tanagerhoist/fleet/fleet_hub.hpp
@@ -116,6 +116,7 @@
     void grant_one(moment now, const session_settings& settings,
                    const std::string& vm, const proto::WorkspaceDemand& demand,
                    grants& given);
+    std::uint64_t granted_parts() const;
     workspace_account& account(moment now, const std::string& workspace,
                                const session_workspace& limits);
 
--- a/include/tanagerhoist/session/workspace_limits.hpp
+++ b/include/tanagerhoist/session/workspace_limits.hpp
@@ -6,6 +6,7 @@
 #include "tanagerhoist/decision/token_bucket.hpp"
 #include "tanagerhoist/session/session_settings.hpp"
 
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -99,11 +100,14 @@
         std::uint64_t missing = 0; ///< refused or held since the last report
         double asked_per_s = 0;    ///< over some seconds
         double just_asked = 0;     ///< per second, over the last reports
-        bool exhausted = false;    ///< in the whole fleet
+        bool exhausted = false;    ///< in the whole fleet, for a while
+        bool dry = false;          ///< in the whole fleet, at the last answer
         moment expected{};         ///< when callers were last here
     };
 
     void apply(moment now, allowance& share) const;
+    void note_request(moment now);
+    bool is_alone(moment now) const;
     bool take_alone(moment now, allowance& share) const;
     static std::uint64_t wanted(moment now, const allowance& share);
 
@@ -112,6 +116,7 @@
     std::size_t members_ = 1;
     moment heard_{};
     moment reported_{};
+    std::optional<moment> unanswered_since_; ///< oldest request without answer
     moment asked_{};     ///< when grants were last asked for
     bool short_ = false; ///< since then a stock was empty
     bool dry_ = false;   ///< since then a stock was empty, and the fleet's too
--- a/src/fleet/fleet_hub.cpp
+++ b/src/fleet/fleet_hub.cpp
@@ -18,8 +18,6 @@
 /// A VM that is silent for longer is taken to have lost its stock.
 constexpr milliseconds stock_kept{10000};
 
-constexpr std::uint64_t granted_parts = share_parts - even_parts;
-
 /// Time in which a VM that knows of a seal has ended its use of the primary.
 constexpr milliseconds after_news{500};
 
@@ -213,6 +211,13 @@
     return found;
 }
 
+/// What is not split evenly. The VMs of a fleet well above the size up to which
+/// they have an even share have none.
+std::uint64_t fleet_hub::granted_parts() const
+{
+    return vms_.size() >= large_fleet ? share_parts : share_parts - even_parts;
+}
+
 /// The account of a workspace with its limits as they are now.
 fleet_hub::workspace_account&
 fleet_hub::account(moment now, const std::string& workspace,
@@ -237,13 +242,13 @@
     }
     const auto allowed = allowance_of(limits, tolerance_);
     const auto capacity = static_cast<std::uint64_t>(
-        allowed.capacity * token_unit * static_cast<double>(granted_parts) /
+        allowed.capacity * token_unit * static_cast<double>(granted_parts()) /
         share_parts);
     account.capacity = capacity;
     // What VMs hold is part of what may be admitted at once.
     account.left.use_least_capacity(capacity - std::min(capacity, held));
     account.left.use_share(now, static_cast<std::uint64_t>(allowed.rate), 0,
-                           granted_parts);
+                           granted_parts());
     if (!account.known)
     {
         account.known = true;
@@ -326,9 +331,11 @@
     auto& grant = *given.Add();
     grant.set_workspace(demand.workspace());
     grant.set_operations(operations);
-    grant.set_exhausted(left == 0);
-    grant.set_calm(left != 0 &&
-                   is_calm(all, allowance_of(limits->second, tolerance_)));
+    // Asked for less than allowed, an empty account fills again at once.
+    const bool calm = is_calm(all, allowance_of(limits->second, tolerance_));
+    grant.set_empty(left == 0);
+    grant.set_exhausted(left == 0 && !calm);
+    grant.set_calm(left != 0 && calm);
 }
 
 void fleet_hub::add_positions(moment now, proto::FleetView& view) const
--- a/src/session/workspace_limits.cpp
+++ b/src/session/workspace_limits.cpp
@@ -37,6 +37,9 @@
 /// How long a VM whose callers have gone wants a stock.
 constexpr milliseconds expectation{5000};
 
+/// A holder of the duty that is there answers within this time.
+constexpr milliseconds answer_patience{150};
+
 /// News younger than this shows that a holder of the duty is there.
 constexpr milliseconds fresh_news{1200};
 
@@ -67,7 +70,8 @@
 {
 }
 
-/// Sets rate and burst of the even share.
+/// Sets rate and burst of the even share. Split over many VMs it would not make
+/// up one operation, so that the holder of the duty grants everything there.
 void workspace_limits::apply(moment now, allowance& share) const
 {
     const auto members = std::max<std::size_t>(1, members_);
@@ -77,7 +81,8 @@
                  share.fleet.capacity * even / static_cast<double>(members));
     share.even.use_least_capacity(
         static_cast<std::uint64_t>(capacity * token_unit));
-    share.even.use_parts(now, even_parts / members);
+    share.even.use_parts(now,
+                         members <= few_members ? even_parts / members : 0);
 }
 
 void workspace_limits::use_settings(moment now,
@@ -124,6 +129,7 @@
 void workspace_limits::use_grants(moment now, const grants& given)
 {
     heard_ = now;
+    unanswered_since_.reset();
     for (const auto& grant : given)
     {
         const auto it = shares_.find(grant.workspace());
@@ -131,6 +137,7 @@
         {
             it->second.stock += grant.operations();
             it->second.exhausted = grant.exhausted();
+            it->second.dry = grant.empty();
             it->second.calm = grant.calm();
         }
     }
@@ -174,7 +181,7 @@
         return true;
     }
     share.missing += granted || again ? 0 : 1;
-    short_ = short_ || (!granted && !share.exhausted);
+    short_ = short_ || (!granted && !share.dry);
     dry_ = dry_ || !granted;
     return granted;
 }
@@ -216,9 +223,16 @@
 /// Admits on the demand of before while no holder is heard.
 bool workspace_limits::take_alone(moment now, allowance& share) const
 {
-    const bool alone =
-        now >= heard_ + fresh_news && now < heard_ + longest_alone;
-    return alone && share.calm && share.alone.take(now, token_unit);
+    return is_alone(now) && share.calm && share.alone.take(now, token_unit);
+}
+
+/// Whether the holder of the duty seems to be gone.
+bool workspace_limits::is_alone(moment now) const
+{
+    const bool unanswered =
+        unanswered_since_ && now >= *unanswered_since_ + answer_patience;
+    return (unanswered || now >= heard_ + fresh_news) &&
+           now < heard_ + longest_alone;
 }
 
 milliseconds workspace_limits::wait(moment now,
@@ -240,14 +254,20 @@
     return static_cast<std::uint64_t>(std::ceil(rate * stock_s)) + 1;
 }
 
+void workspace_limits::note_request(moment now)
+{
+    asked_ = now;
+    unanswered_since_ = unanswered_since_.value_or(now);
+    short_ = false;
+    dry_ = false;
+}
+
 std::vector<proto::WorkspaceDemand> workspace_limits::demand(moment now)
 {
     const double seconds =
         std::chrono::duration<double>(now - reported_).count();
     reported_ = now;
-    asked_ = now;
-    short_ = false;
-    dry_ = false;
+    note_request(now);
     std::vector<proto::WorkspaceDemand> told;
     for (auto& [name, share] : shares_)
     {
@@ -290,9 +310,7 @@
 
 std::vector<proto::WorkspaceDemand> workspace_limits::missing(moment now)
 {
-    asked_ = now;
-    short_ = false;
-    dry_ = false;
+    note_request(now);
     std::vector<proto::WorkspaceDemand> told;
     for (auto& [name, share] : shares_)
     {
--- a/tests/fleet_hub_test.cpp
+++ b/tests/fleet_hub_test.cpp
@@ -70,6 +70,7 @@
     CPPUNIT_TEST(acknowledgement_of_an_earlier_life_does_not_count);
     CPPUNIT_TEST(vm_registered_after_the_seal_knows_of_it);
     CPPUNIT_TEST(grants_never_exceed_the_limit_of_a_window);
+    CPPUNIT_TEST(empty_account_of_a_calm_workspace_is_not_exhausted);
     CPPUNIT_TEST(repeated_request_is_granted_once);
     CPPUNIT_TEST(delayed_position_is_not_taken_for_newer_than_it_is);
     CPPUNIT_TEST(balance_of_a_holder_that_resigned_is_granted);
@@ -254,6 +255,24 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{100}, later.positions(0).number());
     }
 
+    void empty_account_of_a_calm_workspace_is_not_exhausted()
+    {
+        hub_fixture f; // begins with nothing, as after a holder's end
+        for (const std::uint64_t asked_per_s : {20U, 200U})
+        {
+            auto report = f.report("a");
+            auto& demand = *report.add_demand();
+            demand.set_workspace("w");
+            demand.set_missing(5);
+            demand.set_asked_per_1000s(asked_per_s * 1000);
+            f.subject.take_report(f.now, report);
+            fleet_hub::grants given;
+            f.subject.grant(f.now, f.settings, "a", given);
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, given[0].operations());
+            CPPUNIT_ASSERT_EQUAL(asked_per_s > 100, given[0].exhausted());
+        }
+    }
+
     void repeated_request_is_granted_once()
     {
         hub_fixture f;
--- a/tests/workspace_limits_test.cpp
+++ b/tests/workspace_limits_test.cpp
@@ -34,6 +34,7 @@
         one.set_operations(operations);
         one.set_calm(calm);
         one.set_exhausted(exhausted);
+        one.set_empty(exhausted);
         subject.use_grants(now, given);
     }
 
@@ -53,6 +54,8 @@
     CPPUNIT_TEST(what_the_fleet_lacks_is_asked_for_at_a_bounded_pace);
     CPPUNIT_TEST(stock_without_callers_goes_back);
     CPPUNIT_TEST(calm_workspace_goes_on_when_the_holder_is_lost);
+    CPPUNIT_TEST(calm_workspace_goes_on_when_a_request_is_not_answered);
+    CPPUNIT_TEST(vm_of_a_large_fleet_has_no_even_share);
     CPPUNIT_TEST(busy_workspace_does_not_go_on_when_the_holder_is_lost);
     CPPUNIT_TEST(lower_limit_drops_what_was_granted);
     CPPUNIT_TEST(split_of_a_window_stays_inside_the_operator_s_bound);
@@ -153,6 +156,28 @@
         CPPUNIT_ASSERT_EQUAL(0, f.take(20));
     }
 
+    void calm_workspace_goes_on_when_a_request_is_not_answered()
+    {
+        limits_fixture f;
+        use_for_a_while(f, true);
+        f.subject.missing(f.now); // asked, and not answered
+        f.now += milliseconds(100);
+        CPPUNIT_ASSERT_EQUAL(0, f.take(1));
+        f.now += milliseconds(100);
+        CPPUNIT_ASSERT_EQUAL(1, f.take(1));
+    }
+
+    void vm_of_a_large_fleet_has_no_even_share()
+    {
+        limits_fixture f;
+        f.subject.use_members(f.now, 83);
+        f.take(20);
+        f.now += std::chrono::seconds(100);
+        CPPUNIT_ASSERT_EQUAL(0, f.take(20));
+        f.grant(1, false);
+        CPPUNIT_ASSERT_EQUAL(1, f.take(20));
+    }
+
     void busy_workspace_does_not_go_on_when_the_holder_is_lost()
     {
         limits_fixture f;
--- a/tools/daemon/fleet_agent.cpp
+++ b/tools/daemon/fleet_agent.cpp
@@ -60,7 +60,7 @@
 constexpr milliseconds shortest_interval{4};
 constexpr milliseconds watch_interval{100};
 constexpr milliseconds look_interval{300};
-constexpr milliseconds smaller_wait{900}; // of VMs that are not the largest
+constexpr milliseconds smaller_wait{900};  // of VMs that are not the largest
 constexpr milliseconds newcomer_wait{600}; // for all VMs to register
 
 /// How long a grant is waited for before it is asked for again.
