--- a/tests/proxy_fixture.hpp
+++ b/tests/proxy_fixture.hpp
@@ -23,6 +23,27 @@
     }
 };
 
+/// A journal that keeps the names and values of its lines.
+class recording_journal : public journal
+{
+public:
+    using line = std::map<std::string, std::string>;
+
+    bool wants(journal_level) override { return true; }
+    void write(journal_level, std::string_view event,
+               std::initializer_list<journal_field> fields) override
+    {
+        auto& written = lines.emplace_back();
+        written["event"] = event;
+        for (const auto& field : fields)
+        {
+            written[std::string(field.name)] = field.value;
+        }
+    }
+
+    std::vector<line> lines;
+};
+
 /// Collects what a proxy asks for.
 class recording_outlet : public proxy_outlet
 {
@@ -231,7 +252,7 @@
     server_list servers;
     proto::GroupLead lead;
     recording_outlet outlet;
-    silent_journal lines;
+    recording_journal lines;
     proxy subject;
     session_id sessions = 0;
     int queries = 0;
