Read tables of more than one page

Cause: a read of the store holds at most 500 rows; the mark that more follow was decoded and never looked at. A new holder of the duty would not have waited for the VMs beyond the 500th when it replaces a primary.

Ruled out: reading by watch from version 0; history is kept for seconds only.

Change: read_table goes on from the last key until the table has ended; version and times are those of the first call, so that a watch from there misses nothing. A page without a further row ends the read as unreadable.

--- a/include/tanagerhoist/fleet/row_store.hpp
+++ b/include/tanagerhoist/fleet/row_store.hpp
@@ -59,7 +59,7 @@
     std::uint64_t version = 0;   ///< newest transaction that the answer covers
     milliseconds now{0};         ///< the store's clock
     moment sent{};               ///< when the call was sent
-    bool truncated = false;
+    bool truncated = false;      ///< further rows follow the last one
 };
 
 /// One write under a condition: each row must have its `version`.
--- /dev/null
+++ b/src/fleet/table_read.cpp
@@ -0,0 +1,52 @@
+#include "tanagerhoist/fleet/table_read.hpp"
+
+#include <utility>
+
+namespace tanagerhoist
+{
+namespace
+{
+
+/// Adds the rows of a page that begins where the former ones end.
+/// @return whether it held a further row
+bool append(store_answer& whole, store_answer page)
+{
+    const auto before = whole.rows.size();
+    const auto last = whole.rows.back().key;
+    for (auto& row : page.rows)
+    {
+        if (row.key > last)
+        {
+            whole.rows.push_back(std::move(row));
+        }
+    }
+    whole.truncated = page.truncated;
+    return whole.rows.size() > before;
+}
+
+} // namespace
+
+store_answer read_table(row_store& store, const std::string& table)
+{
+    auto whole = store.read(table, "");
+    while (whole.result == store_result::done && whole.truncated)
+    {
+        if (whole.rows.empty())
+        {
+            whole.result = store_result::malformed;
+            break;
+        }
+        auto page = store.read(table, whole.rows.back().key);
+        if (page.result != store_result::done)
+        {
+            return page;
+        }
+        if (!append(whole, std::move(page)) && whole.truncated)
+        {
+            whole.result = store_result::malformed; // it would never end
+        }
+    }
+    return whole;
+}
+
+} // namespace tanagerhoist
--- a/tests/fake_row_store.hpp
+++ b/tests/fake_row_store.hpp
@@ -16,12 +16,21 @@
 public:
     explicit fake_row_store(moment& now) : now_(now) {}
 
-    store_answer read(const std::string& table, const std::string&) override
+    store_answer read(const std::string& table,
+                      const std::string& from) override
     {
+        down = down || reads == reads_until_down;
+        ++reads;
         auto answer = begin();
         for (const auto& [key, row] : rows_)
         {
-            if (key.first == table && answer.result == store_result::done)
+            const bool asked = key.first == table && key.second >= from &&
+                               answer.result == store_result::done;
+            if (asked && answer.rows.size() == page_rows)
+            {
+                answer.truncated = true;
+            }
+            else if (asked)
             {
                 answer.rows.push_back(row);
             }
@@ -77,6 +86,9 @@
     }
 
     bool down = false;
+    std::size_t page_rows = 500;
+    int reads = 0;
+    int reads_until_down = -1; ///< -1: no end
     bool lose_next_answer = false;
 
 private:
--- a/tools/daemon/fleet_agent.cpp
+++ b/tools/daemon/fleet_agent.cpp
@@ -3,6 +3,7 @@
 #include "platform/failover_call.hpp"
 #include "platform/operator_config.hpp"
 #include "tanagerhoist/adapter/fiber_await.hpp"
+#include "tanagerhoist/fleet/table_read.hpp"
 
 #include <boost/asio/post.hpp>
 #include <boost/fiber/fiber.hpp>
@@ -186,7 +187,7 @@
 {
     if (!known)
     {
-        return watch.client.read(watch.table, "");
+        return read_table(watch.client, watch.table);
     }
     const auto wait = holds_duty() ? watch.holder_wait : others_wait;
     return watch.client.watch(watch.table, watch.rows.version(),
@@ -277,7 +278,7 @@
 /// @param store not in use by another fiber
 bool fleet_agent::read_leads(row_store& store)
 {
-    const auto leads = store.read(fleet_table, "");
+    const auto leads = read_table(store, fleet_table);
     if (leads.result != store_result::done)
     {
         return false;
@@ -296,7 +297,7 @@
     {
         return; // tried again soon
     }
-    const auto members = right_store_.read(member_table, "");
+    const auto members = read_table(right_store_, member_table);
     if (members.result != store_result::done)
     {
         return;
@@ -426,7 +427,7 @@
         [this]
         {
             auto store = make_client();
-            const auto answer = store.read(member_table, "");
+            const auto answer = read_table(store, member_table);
             if (answer.result == store_result::done)
             {
                 take_members(answer);
