Let VMs notice a server that went while the holder's history was gone

Cause, found by reading the change: when the store forgets its history the holder reads the list of servers anew and marks what is missing, but the version that it tells the others stayed that of the newest row. A VM then kept the server that went in between until the next change of any.

Ruled out: passing such removals on; whoever is older than the read may have missed rows that came and went.

Change: a mark counts as the newest change, so that VMs behind it look for themselves.

--- a/include/tanagerhoist/fleet/row_mirror.hpp
+++ b/include/tanagerhoist/fleet/row_mirror.hpp
@@ -37,7 +37,8 @@
     /// The store's version that the copy reflects; 0: none.
     std::uint64_t version() const { return version_; }
 
-    /// Version of the newest row that was seen.
+    /// Version of the newest change that was seen; who has an older one lacks
+    /// something.
     std::uint64_t newest() const { return newest_; }
 
 private:
--- a/src/fleet/row_mirror.cpp
+++ b/src/fleet/row_mirror.cpp
@@ -43,6 +43,7 @@
             row.removed = true;
             row.value.clear();
             row.version = answer.version;
+            newest_ = std::max(newest_, row.version);
             gone.push_back(row);
         }
     }
--- a/tests/row_mirror_test.cpp
+++ b/tests/row_mirror_test.cpp
@@ -64,6 +64,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, changed.size());
         CPPUNIT_ASSERT(changed[0].removed);
         CPPUNIT_ASSERT_EQUAL(std::string("b"), changed[0].key);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{20}, subject.newest());
         CPPUNIT_ASSERT(subject.take(answer(21, {row("a", 3)}), true).empty());
     }
 
