--- a/include/tanagerhoist/session/proxy.hpp
+++ b/include/tanagerhoist/session/proxy.hpp
@@ -6,6 +6,7 @@
 #include "tanagerhoist/core/time.hpp"
 #include "tanagerhoist/session/backend_server.hpp"
 #include "tanagerhoist/session/client_session.hpp"
+#include "tanagerhoist/session/connection_budget.hpp"
 #include "tanagerhoist/session/position_history.hpp"
 #include "tanagerhoist/session/primary_lease.hpp"
 #include "tanagerhoist/session/proxy_counters.hpp"
@@ -152,7 +153,7 @@
     connection_id idle_connection(const std::string& server,
                                   const client_session& session) const;
     connection_id longest_idle_connection(const std::string& server) const;
-    unsigned connection_share(const server_state& server) const;
+    connection_budget budget_at(const server_state& server) const;
     void open_connection(moment now, server_state& server,
                          const std::string& workspace, session_id owner);
     void run_on_connection(moment now, session_id id, client_session& session,
@@ -187,6 +188,9 @@
     void remove_server(moment now, const std::string& id);
     std::vector<connection_id> connections_of(const std::string& server) const;
     void close_idle_at_draining();
+    void close_scarce_idle(moment now);
+    template <typename Predicate>
+    void close_idle_if(Predicate closes);
     void abort_running_at(moment now, const std::string& server, bool writes);
     void abort_running(moment now, connection_id id);
     void dispatch_group_of(moment now, const std::string& server);
--- a/src/session/proxy_dispatch.cpp
+++ b/src/session/proxy_dispatch.cpp
@@ -14,10 +14,6 @@
 /// Allowance for the time from choosing a position to the read at the server.
 constexpr milliseconds staleness_margin{60};
 
-/// Connections that the fleet keeps free at each server, for administrative
-/// commands and for VMs that have just started.
-constexpr unsigned reserved_connections = 2;
-
 /// Concurrent statements that a VM may always have at a server.
 constexpr unsigned min_running = 2;
 
@@ -114,7 +110,7 @@
         run_on_connection(now, id, session, idle);
         return true;
     }
-    if (server.connections >= connection_share(server))
+    if (server.connections >= budget_at(server).connections)
     {
         const auto spare = longest_idle_connection(server.server.id);
         if (spare == 0)
@@ -208,17 +204,12 @@
     return std::max(*needed, own);
 }
 
-unsigned proxy::connection_share(const server_state& server) const
+connection_budget proxy::budget_at(const server_state& server) const
 {
     const auto it = settings_->groups.find(server.server.group);
-    if (it == settings_->groups.end())
-    {
-        return 1;
-    }
-    const auto all = it->second.connections;
-    const auto shared =
-        all > reserved_connections ? all - reserved_connections : 1;
-    return std::max<unsigned>(1, shared / static_cast<unsigned>(members_));
+    return it == settings_->groups.end()
+               ? connection_budget{}
+               : connection_budget_of(it->second.connections, members_);
 }
 
 bool proxy::has_capacity(moment now, const server_state& server,
@@ -235,7 +226,7 @@
         return true;
     }
     return server.takes_connections(now) &&
-           (server.connections < connection_share(server) ||
+           (server.connections < budget_at(server).connections ||
             longest_idle_connection(server.server.id) != 0);
 }
 
@@ -433,7 +424,7 @@
     connection.idle_since = now;
     const auto* server = find_server(connection.server);
     if (server == nullptr || server->server.draining ||
-        server->connections > connection_share(*server))
+        server->connections > budget_at(*server).connections)
     {
         close_connection(id);
     }
--- a/src/session/proxy_time.cpp
+++ b/src/session/proxy_time.cpp
@@ -176,14 +176,16 @@
     return found;
 }
 
-void proxy::close_idle_at_draining()
+/// Closes the idle connections for which `closes(connection, server)` holds.
+template <typename Predicate>
+void proxy::close_idle_if(Predicate closes)
 {
     std::vector<connection_id> closing;
     for (const auto& [id, connection] : connections_)
     {
         const auto* server = find_server(connection.server);
-        if (server != nullptr && server->server.draining &&
-            connection.phase == connection_phase::idle)
+        if (server != nullptr && connection.phase == connection_phase::idle &&
+            closes(connection, *server))
         {
             closing.push_back(id);
         }
@@ -194,6 +196,28 @@
     }
 }
 
+void proxy::close_idle_at_draining()
+{
+    close_idle_if([](const server_connection&, const server_state& server)
+                  { return server.server.draining; });
+}
+
+/// Gives back idle connections at servers that have fewer than there are VMs.
+void proxy::close_scarce_idle(moment now)
+{
+    if (!settings_)
+    {
+        return;
+    }
+    close_idle_if(
+        [this, now](const server_connection& connection,
+                    const server_state& server)
+        {
+            const auto idle_time = budget_at(server).idle_time;
+            return idle_time && now >= connection.idle_since + *idle_time;
+        });
+}
+
 void proxy::use_members(moment now, std::size_t members)
 {
     if (members == 0 || members == members_)
@@ -310,6 +334,7 @@
 {
     expire_requests(now);
     end_idle_transactions(now);
+    close_scarce_idle(now);
     admit_held(now);
     check_silent_servers(now);
     abort_at_sealed_primaries(now);
