Serve reads at replicas while a failover waits for a silent VM

Cause: a primary that is replaced is sealed for all VMs, and its group's reads ended with it: replicas need a position as young as the route allows, and nobody reported one until the next primary was published. Ruled out: lagging replicas (none refused), the servers' list (in force after about a second). Change: 0.5 s after the seal the old primary, if it answers, is demoted; from then on its log end contains every commit, since nothing can be committed before the next lead is published. The demotion is confirmed each 0.3 s (a server that restarts may be primary again), and the time of the last confirmation is the age of the position that VMs get. VMs also take positions while the primary is sealed, and send them with reads at the old primary. Tests, failing first: old_primary_is_demoted_early_while_a_vm_is_silent, old_primary_that_returns_as_primary_is_demoted_again, reads_go_on_at_replicas_while_the_primary_is_sealed, read_at_the_sealed_primary_asks_for_a_position, confirmed_log_end_is_passed_on_with_its_age (did not compile before). Statements that need the primary still wait to their end.

--- a/include/tanagerhoist/fleet/failover_executor.hpp
+++ b/include/tanagerhoist/fleet/failover_executor.hpp
@@ -58,6 +58,12 @@
     /// `term`.
     virtual std::optional<server_role> demote(const backend_server& server,
                                               std::uint64_t term) = 0;
+
+    /// Reports that the sealed primary accepted no commits when a call sent at
+    /// `confirmed` reached it, and that its log ended at `end`. Reads can use
+    /// this position until the successor is published.
+    virtual void confirm_log_end(const proto::GroupLead& lead,
+                                 const log_position& end, moment confirmed) = 0;
     virtual promotion_result request_promotion(const std::string& group,
                                                const std::string& server) = 0;
 };
@@ -112,6 +118,7 @@
     structured_log& lines_;
     /// Log end of the demoted primary.
     std::optional<log_position> old_log_end_;
+    moment next_demotion_at_{};
 };
 
 } // namespace tanagerhoist
--- a/include/tanagerhoist/fleet/fleet_coordinator.hpp
+++ b/include/tanagerhoist/fleet/fleet_coordinator.hpp
@@ -4,6 +4,7 @@
 #include "fleet.pb.h"
 #include "tanagerhoist/core/time.hpp"
 #include "tanagerhoist/decision/token_bucket.hpp"
+#include "tanagerhoist/session/log_position.hpp"
 #include "tanagerhoist/session/session_settings.hpp"
 #include "tanagerhoist/session/workspace_limits.hpp"
 
@@ -86,6 +87,11 @@
     std::vector<std::string> expired_vms(moment now,
                                          const fleet_members& members) const;
 
+    /// Records that a sealed primary still accepted no commits at `confirmed`:
+    /// its log end contains every commit up to then.
+    void confirm_log_end(const proto::GroupLead& lead, const log_position& end,
+                         moment confirmed);
+
     /// Adds the newest log position of each group that any VM has reported,
     /// with its current age.
     void add_positions(moment now, proto::FleetView& view) const;
@@ -116,6 +122,8 @@
     };
 
     void take_positions(const vm_state& vm);
+    void take_position(const proto::PositionSample& sample,
+                       moment complete_until);
     bool has_acknowledged_seal(const proto::GroupLead& lead,
                                const fleet_member& member) const;
     static bool is_below_limit(const workspace_account& account,
--- a/src/fleet/failover_executor.cpp
+++ b/src/fleet/failover_executor.cpp
@@ -20,6 +20,18 @@
 /// Wait for a replica to reach the log end of the demoted primary.
 constexpr milliseconds catch_up_timeout{1500};
 
+/// Wait for the VMs after which the old primary is demoted at once, so that
+/// reads at replicas can go on. Until then running transactions may end.
+constexpr milliseconds early_demotion_delay{500};
+
+/// Interval at which an early demotion is confirmed: a server that restarts may
+/// come back as primary.
+constexpr milliseconds demotion_interval{300};
+
+/// The same if the old primary does not answer: each try takes its timeout,
+/// during which the wait for the VMs is not checked.
+constexpr milliseconds unanswered_demotion_interval{2000};
+
 /// Attempts to promote a server before the failover is left to a later call.
 constexpr int max_attempts = 8;
 
@@ -69,16 +81,25 @@
     return std::nullopt;
 }
 
-/// Demotes the old primary if it is reachable, and records its log end.
+/// Demotes the old primary if it is reachable, or confirms that it still is a
+/// replica, and records its log end.
 void failover_executor::demote_old_primary(const proto::GroupLead& lead)
 {
+    const auto sent = port_.now();
+    next_demotion_at_ = sent + unanswered_demotion_interval;
     const auto old = find(lead.group(), lead.primary());
-    if (!old || old_log_end_)
+    if (!old)
     {
         return;
     }
     const auto role = port_.demote(*old, lead.term() + 1);
-    if (role && !role->primary)
+    if (!role || role->primary)
+    {
+        return;
+    }
+    next_demotion_at_ = sent + demotion_interval;
+    const bool longer = !old_log_end_ || *old_log_end_ < role->received;
+    if (longer)
     {
         old_log_end_ = role->received;
         lines_.write(log_level::change, "primary_demoted",
@@ -86,6 +107,7 @@
                       {"server", lead.primary()},
                       {"end", std::to_string(role->received.number)}});
     }
+    port_.confirm_log_end(lead, *old_log_end_, sent);
 }
 
 bool failover_executor::wait_until_unused(const group_lead_row& row,
@@ -97,6 +119,11 @@
         {
             return false;
         }
+        const auto now = port_.now();
+        if (now >= sealed + early_demotion_delay && now >= next_demotion_at_)
+        {
+            demote_old_primary(row.lead);
+        }
         port_.pause(ack_poll_interval);
     }
     return true;
@@ -106,6 +133,7 @@
 failover_executor::change_primary(group_lead_row row, bool planned)
 {
     old_log_end_.reset();
+    next_demotion_at_ = moment{};
     lines_.write(log_level::change, "lead_change",
                  {{"group", row.lead.group()},
                   {"from", row.lead.primary()},
@@ -123,7 +151,10 @@
     std::set<std::string> ineligible;
     for (int round = 0; round < max_attempts && port_.is_coordinator(); ++round)
     {
-        demote_old_primary(row.lead);
+        if (round == 0 || !old_log_end_)
+        {
+            demote_old_primary(row.lead);
+        }
         const auto id = choose_candidate(row.lead, ineligible);
         const auto server = id ? find(row.lead.group(), *id) : std::nullopt;
         if (!server)
--- a/src/fleet/fleet_coordinator.cpp
+++ b/src/fleet/fleet_coordinator.cpp
@@ -101,19 +101,34 @@
     }
     for (const auto& sample : vm.report.positions())
     {
-        auto& known = positions_[sample.group()];
-        const auto complete_until =
-            view->second - milliseconds(sample.age_ms());
-        if (sample.term() > known.sample.term() ||
-            (sample.term() == known.sample.term() &&
-             complete_until > known.complete_until))
-        {
-            known.sample = sample;
-            known.complete_until = complete_until;
-        }
+        take_position(sample, view->second - milliseconds(sample.age_ms()));
+    }
+}
+
+void fleet_coordinator::take_position(const proto::PositionSample& sample,
+                                      moment complete_until)
+{
+    auto& known = positions_[sample.group()];
+    if (sample.term() > known.sample.term() ||
+        (sample.term() == known.sample.term() &&
+         complete_until > known.complete_until))
+    {
+        known.sample = sample;
+        known.complete_until = complete_until;
     }
 }
 
+void fleet_coordinator::confirm_log_end(const proto::GroupLead& lead,
+                                        const log_position& end,
+                                        moment confirmed)
+{
+    proto::PositionSample sample;
+    sample.set_group(lead.group());
+    sample.set_term(end.term);
+    sample.set_number(end.number);
+    take_position(sample, confirmed);
+}
+
 std::uint64_t fleet_coordinator::record_view(moment now, const std::string& vm,
                                              std::uint64_t sequence)
 {
--- a/src/session/proxy_dispatch.cpp
+++ b/src/session/proxy_dispatch.cpp
@@ -365,8 +365,8 @@
         }
     }
     const auto* lead = lead_of(session.group);
-    const bool at_primary =
-        lead != nullptr && lead->primary() == connection.server;
+    const bool at_primary = lead != nullptr && !lead->sealed() &&
+                            lead->primary() == connection.server;
     const bool checks_position = !request.needs_primary && !at_primary;
     const auto after = checks_position ? request.after : std::nullopt;
     const bool begins =
--- a/src/session/proxy_time.cpp
+++ b/src/session/proxy_time.cpp
@@ -263,7 +263,9 @@
 void proxy::use_position(moment sent, const proto::PositionSample& sample)
 {
     const auto* lead = lead_of(sample.group());
-    if (lead != nullptr && !lead->sealed() && lead->term() == sample.term())
+    // While the primary is sealed, the coordinator tells the log end of the
+    // demoted one, so that reads at replicas go on.
+    if (lead != nullptr && lead->term() == sample.term())
     {
         groups_[sample.group()].history.add(
             {sent - milliseconds(sample.age_ms()),
--- a/tests/failover_executor_test.cpp
+++ b/tests/failover_executor_test.cpp
@@ -1,5 +1,6 @@
 #include "proxy_fixture.hpp"
 #include "tanagerhoist/fleet/failover_executor.hpp"
+#include "tanagerhoist/session/position_history.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -96,6 +97,13 @@
         entry.role.primary = false;
         return entry.role;
     }
+    void confirm_log_end(const proto::GroupLead& lead, const log_position& end,
+                         moment confirmed) override
+    {
+        CPPUNIT_ASSERT(lead.sealed());
+        CPPUNIT_ASSERT(!members.at(lead.primary()).role.primary);
+        confirmed_ends.push_back({confirmed, end});
+    }
     promotion_result request_promotion(const std::string&,
                                        const std::string& server) override
     {
@@ -132,6 +140,7 @@
     bool promotion_starts = true;
     unsigned synchronous = 0;
     std::vector<std::string> promotions;
+    std::vector<position_sample> confirmed_ends;
     null_log lines;
 };
 
@@ -142,6 +151,8 @@
     CPPUNIT_TEST_SUITE(failover_executor_test);
     CPPUNIT_TEST(failed_primary_is_replaced_by_most_up_to_date_server);
     CPPUNIT_TEST(no_promotion_before_primary_is_unused);
+    CPPUNIT_TEST(old_primary_is_demoted_early_while_a_vm_is_silent);
+    CPPUNIT_TEST(old_primary_that_returns_as_primary_is_demoted_again);
     CPPUNIT_TEST(losing_lease_aborts_failover);
     CPPUNIT_TEST(row_conflict_aborts_failover);
     CPPUNIT_TEST(planned_failover_waits_for_log_end);
@@ -183,6 +194,50 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.promotions.size());
     }
 
+    /// Load pattern: a VM died, its lease runs for 13 s. The group's reads must
+    /// go on meanwhile, so its log end is confirmed again and again.
+    void old_primary_is_demoted_early_while_a_vm_is_silent()
+    {
+        fake_group f;
+        f.all_acknowledged = false;
+        const auto begun = f.time;
+        f.on_pause = [&]
+        {
+            f.all_acknowledged = f.time >= begun + milliseconds(5000);
+            if (!f.all_acknowledged && f.time >= begun + milliseconds(1000))
+            {
+                CPPUNIT_ASSERT(!f.confirmed_ends.empty());
+                CPPUNIT_ASSERT(f.time < f.confirmed_ends.back().covers +
+                                            milliseconds(400));
+            }
+        };
+        CPPUNIT_ASSERT(f.change_primary(true));
+        CPPUNIT_ASSERT(f.confirmed_ends.front().covers >=
+                       begun + milliseconds(400)); // transactions could end
+        const log_position end{1, 100};
+        CPPUNIT_ASSERT(f.confirmed_ends.back().position == end);
+    }
+
+    void old_primary_that_returns_as_primary_is_demoted_again()
+    {
+        fake_group f;
+        f.all_acknowledged = false;
+        const auto begun = f.time;
+        bool restarted = false;
+        f.on_pause = [&]
+        {
+            f.all_acknowledged = f.time >= begun + milliseconds(5000);
+            if (!restarted && f.time >= begun + milliseconds(2000))
+            {
+                restarted = true;
+                f.members["p"].role = {true, 1, {1, 101}}; // one more commit
+            }
+        };
+        CPPUNIT_ASSERT(f.change_primary(true));
+        const log_position end{1, 101};
+        CPPUNIT_ASSERT(f.confirmed_ends.back().position == end);
+    }
+
     void losing_lease_aborts_failover()
     {
         fake_group f;
--- a/tests/fleet_coordinator_test.cpp
+++ b/tests/fleet_coordinator_test.cpp
@@ -73,6 +73,7 @@
     CPPUNIT_TEST(empty_account_below_limit_is_not_exhausted);
     CPPUNIT_TEST(repeated_request_is_granted_once);
     CPPUNIT_TEST(delayed_position_keeps_its_age);
+    CPPUNIT_TEST(confirmed_log_end_is_passed_on_with_its_age);
     CPPUNIT_TEST(balance_of_released_lease_is_granted);
     CPPUNIT_TEST_SUITE_END();
 
@@ -258,6 +259,19 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{100}, later.positions(0).number());
     }
 
+    void confirmed_log_end_is_passed_on_with_its_age()
+    {
+        coordinator_fixture f;
+        f.subject.confirm_log_end(f.lead, {3, 100}, f.now);
+        f.now += milliseconds(700);
+        proto::FleetView view;
+        f.subject.add_positions(f.now, view);
+        CPPUNIT_ASSERT_EQUAL(1, view.positions_size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, view.positions(0).term());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{100}, view.positions(0).number());
+        CPPUNIT_ASSERT(view.positions(0).age_ms() >= 700);
+    }
+
     void empty_account_below_limit_is_not_exhausted()
     {
         coordinator_fixture f; // empty, as after a holder failed
--- a/tests/proxy_reads_test.cpp
+++ b/tests/proxy_reads_test.cpp
@@ -19,6 +19,8 @@
     CPPUNIT_TEST(read_waits_for_a_new_primary_while_replicas_lag);
     CPPUNIT_TEST(replica_that_lacks_a_position_serves_older_ones);
     CPPUNIT_TEST(old_positions_are_forgotten_with_the_lead);
+    CPPUNIT_TEST(reads_go_on_at_replicas_while_the_primary_is_sealed);
+    CPPUNIT_TEST(read_at_the_sealed_primary_asks_for_a_position);
     CPPUNIT_TEST(draining_replica_gets_no_read);
     CPPUNIT_TEST(statement_that_can_be_on_time_goes_before_a_late_one);
     CPPUNIT_TEST(slow_server_loses_reads_to_a_far_one);
@@ -197,6 +199,47 @@
                              f.transport.opened.back().server);
     }
 
+    /// Load pattern: the failover waits 10 s for a silent VM; the log end of
+    /// the demoted primary is reported with each view.
+    void reads_go_on_at_replicas_while_the_primary_is_sealed()
+    {
+        proxy_fixture f;
+        make_replicas_near(f);
+        f.report_position(50);
+        f.seal();
+        for (int i = 0; i < 25; ++i)
+        {
+            f.advance(milliseconds(400));
+            f.report_position(60); // with the view of the coordinator
+            const auto id = f.start(i % 2 == 0 ? "bounded" : "own");
+            f.ask(id, f.make(statement_kind::read, "1"));
+            if (f.transport.sent.empty())
+            {
+                f.open_last();
+            }
+            const log_position end{proxy_fixture::first_term, 60};
+            const bool young = i >= 7; // the older sample has become too old
+            CPPUNIT_ASSERT(!young ||
+                           f.transport.sent.back().statement.after == end);
+            f.succeed();
+            CPPUNIT_ASSERT(!f.transport.last_answer(id).error);
+        }
+    }
+
+    void read_at_the_sealed_primary_asks_for_a_position()
+    {
+        proxy_fixture f;
+        f.report_position(50);
+        f.seal();
+        const auto id = f.start("bounded");
+        f.ask(id, f.make(statement_kind::read, "1"));
+        CPPUNIT_ASSERT_EQUAL(std::string("p"),
+                             f.transport.opened.back().server);
+        f.open_last();
+        const log_position known{proxy_fixture::first_term, 50};
+        CPPUNIT_ASSERT(f.transport.sent.back().statement.after == known);
+    }
+
     void draining_replica_gets_no_read()
     {
         proxy_fixture f;
--- a/tools/daemon/fleet_agent.cpp
+++ b/tools/daemon/fleet_agent.cpp
@@ -1219,6 +1219,12 @@
     return query_server(server, platform::demote_line(term));
 }
 
+void fleet_agent::confirm_log_end(const proto::GroupLead& lead,
+                                  const log_position& end, moment confirmed)
+{
+    coordinator_.confirm_log_end(lead, end, confirmed);
+}
+
 promotion_result fleet_agent::request_promotion(const std::string& group,
                                                 const std::string& server)
 {
--- a/tools/daemon/fleet_agent.hpp
+++ b/tools/daemon/fleet_agent.hpp
@@ -137,6 +137,8 @@
     std::optional<server_role> role(const backend_server& server) override;
     std::optional<server_role> demote(const backend_server& server,
                                       std::uint64_t term) override;
+    void confirm_log_end(const proto::GroupLead& lead, const log_position& end,
+                         moment confirmed) override;
     promotion_result request_promotion(const std::string& group,
                                        const std::string& server) override;
     std::optional<server_role> query_server(const backend_server& server,
