Reject statements at once whose primary can't be expected in time

Cause: a statement whose primary was sealed, dark or out of the VM's lease waited for the route's timeout even if nothing could bring the primary back by then: a failover that waits for a dead VM's lease (13.5 s), a dark primary while the store is away. Its client lost the time in which it could have decided something else, and the VM's answer came after the client had left. Ruled out: rejecting in each outage; most failovers end within two seconds, and a statement that waits for them is served. Change: primary_outlook estimates from what the VM knows when the primary can be used; a statement that expires before that is rejected as not run, with the time to come back. The coordinator tells in its views how long a failover waits for VMs that don't report (SealWait); a VM that reports is expected to acknowledge soon. Older VMs ignore the field, older coordinators send none.

--- a/include/tanagerhoist/fleet/fleet_coordinator.hpp
+++ b/include/tanagerhoist/fleet/fleet_coordinator.hpp
@@ -75,12 +75,16 @@
     bool is_primary_unreachable(moment now, const std::string& primary);
 
     /// Whether no VM uses the sealed primary any more: each has acknowledged
-    /// the seal, or its primary lease has expired.
+    /// the seal, or its primary lease has expired. If not, records until when
+    /// silent VMs may use it, for add_seal_waits().
     /// @param seal_version version of the group's row that sealed the primary
     /// @param sealed when that row was written
     bool is_primary_unused(moment now, const proto::GroupLead& lead,
                            std::uint64_t seal_version, moment sealed,
-                           const fleet_members& members) const;
+                           const fleet_members& members);
+
+    /// Adds the failovers that wait for silent VMs, with the time left.
+    void add_seal_waits(moment now, proto::FleetView& view) const;
 
     /// Registered VMs that no longer report and whose primary lease has
     /// expired.
@@ -121,6 +125,11 @@
         moment complete_until{}; ///< contains all commits up to then
     };
 
+    bool is_reporting(moment now, const std::string& vm) const;
+    moment primary_used_until(moment now, const proto::GroupLead& lead,
+                              std::uint64_t seal_version,
+                              const fleet_member& member,
+                              const fleet_members& members) const;
     void take_positions(const vm_state& vm);
     void take_position(const proto::PositionSample& sample,
                        moment complete_until);
@@ -142,6 +151,8 @@
     std::map<std::string, workspace_account> accounts_; ///< by workspace
     std::map<std::string, moment> unreachable_since_;   ///< by primary
     std::map<std::string, position> positions_;         ///< by group
+    /// Until when silent VMs may use sealed primaries, by group.
+    std::map<std::string, moment> seal_waits_;
 };
 
 } // namespace tanagerhoist
--- a/include/tanagerhoist/session/proxy.hpp
+++ b/include/tanagerhoist/session/proxy.hpp
@@ -50,6 +50,10 @@
     void use_grants(moment now, const workspace_limits::grants& given);
     /// @param sent time from which the sample's age counts back
     void use_position(moment sent, const proto::PositionSample& sample);
+    /// Notes a message from the coordinator.
+    void use_coordinator_contact(moment now) { coordinator_heard_ = now; }
+    /// Notes how long a failover is going to wait for silent VMs.
+    void use_seal_wait(moment now, const proto::SealWait& wait);
     void renew_primary_lease(moment sent) { primary_lease_.renew(sent); }
     /// @}
 
@@ -109,6 +113,7 @@
         position_history history;
         std::vector<session_id> waiting;
         moment sealed_at{};
+        std::optional<moment> promotion_waits_until; ///< while sealed
     };
     using session_map = std::unordered_map<session_id, client_session>;
 
@@ -137,6 +142,9 @@
 
     // Queueing and routing: proxy_dispatch.cpp
     void dispatch(moment now, const std::string& group);
+    std::optional<milliseconds>
+    primary_out_of_reach(moment now, const client_session& session) const;
+    void reject_out_of_reach(moment now, const std::vector<session_id>& ids);
     bool should_reject_lagging_read(moment now, const client_session& session);
     void reject_lagging_reads(moment now, const std::vector<session_id>& ids);
     bool place(moment now, session_id id, client_session& session);
@@ -224,6 +232,7 @@
     primary_lease primary_lease_;
     proxy_counters figures_;
     std::size_t members_ = 1;
+    moment coordinator_heard_{};
     connection_id next_connection_ = 1;
     bool draining_ = false;
     moment close_idle_{};
--- a/src/fleet/fleet_coordinator.cpp
+++ b/src/fleet/fleet_coordinator.cpp
@@ -47,6 +47,7 @@
     accounts_.clear();
     unreachable_since_.clear();
     positions_.clear();
+    seal_waits_.clear();
 }
 
 std::vector<proto::WorkspaceBalance>
@@ -188,13 +189,54 @@
                        });
 }
 
+bool fleet_coordinator::is_reporting(moment now, const std::string& vm) const
+{
+    const auto it = vms_.find(vm);
+    return it != vms_.end() && now < it->second.heard + max_report_age;
+}
+
+/// Until when a VM may use a sealed primary; not after `now` if it doesn't use
+/// it any more.
+moment fleet_coordinator::primary_used_until(moment now,
+                                             const proto::GroupLead& lead,
+                                             std::uint64_t seal_version,
+                                             const fleet_member& member,
+                                             const fleet_members& members) const
+{
+    if (has_acknowledged_seal(lead, member))
+    {
+        return now;
+    }
+    if (member.version > seal_version)
+    {
+        // The VM knew of the seal when it wrote this row.
+        return members.read_at + seal_propagation_time;
+    }
+    if (is_lease_expired(member, members.store_now))
+    {
+        return now;
+    }
+    constexpr milliseconds next_report{1}; // it will acknowledge soon
+    if (is_reporting(now, member.row.vm()))
+    {
+        return now + next_report;
+    }
+    const auto lease_end = milliseconds(member.row.store_ms()) +
+                           primary_lease_duration + primary_lease_margin;
+    const auto expected = members.read_at + (lease_end - members.store_now);
+    return std::max(expected, now + next_report);
+}
+
 bool fleet_coordinator::is_primary_unused(moment now,
                                           const proto::GroupLead& lead,
                                           std::uint64_t seal_version,
                                           moment sealed,
-                                          const fleet_members& members) const
+                                          const fleet_members& members)
 {
-    if (now >= sealed + primary_lease_duration + primary_lease_margin)
+    seal_waits_.erase(lead.group());
+    const auto leases_end =
+        sealed + primary_lease_duration + primary_lease_margin;
+    if (now >= leases_end)
     {
         return true; // every lease from before the seal has expired
     }
@@ -202,21 +244,30 @@
     {
         return false; // a VM may have registered between the read and the seal
     }
-    return std::all_of(
-        members.rows.begin(), members.rows.end(),
-        [&](const auto& entry)
+    auto until = now;
+    for (const auto& [vm, member] : members.rows)
+    {
+        until = std::max(until, primary_used_until(now, lead, seal_version,
+                                                   member, members));
+    }
+    if (until > now)
+    {
+        seal_waits_[lead.group()] = std::min(until, leases_end);
+    }
+    return until <= now;
+}
+
+void fleet_coordinator::add_seal_waits(moment now, proto::FleetView& view) const
+{
+    for (const auto& [group, until] : seal_waits_)
+    {
+        if (until > now)
         {
-            const auto& member = entry.second;
-            if (has_acknowledged_seal(lead, member))
-            {
-                return true;
-            }
-            // A row newer than the seal was written by a VM that knew of
-            // the seal.
-            return member.version > seal_version
-                       ? now >= members.read_at + seal_propagation_time
-                       : is_lease_expired(member, members.store_now);
-        });
+            auto& wait = *view.add_seal_waits();
+            wait.set_group(group);
+            wait.set_wait_ms(to_ms(until - now));
+        }
+    }
 }
 
 std::vector<std::string>
@@ -225,10 +276,8 @@
     std::vector<std::string> found;
     for (const auto& [vm, member] : members.rows)
     {
-        const auto report = vms_.find(vm);
-        const bool reports =
-            report != vms_.end() && now < report->second.heard + max_report_age;
-        if (!reports && is_lease_expired(member, members.store_now))
+        if (!is_reporting(now, vm) &&
+            is_lease_expired(member, members.store_now))
         {
             found.push_back(vm);
         }
--- a/src/session/proxy_dispatch.cpp
+++ b/src/session/proxy_dispatch.cpp
@@ -1,4 +1,5 @@
 #include "tanagerhoist/session/placement.hpp"
+#include "tanagerhoist/session/primary_outlook.hpp"
 #include "tanagerhoist/session/proxy.hpp"
 #include "tanagerhoist/session/waiting_order.hpp"
 
@@ -41,19 +42,81 @@
     const auto order = std::exchange(waiting, {});
     std::vector<session_id> left;
     std::vector<session_id> rejected_reads;
+    std::vector<session_id> out_of_reach;
     for (const auto id : order)
     {
         auto& session = sessions_.at(id);
-        if (!place(now, id, session))
+        const bool hopeless =
+            session.request.needs_primary && primary_out_of_reach(now, session);
+        if (!hopeless && place(now, id, session))
         {
-            const bool rejected = should_reject_lagging_read(now, session);
-            (rejected ? rejected_reads : left).push_back(id);
+            continue;
         }
+        auto& list = should_reject_lagging_read(now, session) ? rejected_reads
+                     : primary_out_of_reach(now, session)     ? out_of_reach
+                                                              : left;
+        list.push_back(id);
     }
     auto& added = groups_[group].waiting; // queued during the loop above
     left.insert(left.end(), added.begin(), added.end());
     added = std::move(left);
     reject_lagging_reads(now, rejected_reads);
+    reject_out_of_reach(now, out_of_reach);
+}
+
+/// Whether a statement that could not be placed needs the primary, which is not
+/// to be expected before the statement expires.
+/// @return the time until the primary is to be expected; nullopt if the
+/// statement can wait for it
+std::optional<milliseconds>
+proxy::primary_out_of_reach(moment now, const client_session& session) const
+{
+    const auto& request = session.request;
+    const auto* lead = lead_of(session.group);
+    if (lead == nullptr || (!request.needs_primary && request.after))
+    {
+        return std::nullopt;
+    }
+    primary_outage outage;
+    outage.lease_valid = primary_lease_.is_valid(now);
+    outage.sealed = lead->sealed();
+    outage.promotion_waits_until =
+        groups_.at(session.group).promotion_waits_until;
+    outage.coordinator_heard = coordinator_heard_;
+    const auto* primary = server(lead->primary());
+    if (primary != nullptr && primary->is_failing())
+    {
+        outage.failing_since = primary->failing_since();
+    }
+    const auto earliest = earliest_primary(now, outage);
+    if (earliest == now || earliest < request.expires)
+    {
+        return std::nullopt;
+    }
+    return milliseconds(to_ms(earliest - now));
+}
+
+void proxy::reject_out_of_reach(moment now, const std::vector<session_id>& ids)
+{
+    for (const auto id : ids)
+    {
+        const auto it = sessions_.find(id);
+        if (it == sessions_.end() ||
+            it->second.request.stage != request_stage::waiting)
+        {
+            continue;
+        }
+        const auto wait = primary_out_of_reach(now, it->second);
+        if (!wait)
+        {
+            groups_[it->second.group].waiting.push_back(id);
+            continue;
+        }
+        ++figures_.refusals["no_primary"];
+        refuse_waiting(now, id, it->second, session_error::busy,
+                       "no primary in time, not run, retry in " +
+                           std::to_string(wait->count()) + " ms");
+    }
 }
 
 /// Whether a read that could not be placed is rejected because its replicas lag
--- a/src/session/proxy_time.cpp
+++ b/src/session/proxy_time.cpp
@@ -244,6 +244,7 @@
     const auto before = known.primary();
     known = lead;
     auto& group = groups_[lead.group()];
+    group.promotion_waits_until.reset();
     if (lead.sealed())
     {
         group.sealed_at = now;
@@ -273,6 +274,18 @@
     }
 }
 
+void proxy::use_seal_wait(moment now, const proto::SealWait& wait)
+{
+    const auto* lead = lead_of(wait.group());
+    if (lead == nullptr || !lead->sealed())
+    {
+        return;
+    }
+    groups_[wait.group()].promotion_waits_until =
+        now + milliseconds(wait.wait_ms());
+    dispatch(now, wait.group());
+}
+
 /// Aborts running statements at a server that is no longer the primary.
 /// @param writes true: statements that require the primary; false: statements
 /// that cannot have had an effect
--- a/tests/fleet_coordinator_test.cpp
+++ b/tests/fleet_coordinator_test.cpp
@@ -64,6 +64,8 @@
     CPPUNIT_TEST(primary_unreachable_for_most_is_replaced_after_delay);
     CPPUNIT_TEST(primary_reachable_for_most_is_kept);
     CPPUNIT_TEST(seal_waits_for_silent_vm);
+    CPPUNIT_TEST(wait_for_a_silent_vm_is_told_until_its_lease_ends);
+    CPPUNIT_TEST(wait_for_a_reporting_vm_is_short);
     CPPUNIT_TEST(seal_completes_when_all_have_acknowledged);
     CPPUNIT_TEST(seal_does_not_wait_for_expired_lease);
     CPPUNIT_TEST(seal_needs_members_read_after_it);
@@ -127,6 +129,37 @@
             f.sealed(f.now - primary_lease_duration - primary_lease_margin));
     }
 
+    static milliseconds told_wait(coordinator_fixture& f)
+    {
+        proto::FleetView view;
+        f.subject.add_seal_waits(f.now, view);
+        return milliseconds(
+            view.seal_waits_size() == 0 ? 0 : view.seal_waits(0).wait_ms());
+    }
+
+    void wait_for_a_silent_vm_is_told_until_its_lease_ends()
+    {
+        coordinator_fixture f;
+        f.add_member("a", 10, f.members.store_now - milliseconds(3000));
+        CPPUNIT_ASSERT(!f.sealed(f.now));
+        const milliseconds left{10500}; // of 13.5 s with the margin
+        CPPUNIT_ASSERT(told_wait(f) == left);
+        f.now += milliseconds(500);
+        CPPUNIT_ASSERT(told_wait(f) == left - milliseconds(500));
+        f.members.rows.clear(); // it restarted and has left
+        CPPUNIT_ASSERT(f.sealed(f.now - milliseconds(500)));
+        CPPUNIT_ASSERT(told_wait(f) == milliseconds(0));
+    }
+
+    void wait_for_a_reporting_vm_is_short()
+    {
+        coordinator_fixture f;
+        f.add_member("a", 10, f.members.store_now);
+        f.subject.apply_report(f.now, f.report("a"));
+        CPPUNIT_ASSERT(!f.sealed(f.now));
+        CPPUNIT_ASSERT(told_wait(f) < milliseconds(10));
+    }
+
     void seal_completes_when_all_have_acknowledged()
     {
         coordinator_fixture f;
--- a/tests/proxy_outcomes_test.cpp
+++ b/tests/proxy_outcomes_test.cpp
@@ -18,6 +18,10 @@
     CPPUNIT_TEST(open_transaction_at_sealed_primary_is_rolled_back);
     CPPUNIT_TEST(seal_is_acknowledged_only_when_nothing_runs);
     CPPUNIT_TEST(statement_that_waits_too_long_says_not_run);
+    CPPUNIT_TEST(statements_are_rejected_at_once_while_a_seal_must_wait);
+    CPPUNIT_TEST(statement_waits_for_a_failover_that_ends_in_time);
+    CPPUNIT_TEST(statements_are_rejected_at_once_at_a_dark_primary);
+    CPPUNIT_TEST(transaction_that_can_not_begin_is_rolled_back);
     CPPUNIT_TEST(single_lost_connection_leaves_its_server_in_use);
     CPPUNIT_TEST(lost_connections_of_a_silent_server_are_reported);
     CPPUNIT_TEST(vm_without_lease_uses_no_primary);
@@ -275,6 +279,100 @@
         CPPUNIT_ASSERT(f.transport.sent.empty());
     }
 
+    static void report_seal_wait(proxy_fixture& f, milliseconds wait)
+    {
+        proto::SealWait told;
+        told.set_group("g");
+        told.set_wait_ms(to_ms(wait));
+        f.subject.use_seal_wait(f.now, told);
+    }
+
+    /// Load pattern: a VM died with a lease of 10 s left when the primary was
+    /// replaced; writes arrive all the time. None is held in vain, also not
+    /// those that came before the wait was known.
+    void statements_are_rejected_at_once_while_a_seal_must_wait()
+    {
+        proxy_fixture f;
+        f.seal();
+        const auto early = f.start("primary");
+        f.ask(early, f.make(statement_kind::write, "1"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, f.transport.answers.count(early));
+        report_seal_wait(f, milliseconds(10000));
+        CPPUNIT_ASSERT(f.transport.last_answer(early).error ==
+                       session_error::busy);
+        const auto id = f.start("primary");
+        for (milliseconds left{9600}; left > milliseconds(1000);
+             left -= milliseconds(400))
+        {
+            f.advance(milliseconds(400));
+            report_seal_wait(f, left);
+            f.ask(id, f.make(statement_kind::write, "1"));
+            CPPUNIT_ASSERT(f.transport.last_answer(id).error ==
+                           session_error::busy);
+        }
+        CPPUNIT_ASSERT(f.transport.sent.empty());
+        CPPUNIT_ASSERT(f.transport.opened.empty());
+    }
+
+    void statement_waits_for_a_failover_that_ends_in_time()
+    {
+        proxy_fixture f;
+        f.seal();
+        report_seal_wait(f, milliseconds(300));
+        const auto id = f.start("primary");
+        f.ask(id, f.make(statement_kind::write, "1"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, f.transport.answers.count(id));
+        f.advance(milliseconds(900));
+        f.promote("q");
+        f.open_last();
+        f.succeed();
+        CPPUNIT_ASSERT(!f.transport.last_answer(id).error);
+    }
+
+    /// Load pattern: the primary goes dark while the store is unreachable, so
+    /// that no failover can begin; statements arrive all the time.
+    void statements_are_rejected_at_once_at_a_dark_primary()
+    {
+        proxy_fixture f;
+        const auto id = f.start("primary");
+        std::size_t held = 0;
+        for (milliseconds passed{0}; passed < milliseconds(8000);
+             passed += milliseconds(50))
+        {
+            f.advance(milliseconds(50));
+            f.subject.renew_primary_lease(f.now);
+            f.subject.tick(f.now);
+            const auto& answers = f.transport.answers[id];
+            const auto before = answers.size();
+            f.ask(id, f.make(statement_kind::write, "1"));
+            const bool at_once = answers.size() > before;
+            held += passed >= milliseconds(4000) && !at_once ? 1 : 0;
+            if (!at_once)
+            {
+                f.subject.session_closed(f.now, id);
+                f.subject.start_session(f.now, id, "primary", "key-w");
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, held);
+        CPPUNIT_ASSERT(f.transport.sent.empty());
+    }
+
+    void transaction_that_can_not_begin_is_rolled_back()
+    {
+        proxy_fixture f;
+        f.seal();
+        report_seal_wait(f, milliseconds(10000));
+        const auto id = f.start("primary");
+        f.ask(id, f.make(statement_kind::begin));
+        f.ask(id, f.make(statement_kind::write, "1"));
+        CPPUNIT_ASSERT(f.transport.last_answer(id).error ==
+                       session_error::busy);
+        f.ask(id, f.make(statement_kind::rollback));
+        CPPUNIT_ASSERT(!f.transport.last_answer(id).error);
+        CPPUNIT_ASSERT(f.transport.last_answer(id).state ==
+                       transaction_state::none);
+    }
+
     void single_lost_connection_leaves_its_server_in_use()
     {
         proxy_fixture f;
--- a/tools/daemon/fleet_agent.cpp
+++ b/tools/daemon/fleet_agent.cpp
@@ -756,6 +756,11 @@
     {
         proxy_.use_members(now, view.members());
     }
+    proxy_.use_coordinator_contact(now);
+    for (const auto& wait : view.seal_waits())
+    {
+        proxy_.use_seal_wait(now, wait);
+    }
     proxy_.use_grants(now, view.grants());
     // The view was created after the report that it answers was sent, so its
     // positions are at least as recent as that report.
@@ -827,6 +832,7 @@
         coordinator_.grant(now_(), *settings, vm, *view.mutable_grants());
     }
     coordinator_.add_positions(now_(), view);
+    coordinator_.add_seal_waits(now_(), view);
     view.set_report(coordinator_.record_view(now_(), vm, view.sequence()));
     return view;
 }
