Part fleet_agent: decisions to fleet/ with tests, I/O to five files

Cause: tools/daemon/fleet_agent.cpp had 1,250 lines of sockets, fibers and the choices between them, none of which had a test. Change: what decides is in fleet/ now, without sockets and clocks, each with unit tests: fleet_schedule (when to renew, to read members, to leave the lease to others), group_monitor (which group needs a lead or a failover), coordinator_messages (order of messages, age of a view), request_pacing, lasting_condition, backoff. The rest is five files by topic, 136 to 270 lines: tables, members, messages, reports, coordinator. A view from this VM itself now passes the same check of its token as those of others; nothing else is meant to change.

--- /dev/null
+++ b/include/tanagerhoist/fleet/fleet_schedule.hpp
@@ -0,0 +1,42 @@
+#ifndef TANAGERHOIST_FLEET_FLEET_SCHEDULE_HPP
+#define TANAGERHOIST_FLEET_FLEET_SCHEDULE_HPP
+
+#include "tanagerhoist/core/time.hpp"
+#include "tanagerhoist/fleet/fleet_coordinator.hpp"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace tanagerhoist
+{
+
+/// Interval of lease renewals without contact to the coordinator. A renewal
+/// also detects changed leads.
+constexpr milliseconds renewal_without_coordinator{1000};
+
+/// Whether a VM should renew its primary lease.
+/// @param renewed when it did so last
+/// @param last_contact when the coordinator was last heard from
+/// @param members number of VMs
+bool is_renewal_due(moment now, moment renewed, moment last_contact,
+                    std::size_t members);
+
+/// How long a VM leaves an expired coordinator lease to others, which are
+/// larger or have known the fleet for longer.
+/// @param cpu_percent processor share of the VM
+milliseconds takeover_delay(const fleet_members& members,
+                            std::uint64_t cpu_percent, bool is_holder_known);
+
+/// Whether the coordinator should read the members again to find VMs whose
+/// lease has expired.
+bool is_removal_read_due(moment now, moment requested);
+
+/// Whether a failover that waits for VMs should read the members again.
+/// @param requested when they were last asked for
+/// @param read when the newest answer was asked for
+/// @param sealed when the primary was sealed
+bool is_seal_read_due(moment now, moment requested, moment read, moment sealed);
+
+} // namespace tanagerhoist
+
+#endif
--- /dev/null
+++ b/include/tanagerhoist/fleet/group_monitor.hpp
@@ -0,0 +1,49 @@
+#ifndef TANAGERHOIST_FLEET_GROUP_MONITOR_HPP
+#define TANAGERHOIST_FLEET_GROUP_MONITOR_HPP
+
+#include "fleet.pb.h"
+#include "tanagerhoist/fleet/lasting_condition.hpp"
+#include "tanagerhoist/session/backend_server.hpp"
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace tanagerhoist
+{
+
+/// What the coordinator has to do for a group.
+enum class group_action
+{
+    none,
+    create_lead, ///< the group has no primary yet
+    replace_primary,
+    replace_planned ///< the primary runs, and is being drained
+};
+
+/// Decides which groups need a first lead or a failover. One operation runs at
+/// a time for a group.
+class group_monitor
+{
+public:
+    /// @param lead the group's lead; null if there is none yet
+    /// @param unreachable whether most VMs fail to reach the primary
+    group_action next_action(moment now, const std::string& group,
+                             const proto::GroupLead* lead,
+                             const server_list& servers, bool unreachable);
+
+    /// Notes that an operation on the group begins or ends.
+    void operation_begun(const std::string& group) { running_.insert(group); }
+    void operation_ended(const std::string& group);
+
+private:
+    bool is_lead_outdated(moment now, const proto::GroupLead& lead,
+                          const server_list& servers);
+
+    std::set<std::string> running_;
+    std::map<std::string, lasting_condition> outdated_; ///< by group
+};
+
+} // namespace tanagerhoist
+
+#endif
--- /dev/null
+++ b/src/fleet/fleet_schedule.cpp
@@ -0,0 +1,53 @@
+#include "tanagerhoist/fleet/fleet_schedule.hpp"
+
+#include "tanagerhoist/fleet/coordinator_lease.hpp"
+#include "tanagerhoist/session/primary_lease.hpp"
+
+#include <algorithm>
+
+namespace tanagerhoist
+{
+namespace
+{
+
+constexpr milliseconds removal_interval{5000};
+constexpr milliseconds seal_read_interval{500};
+constexpr milliseconds smaller_vm_delay{900}; // of all but the largest VM
+constexpr milliseconds startup_delay{600};    // lets all VMs register first
+
+} // namespace
+
+bool is_renewal_due(moment now, moment renewed, moment last_contact,
+                    std::size_t members)
+{
+    const auto interval = members < large_fleet ? primary_lease_renewal
+                                                : large_fleet_lease_renewal;
+    const bool alone = now >= last_contact + coordinator_timeout;
+    return now >= renewed + interval ||
+           (alone && now >= renewed + renewal_without_coordinator);
+}
+
+milliseconds takeover_delay(const fleet_members& members,
+                            std::uint64_t cpu_percent, bool is_holder_known)
+{
+    const bool largest =
+        std::all_of(members.rows.begin(), members.rows.end(),
+                    [cpu_percent](const auto& entry)
+                    { return entry.second.row.cpu_percent() <= cpu_percent; });
+    return (largest ? milliseconds(0) : smaller_vm_delay) +
+           (is_holder_known ? milliseconds(0) : startup_delay);
+}
+
+bool is_removal_read_due(moment now, moment requested)
+{
+    return now >= requested + removal_interval;
+}
+
+bool is_seal_read_due(moment now, moment requested, moment read, moment sealed)
+{
+    const auto interval =
+        read < sealed ? seal_read_interval / 4 : seal_read_interval;
+    return requested < sealed || now >= requested + interval;
+}
+
+} // namespace tanagerhoist
--- /dev/null
+++ b/tests/fleet_schedule_test.cpp
@@ -0,0 +1,133 @@
+#include "tanagerhoist/fleet/backoff.hpp"
+#include "tanagerhoist/fleet/coordinator_lease.hpp"
+#include "tanagerhoist/fleet/fleet_schedule.hpp"
+#include "tanagerhoist/fleet/lasting_condition.hpp"
+#include "tanagerhoist/fleet/request_pacing.hpp"
+#include "tanagerhoist/session/primary_lease.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace tanagerhoist
+{
+
+class fleet_schedule_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(fleet_schedule_test);
+    CPPUNIT_TEST(pauses_double_up_to_their_limit);
+    CPPUNIT_TEST(pauses_start_again_after_a_success);
+    CPPUNIT_TEST(condition_that_is_interrupted_starts_again);
+    CPPUNIT_TEST(lease_is_renewed_less_often_in_a_large_fleet);
+    CPPUNIT_TEST(lease_is_renewed_often_without_coordinator);
+    CPPUNIT_TEST(largest_vm_takes_over_first);
+    CPPUNIT_TEST(vm_at_start_lets_others_register);
+    CPPUNIT_TEST(members_are_read_at_once_after_a_seal);
+    CPPUNIT_TEST(unanswered_request_is_repeated_after_its_timeout);
+    CPPUNIT_TEST(request_waits_after_a_report);
+    CPPUNIT_TEST_SUITE_END();
+
+    const moment now_{std::chrono::hours(1)};
+
+    static fleet_members members_with_shares(std::uint64_t a, std::uint64_t b)
+    {
+        fleet_members members;
+        members.rows["a"].row.set_cpu_percent(a);
+        members.rows["b"].row.set_cpu_percent(b);
+        return members;
+    }
+
+public:
+    void pauses_double_up_to_their_limit()
+    {
+        backoff subject(milliseconds(100), milliseconds(300));
+        CPPUNIT_ASSERT(subject.next() == milliseconds(100));
+        CPPUNIT_ASSERT(subject.next() == milliseconds(200));
+        CPPUNIT_ASSERT(subject.next() == milliseconds(300));
+        CPPUNIT_ASSERT(subject.next() == milliseconds(300));
+    }
+
+    void pauses_start_again_after_a_success()
+    {
+        backoff subject(milliseconds(100), milliseconds(300));
+        subject.next();
+        subject.next();
+        subject.reset();
+        CPPUNIT_ASSERT(subject.next() == milliseconds(100));
+    }
+
+    void condition_that_is_interrupted_starts_again()
+    {
+        lasting_condition subject;
+        CPPUNIT_ASSERT(!subject.has_lasted(now_, milliseconds(0)));
+        subject.update(now_, true);
+        const auto later = now_ + milliseconds(600);
+        CPPUNIT_ASSERT(subject.has_lasted(later, milliseconds(600)));
+        subject.update(later, false);
+        subject.update(later, true);
+        CPPUNIT_ASSERT(!subject.has_lasted(later, milliseconds(600)));
+    }
+
+    void lease_is_renewed_less_often_in_a_large_fleet()
+    {
+        const auto due_after = [this](milliseconds time, std::size_t members)
+        { return is_renewal_due(now_ + time, now_, now_ + time, members); };
+        CPPUNIT_ASSERT(!due_after(primary_lease_renewal - milliseconds(1), 7));
+        CPPUNIT_ASSERT(due_after(primary_lease_renewal, 7));
+        CPPUNIT_ASSERT(!due_after(primary_lease_renewal, large_fleet));
+        CPPUNIT_ASSERT(due_after(large_fleet_lease_renewal, large_fleet));
+    }
+
+    void lease_is_renewed_often_without_coordinator()
+    {
+        const auto heard = now_ - coordinator_timeout;
+        CPPUNIT_ASSERT(!is_renewal_due(now_, now_, heard, 7));
+        CPPUNIT_ASSERT(
+            is_renewal_due(now_, now_ - renewal_without_coordinator, heard, 7));
+    }
+
+    void largest_vm_takes_over_first()
+    {
+        const auto members = members_with_shares(12, 50);
+        CPPUNIT_ASSERT(takeover_delay(members, 50, true) == milliseconds(0));
+        CPPUNIT_ASSERT(takeover_delay(members, 12, true) > milliseconds(0));
+    }
+
+    void vm_at_start_lets_others_register()
+    {
+        const auto members = members_with_shares(50, 50);
+        CPPUNIT_ASSERT(takeover_delay(members, 50, false) > milliseconds(0));
+    }
+
+    void members_are_read_at_once_after_a_seal()
+    {
+        const auto sealed = now_;
+        const auto before = sealed - milliseconds(100);
+        CPPUNIT_ASSERT(is_seal_read_due(sealed, before, before, sealed));
+        CPPUNIT_ASSERT(!is_seal_read_due(sealed, sealed, before, sealed));
+        const auto later = sealed + milliseconds(200);
+        CPPUNIT_ASSERT(is_seal_read_due(later, sealed, before, sealed));
+        CPPUNIT_ASSERT(!is_seal_read_due(later, sealed, sealed, sealed));
+    }
+
+    void unanswered_request_is_repeated_after_its_timeout()
+    {
+        request_pacing subject;
+        subject.message_sent(now_);
+        subject.request_sent();
+        CPPUNIT_ASSERT(!subject.may_request(now_ + milliseconds(59)));
+        CPPUNIT_ASSERT(subject.may_request(now_ + milliseconds(60)));
+        subject.answered();
+        CPPUNIT_ASSERT(subject.may_request(now_ + milliseconds(4)));
+    }
+
+    void request_waits_after_a_report()
+    {
+        request_pacing subject;
+        subject.message_sent(now_);
+        CPPUNIT_ASSERT(!subject.may_request(now_ + milliseconds(3)));
+        CPPUNIT_ASSERT(subject.may_request(now_ + milliseconds(4)));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(fleet_schedule_test);
+
+} // namespace tanagerhoist
--- a/tools/daemon/fleet_agent.hpp
+++ b/tools/daemon/fleet_agent.hpp
@@ -6,9 +6,14 @@
 #include "platform/server_control.hpp"
 #include "platform/store_client.hpp"
 #include "tanagerhoist/core/structured_log.hpp"
+#include "tanagerhoist/fleet/backoff.hpp"
 #include "tanagerhoist/fleet/coordinator_lease.hpp"
+#include "tanagerhoist/fleet/coordinator_messages.hpp"
 #include "tanagerhoist/fleet/failover_executor.hpp"
 #include "tanagerhoist/fleet/fleet_coordinator.hpp"
+#include "tanagerhoist/fleet/group_monitor.hpp"
+#include "tanagerhoist/fleet/lasting_condition.hpp"
+#include "tanagerhoist/fleet/request_pacing.hpp"
 #include "tanagerhoist/fleet/table_cache.hpp"
 #include "tanagerhoist/session/proxy.hpp"
 
@@ -21,7 +26,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -69,7 +73,7 @@
 private:
     using row_handler = std::function<void(const std::vector<store_row>&)>;
 
-    // Following the store's tables
+    // Following the store's tables: fleet_agent_tables.cpp
     struct table_watch
     {
         const char* table;
@@ -84,8 +88,15 @@
     void request_refresh(table_watch& watch);
     store_answer poll_store(table_watch& watch, bool known, bool at_once);
     bool is_updated_by_coordinator(const table_watch& watch);
+    void apply_config_rows(const std::vector<store_row>& rows);
+    void adopt_config(const std::string& text);
+    void fetch_config(const std::string& address, std::uint16_t port);
+    void apply_server_rows(const std::vector<store_row>& rows);
     void add_server_changes(const std::string& vm, proto::FleetView& view);
     void apply_server_changes(const proto::FleetView& view);
+    void refresh_outdated_tables(const proto::FleetView& view);
+
+    // Registration and members: fleet_agent_members.cpp
     bool read_leads(row_store& store);
     void register_self();
     void maintain_primary_lease();
@@ -95,14 +106,11 @@
     void apply_members(const store_answer& answer);
     std::uint64_t store_time() const;
     void remove_expired_vms();
-    void apply_config_rows(const std::vector<store_row>& rows);
-    void adopt_config(const std::string& text);
-    void apply_server_rows(const std::vector<store_row>& rows);
-    void fetch_config(const std::string& address, std::uint16_t port);
 
-    // Datagrams
+    // Datagrams: fleet_agent_messages.cpp, fleet_agent_reports.cpp
     void receive();
     void handle_datagram(std::size_t size);
+    bool use_leads(const proto::FleetView& view);
     void handle_view(const proto::FleetView& view);
     void handle_grant_request(const proto::GrantRequest& request);
     void handle_grant_reply(const proto::GrantReply& reply);
@@ -110,19 +118,16 @@
     void send_report();
     void send_view(const std::string& vm);
     void send_views();
-    bool has_lasted(bool missing, std::optional<moment>& since,
-                    milliseconds time);
     proto::FleetView view_for(const std::string& vm);
     void report_regularly();
 
-    // Coordinator
-    milliseconds takeover_delay() const;
+    // Coordinator: fleet_agent_coordinator.cpp
     void maintain_coordinator_lease();
     void monitor_groups();
+    void check_group(const std::string& group);
     void start_failover(const std::string& group, bool planned);
     void create_group_lead(const std::string& group);
-    bool needs_failover(const std::string& group, bool& planned);
-    bool is_lead_outdated(const proto::GroupLead& lead);
+    void end_operation(const std::string& group);
 
     // failover_port
     moment now() override { return now_(); }
@@ -146,6 +151,7 @@
 
     platform::store_client make_client() const;
     proto::MemberRow self_row() const;
+    static backoff store_backoff();
     void run_fiber(std::function<void()> body);
 
     boost::asio::io_context& context_;
@@ -178,29 +184,21 @@
     moment store_clock_at_{};       ///< when that renewal was sent
     std::map<std::string, group_lead_row> lead_rows_;
     std::map<std::string, backend_server> servers_;
-    std::map<std::string, moment> lead_outdated_since_;
+    group_monitor groups_;
     std::map<std::string, std::unique_ptr<platform::server_control>> controls_;
-    std::set<std::string> failovers_running_;
     std::map<std::string, boost::asio::ip::udp::endpoint> peers_;
     std::string config_text_;
     std::uint64_t config_version_ = 0;
     bool was_coordinator_ = false;
     bool fetching_config_ = false;
     bool request_scheduled_ = false;
-    bool awaiting_grant_ = false;
-    /// Time since which the server list is out of date.
-    std::optional<moment> servers_outdated_since_;
-    std::optional<moment> config_outdated_since_;
+    request_pacing pacing_;
+    lasting_condition servers_outdated_; ///< compared to the coordinator's
+    lasting_condition config_outdated_;
     bool leaving_ = false;
-    moment last_report_at_{};
-    std::uint64_t report_sequence_ = 0;
-    std::map<std::uint64_t, moment> reports_; ///< send time, by sequence
-    std::uint64_t newest_view_ = 0;
-    moment last_contact_{}; ///< with the coordinator
+    coordinator_messages messages_;
     boost::asio::ip::udp::endpoint coordinator_endpoint_;
-    std::uint64_t coordinator_token_ = 0;
-    std::uint64_t view_sequence_ = 0;
-    std::uint64_t last_sequence_ = 0;
+    std::uint64_t view_sequence_ = 0; ///< of the last view or reply sent
 };
 
 } // namespace tanagerhoist
--- /dev/null
+++ b/tools/daemon/fleet_agent_coordinator.cpp
@@ -0,0 +1,270 @@
+#include "fleet_agent.hpp"
+#include "fleet_tables.hpp"
+
+#include "platform/failover_call.hpp"
+#include "tanagerhoist/fleet/fleet_schedule.hpp"
+
+#include <random>
+#include <utility>
+
+// The coordinator lease and the work of its holder.
+namespace tanagerhoist
+{
+namespace
+{
+
+constexpr milliseconds lease_retry{100};
+constexpr milliseconds watch_interval{100};
+constexpr milliseconds check_interval{300};
+constexpr milliseconds control_timeout{350};
+
+} // namespace
+
+void fleet_agent::maintain_coordinator_lease()
+{
+    std::minstd_rand random(static_cast<unsigned>(life_));
+    while (!leaving_)
+    {
+        bool done = true;
+        if (registered_)
+        {
+            done = lease_.update(messages_.last_contact(),
+                                 takeover_delay(members_, cpu_percent_,
+                                                lease_.is_holder_known()));
+        }
+        if (!lease_.is_holder_known() &&
+            now_() >= messages_.last_contact() + coordinator_timeout)
+        {
+            read_members(); // to know which VM is the largest
+        }
+        const bool holds = lease_.holds(now_());
+        if (holds && !was_coordinator_)
+        {
+            coordinator_.reset(lease_.former());
+            read_leads(lease_store_);
+            read_members();
+            request_refresh(config_watch_);
+            request_refresh(server_watch_);
+            send_views();
+        }
+        was_coordinator_ = holds;
+        const milliseconds spread(random() % check_interval.count());
+        pause(!done   ? lease_retry
+              : holds ? coordinator_lease_renewal
+                      : check_interval + spread);
+    }
+}
+
+bool fleet_agent::is_coordinator()
+{
+    return lease_.holds(now_()) && !leaving_;
+}
+
+void fleet_agent::monitor_groups()
+{
+    while (!leaving_)
+    {
+        pause(is_coordinator() ? watch_interval : check_interval);
+        const auto* settings = proxy_.settings();
+        if (!is_coordinator() || settings == nullptr)
+        {
+            continue;
+        }
+        remove_expired_vms();
+        if (is_removal_read_due(now_(), members_requested_at_))
+        {
+            read_members();
+        }
+        for (const auto& [group, ignored] : settings->groups)
+        {
+            check_group(group);
+        }
+    }
+}
+
+void fleet_agent::check_group(const std::string& group)
+{
+    const auto row = lead_rows_.find(group);
+    const auto* lead = row == lead_rows_.end() ? nullptr : &row->second.lead;
+    const bool unreachable =
+        lead != nullptr &&
+        coordinator_.is_primary_unreachable(now_(), lead->primary());
+    switch (groups_.next_action(now_(), group, lead, servers_, unreachable))
+    {
+    case group_action::create_lead:
+        create_group_lead(group);
+        break;
+    case group_action::replace_primary:
+        start_failover(group, false);
+        break;
+    case group_action::replace_planned:
+        start_failover(group, true);
+        break;
+    case group_action::none:
+        break;
+    }
+}
+
+void fleet_agent::start_failover(const std::string& group, bool planned)
+{
+    groups_.operation_begun(group);
+    run_fiber(
+        [this, group, planned]
+        {
+            failover_executor executor(*this, lines_);
+            const auto begun = now_();
+            const auto done =
+                executor.change_primary(lead_rows_.at(group), planned);
+            lines_.write(log_level::change, "lead_change_ended",
+                         {{"group", group},
+                          {"ms", std::to_string(to_ms(now_() - begun))},
+                          {"primary", done ? done->lead.primary() : "-"}});
+            end_operation(group);
+        });
+}
+
+void fleet_agent::create_group_lead(const std::string& group)
+{
+    if (servers(group).empty())
+    {
+        return;
+    }
+    groups_.operation_begun(group);
+    run_fiber(
+        [this, group]
+        {
+            failover_executor executor(*this, lines_);
+            if (!executor.create_lead(group))
+            {
+                pause(watch_interval);
+            }
+            end_operation(group);
+        });
+}
+
+void fleet_agent::end_operation(const std::string& group)
+{
+    for (const auto& server : servers(group))
+    {
+        controls_.erase(server.id);
+    }
+    groups_.operation_ended(group);
+}
+
+store_answer fleet_agent::write_lead(const proto::GroupLead& lead,
+                                     std::uint64_t version)
+{
+    const auto key = group_prefix + lead.group();
+    store_transaction change;
+    change.expected.push_back({fleet_table, key, "", version, false});
+    change.puts.push_back(
+        {fleet_table, key, lead.SerializeAsString(), 0, false});
+    auto store = make_client();
+    auto answer = store.write(change);
+    if (answer.result == store_result::unanswered)
+    {
+        // Reading the row shows whether the write succeeded.
+        const auto read = store.read(fleet_table, key);
+        for (const auto& row : read.rows)
+        {
+            if (row.key == key && row.value == lead.SerializeAsString())
+            {
+                answer.result = store_result::done;
+                answer.version = row.version;
+            }
+        }
+    }
+    if (answer.result == store_result::done)
+    {
+        auto& known = lead_rows_[lead.group()];
+        if (answer.version > known.version)
+        {
+            known = {lead, answer.version};
+        }
+        proxy_.use_lead(now_(), lead);
+        send_views();
+    }
+    return answer;
+}
+
+bool fleet_agent::is_primary_unused(const proto::GroupLead& lead,
+                                    std::uint64_t seal_version, moment sealed)
+{
+    const bool unused = coordinator_.is_primary_unused(
+        now_(), lead, seal_version, sealed, members_);
+    if (!unused && is_seal_read_due(now_(), members_requested_at_,
+                                    members_.read_at, sealed))
+    {
+        read_members();
+    }
+    return unused;
+}
+
+std::vector<backend_server> fleet_agent::servers(const std::string& group)
+{
+    std::vector<backend_server> found;
+    for (const auto& [id, server] : servers_)
+    {
+        if (server.group == group)
+        {
+            found.push_back(server);
+        }
+    }
+    return found;
+}
+
+unsigned fleet_agent::synchronous_replicas(const std::string& group)
+{
+    const auto* settings = proxy_.settings();
+    const auto it = settings->groups.find(group);
+    return it == settings->groups.end() ? 0 : it->second.synchronous_replicas;
+}
+
+std::optional<server_role>
+fleet_agent::query_server(const backend_server& server, const std::string& line)
+{
+    auto& control = controls_[server.id];
+    if (!control)
+    {
+        const auto* settings = proxy_.settings();
+        const auto workspace = settings->workspaces.empty()
+                                   ? std::string()
+                                   : settings->workspaces.begin()->first;
+        control = std::make_unique<platform::server_control>(context_, server,
+                                                             workspace);
+    }
+    const auto status = control->exchange(line, control_timeout);
+    if (!status)
+    {
+        return std::nullopt;
+    }
+    return server_role{status->primary, status->term, status->received};
+}
+
+std::optional<server_role> fleet_agent::role(const backend_server& server)
+{
+    return query_server(server, platform::status_line());
+}
+
+std::optional<server_role> fleet_agent::demote(const backend_server& server,
+                                               std::uint64_t term)
+{
+    return query_server(server, platform::demote_line(term));
+}
+
+void fleet_agent::confirm_log_end(const proto::GroupLead& lead,
+                                  const log_position& end, moment confirmed)
+{
+    coordinator_.confirm_log_end(lead, end, confirmed);
+}
+
+promotion_result fleet_agent::request_promotion(const std::string& group,
+                                                const std::string& server)
+{
+    http_client_stream stream(context_);
+    return platform::request_promotion(
+        stream, promotion_address_.address, promotion_address_.port,
+        {group, server, settings_.vm().name(), lease_.row().token()});
+}
+
+} // namespace tanagerhoist
--- /dev/null
+++ b/tools/daemon/fleet_agent_messages.cpp
@@ -0,0 +1,207 @@
+#include "fleet_agent.hpp"
+
+// Datagrams received from other VMs, and views sent by the coordinator.
+namespace tanagerhoist
+{
+namespace
+{
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+} // namespace
+
+void fleet_agent::receive()
+{
+    socket_.async_receive_from(asio::buffer(datagram_), sender_,
+                               [this](error_code error, std::size_t size)
+                               {
+                                   if (error == asio::error::operation_aborted)
+                                   {
+                                       return;
+                                   }
+                                   if (!error)
+                                   {
+                                       handle_datagram(size);
+                                   }
+                                   receive();
+                               });
+}
+
+void fleet_agent::handle_datagram(std::size_t size)
+{
+    proto::FleetDatagram datagram;
+    if (!datagram.ParseFromArray(datagram_.data(), static_cast<int>(size)))
+    {
+        return; // not from a peer
+    }
+    if (datagram.has_report() && lease_.holds(now_()))
+    {
+        const auto vm = datagram.report().vm();
+        peers_[vm] = sender_;
+        coordinator_.apply_report(now_(), datagram.report());
+        send_view(vm);
+    }
+    else if (datagram.has_request() && lease_.holds(now_()))
+    {
+        handle_grant_request(datagram.request());
+    }
+    else if (datagram.has_reply())
+    {
+        handle_grant_reply(datagram.reply());
+    }
+    else if (datagram.has_view())
+    {
+        if (messages_.is_outdated(datagram.view().token()))
+        {
+            return; // from a previous coordinator that has not noticed its loss
+        }
+        coordinator_endpoint_ = sender_;
+        handle_view(datagram.view());
+    }
+}
+
+void fleet_agent::handle_grant_request(const proto::GrantRequest& request)
+{
+    const auto* settings = proxy_.settings();
+    proto::FleetDatagram datagram;
+    auto& reply = *datagram.mutable_reply();
+    if (settings == nullptr || !coordinator_.grant(now_(), *settings, request,
+                                                   *reply.mutable_grants()))
+    {
+        return;
+    }
+    reply.set_token(lease_.row().token());
+    reply.set_sequence(++view_sequence_);
+    if (request.vm() == settings_.vm().name())
+    {
+        handle_grant_reply(reply);
+        return;
+    }
+    const auto bytes = datagram.SerializeAsString();
+    error_code ignored; // operations in a lost reply are lost
+    socket_.send_to(asio::buffer(bytes), sender_, 0, ignored);
+}
+
+void fleet_agent::handle_grant_reply(const proto::GrantReply& reply)
+{
+    pacing_.answered();
+    if (messages_.accept_grants(reply.token(), reply.sequence()))
+    {
+        proxy_.use_grants(now_(), reply.grants());
+    }
+}
+
+/// @return whether the view has a lead that is new to this VM
+bool fleet_agent::use_leads(const proto::FleetView& view)
+{
+    bool changed = false;
+    for (int i = 0; i < view.leads_size(); ++i)
+    {
+        const auto& lead = view.leads(i);
+        auto& row = lead_rows_[lead.group()];
+        if (i < view.lead_versions_size() &&
+            view.lead_versions(i) > row.version)
+        {
+            row = {lead, view.lead_versions(i)};
+        }
+        const auto& known = proxy_.leads();
+        const auto it = known.find(lead.group());
+        changed =
+            changed || it == known.end() || it->second.epoch() < lead.epoch();
+        proxy_.use_lead(now_(), lead);
+    }
+    return changed;
+}
+
+void fleet_agent::handle_view(const proto::FleetView& view)
+{
+    const auto now = now_();
+    if (!messages_.accept_view(now, view.token(), view.sequence()))
+    {
+        return; // duplicate or out of date
+    }
+    const bool changed = use_leads(view);
+    if (view.members() != 0)
+    {
+        proxy_.use_members(now, view.members());
+    }
+    proxy_.use_coordinator_contact(now);
+    for (const auto& wait : view.seal_waits())
+    {
+        proxy_.use_seal_wait(now, wait);
+    }
+    proxy_.use_grants(now, view.grants());
+    // The view was created after the report that it answers was sent, so its
+    // positions are at least as recent as that report.
+    const auto answered = messages_.report_sent_at(view.report());
+    for (const auto& sample : view.positions())
+    {
+        if (answered)
+        {
+            proxy_.use_position(*answered, sample);
+        }
+    }
+    if (changed)
+    {
+        report_soon();
+    }
+    if (view.holder() != settings_.vm().name())
+    {
+        refresh_outdated_tables(view);
+    }
+}
+
+proto::FleetView fleet_agent::view_for(const std::string& vm)
+{
+    proto::FleetView view;
+    view.set_holder(settings_.vm().name());
+    view.set_token(lease_.row().token());
+    view.set_sequence(++view_sequence_);
+    view.set_settings_version(config_version_);
+    view.set_servers_version(server_watch_.rows.newest_seen_version());
+    add_server_changes(vm, view);
+    view.set_members(members_.rows.size());
+    for (const auto& [group, row] : lead_rows_)
+    {
+        *view.add_leads() = row.lead;
+        view.add_lead_versions(row.version);
+    }
+    if (const auto* settings = proxy_.settings())
+    {
+        coordinator_.grant(now_(), *settings, vm, *view.mutable_grants());
+    }
+    coordinator_.add_positions(now_(), view);
+    coordinator_.add_seal_waits(now_(), view);
+    view.set_report(coordinator_.record_view(now_(), vm, view.sequence()));
+    return view;
+}
+
+void fleet_agent::send_view(const std::string& vm)
+{
+    if (vm == settings_.vm().name())
+    {
+        handle_view(view_for(vm));
+        return;
+    }
+    const auto it = peers_.find(vm);
+    if (it == peers_.end())
+    {
+        return;
+    }
+    proto::FleetDatagram datagram;
+    *datagram.mutable_view() = view_for(vm);
+    const auto bytes = datagram.SerializeAsString();
+    error_code ignored; // the next view replaces a lost one
+    socket_.send_to(asio::buffer(bytes), it->second, 0, ignored);
+}
+
+void fleet_agent::send_views()
+{
+    for (const auto& [vm, member] : members_.rows)
+    {
+        send_view(vm);
+    }
+}
+
+} // namespace tanagerhoist
--- /dev/null
+++ b/tools/daemon/fleet_agent_reports.cpp
@@ -0,0 +1,136 @@
+#include "fleet_agent.hpp"
+
+#include <boost/asio/post.hpp>
+
+#include <utility>
+
+// Reports and requests to the coordinator.
+namespace tanagerhoist
+{
+namespace
+{
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+constexpr milliseconds report_interval{400};
+
+/// Interval of reports while a seal waits for this VM.
+constexpr milliseconds sealed_report_interval{80};
+
+} // namespace
+
+void fleet_agent::send_report()
+{
+    pacing_.message_sent(now_());
+    proto::FleetDatagram datagram;
+    auto& report = *datagram.mutable_report();
+    report.set_vm(settings_.vm().name());
+    report.set_life(life_);
+    report.set_sequence(messages_.record_report(now_()));
+    report.set_view(messages_.newest_view());
+    report.set_settings_version(config_version_);
+    report.set_servers_version(server_watch_.rows.version());
+    proxy_.describe(now_(), report);
+    if (lease_.holds(now_()))
+    {
+        coordinator_.apply_report(now_(), report);
+        send_view(settings_.vm().name());
+        return;
+    }
+    const auto& row = lease_.row();
+    auto where = coordinator_endpoint_;
+    if (!row.holder().empty() && row.token() > messages_.token())
+    {
+        error_code error;
+        const auto ip = asio::ip::make_address(row.address(), error);
+        if (!error)
+        {
+            where = {ip, static_cast<std::uint16_t>(row.peer_port())};
+        }
+    }
+    if (where.port() != 0)
+    {
+        const auto bytes = datagram.SerializeAsString();
+        error_code ignored; // the next report replaces a lost one
+        socket_.send_to(asio::buffer(bytes), where, 0, ignored);
+    }
+}
+
+void fleet_agent::report_soon()
+{
+    report_timer_.expires_after(milliseconds(0));
+    report_timer_.async_wait(
+        [this](error_code error)
+        {
+            if (!error)
+            {
+                report_regularly();
+            }
+        });
+}
+
+void fleet_agent::report_regularly()
+{
+    send_report();
+    report_timer_.expires_after(proxy_.is_sealed_primary_in_use()
+                                    ? sealed_report_interval
+                                    : report_interval);
+    report_timer_.async_wait(
+        [this](error_code error)
+        {
+            if (!error)
+            {
+                report_regularly();
+            }
+        });
+}
+
+/// Requests the operations that queued statements need.
+void fleet_agent::request_grants()
+{
+    pacing_.message_sent(now_());
+    proto::FleetDatagram datagram;
+    auto& request = *datagram.mutable_request();
+    for (auto& demand : proxy_.limits().missing(now_()))
+    {
+        *request.add_demand() = std::move(demand);
+    }
+    if (request.demand_size() == 0)
+    {
+        return;
+    }
+    pacing_.request_sent();
+    request.set_vm(settings_.vm().name());
+    request.set_life(life_);
+    request.set_sequence(messages_.next_sequence());
+    if (lease_.holds(now_()))
+    {
+        handle_grant_request(request);
+    }
+    else if (coordinator_endpoint_.port() != 0)
+    {
+        const auto bytes = datagram.SerializeAsString();
+        error_code ignored; // repeated after grant_timeout
+        socket_.send_to(asio::buffer(bytes), coordinator_endpoint_, 0, ignored);
+    }
+}
+
+void fleet_agent::request_grants_if_needed()
+{
+    if (request_scheduled_ || !pacing_.may_request(now_()) ||
+        !proxy_.limits().needs_grant(now_()))
+    {
+        return;
+    }
+    request_scheduled_ = true;
+    // Posted, since the caller may be in the middle of a statement.
+    asio::post(context_,
+               [this]
+               {
+                   request_scheduled_ = false;
+                   request_grants();
+               });
+}
+
+} // namespace tanagerhoist
--- /dev/null
+++ b/tools/daemon/fleet_tables.hpp
@@ -0,0 +1,16 @@
+#ifndef TANAGERHOIST_TOOLS_DAEMON_FLEET_TABLES_HPP
+#define TANAGERHOIST_TOOLS_DAEMON_FLEET_TABLES_HPP
+
+namespace tanagerhoist
+{
+
+/// Table of the groups' leads; the key is the prefix and the group.
+constexpr const char* fleet_table = "fleet";
+constexpr const char* group_prefix = "db.";
+
+/// Table of the registered VMs; the key is the VM's name.
+constexpr const char* member_table = "members";
+
+} // namespace tanagerhoist
+
+#endif
