End a daemon with sessions at a planned stop instead of spinning

Cause: after its last line 'stop' the process never ended. Boost.Fiber waits at exit for all fibers, some of which still waited for the store or a timer that nothing serves any more, and our scheduler, which never sleeps, made that wait a loop that used a whole core until the platform's SIGKILL. Each planned stop of a VM took all of the grace time and came back that much later. Ruled out: the drain (the line 'stop' came after 2.5 s), the log's queue (a stack of the process: boost::fibers::scheduler::dispatch). Change: session_daemon::run() writes out the log; the process then ends at once, without destroying what waiting fibers refer to. The HTTP side ends its fibers itself and stays.

--- a/include/tanagerhoist/adapter/json_log.hpp
+++ b/include/tanagerhoist/adapter/json_log.hpp
@@ -35,6 +35,9 @@
     void write(log_level level, std::string_view event,
                std::initializer_list<log_field> fields) override;
 
+    /// Writes out the queue. Nothing may be written afterwards.
+    void close();
+
     /// Number of lines dropped by the rate limit.
     std::uint64_t dropped() const { return dropped_; }
 
--- a/src/adapter/json_log.cpp
+++ b/src/adapter/json_log.cpp
@@ -34,6 +34,11 @@
 }
 
 json_log::~json_log()
+{
+    close();
+}
+
+void json_log::close()
 {
     logger_.reset();
     spdlog::shutdown(); // flushes the queue
--- a/tools/daemon/main.cpp
+++ b/tools/daemon/main.cpp
@@ -11,6 +11,7 @@
 #include <spdlog/spdlog.h>
 
 #include <chrono>
+#include <cstdlib>
 #include <exception>
 #include <iostream>
 #include <string>
@@ -68,6 +69,17 @@
     return clean ? exit_drained : exit_cut_off;
 }
 
+/// Serves sessions and ends the process. A return from main() would wait for
+/// fibers that nothing resumes any more.
+[[noreturn]] void
+serve_sessions(const tanagerhoist::proto::SessionDaemonSettings& settings,
+               const std::string& file)
+{
+    tanagerhoist::session_daemon daemon(settings, file);
+    daemon.run();
+    std::_Exit(exit_drained);
+}
+
 /// Serves with the settings of `file`, or prints all errors in it.
 int serve_file(const std::string& file)
 {
@@ -79,8 +91,7 @@
             {
                 BOOST_LEAF_AUTO(
                     sessions, tanagerhoist::read_session_daemon_settings(file));
-                tanagerhoist::session_daemon(sessions, file).run();
-                return exit_drained;
+                serve_sessions(sessions, file);
             }
             BOOST_LEAF_AUTO(settings, tanagerhoist::read_daemon_settings(file));
             spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %l " +
--- a/tools/daemon/session_daemon.cpp
+++ b/tools/daemon/session_daemon.cpp
@@ -124,6 +124,7 @@
     run_fiber_loop(context_);
     lines_.write(log_level::change, "stop",
                  {{"sessions", std::to_string(session_transport_.clients())}});
+    lines_.close();
 }
 
 void session_daemon::accept()
--- a/tools/daemon/session_daemon.hpp
+++ b/tools/daemon/session_daemon.hpp
@@ -27,7 +27,9 @@
     session_daemon(const proto::SessionDaemonSettings& settings,
                    std::string file);
 
-    /// Serves until SIGTERM or SIGINT and the drain that follows.
+    /// Serves until SIGTERM or SIGINT and the drain that follows. The process
+    /// must then end without destroying this object: fibers that still wait
+    /// for the store or a peer refer to it.
     void run();
 
 private:
