Ask for grants again as soon as the pacing allows

Cause: a statement that came while a grant request was on its way, or within 4 ms of a report, was not asked for until the daemon's next tick of 50 ms: request_grants_if_needed() gave up and nothing called it again. Ruled out: the coordinator's turns at its processor (the wait is alike on small and large VMs and near the tick's length). Change: request_pacing tells when the next request may be sent; a timer sends it then, and an answer moves that moment forward. Tests: next_request() before and after an answer (fleet_schedule_test); the timer itself is I/O and was measured only.

--- a/include/tanagerhoist/fleet/request_pacing.hpp
+++ b/include/tanagerhoist/fleet/request_pacing.hpp
@@ -19,7 +19,9 @@
 
     void answered() { awaiting_answer_ = false; }
 
-    bool may_request(moment now) const;
+    /// Earliest time of the next request. It changes with each message, so it
+    /// must be asked again after an answer.
+    moment next_request() const;
 
 private:
     bool awaiting_answer_ = false;
--- a/src/fleet/request_pacing.cpp
+++ b/src/fleet/request_pacing.cpp
@@ -12,10 +12,10 @@
 
 } // namespace
 
-bool request_pacing::may_request(moment now) const
+moment request_pacing::next_request() const
 {
-    const auto pause = awaiting_answer_ ? grant_timeout : min_request_interval;
-    return now >= last_message_ + pause;
+    return last_message_ +
+           (awaiting_answer_ ? grant_timeout : min_request_interval);
 }
 
 } // namespace tanagerhoist
--- a/tests/fleet_schedule_test.cpp
+++ b/tests/fleet_schedule_test.cpp
@@ -113,18 +113,16 @@
         request_pacing subject;
         subject.message_sent(now_);
         subject.request_sent();
-        CPPUNIT_ASSERT(!subject.may_request(now_ + milliseconds(59)));
-        CPPUNIT_ASSERT(subject.may_request(now_ + milliseconds(60)));
+        CPPUNIT_ASSERT(subject.next_request() == now_ + milliseconds(60));
         subject.answered();
-        CPPUNIT_ASSERT(subject.may_request(now_ + milliseconds(4)));
+        CPPUNIT_ASSERT(subject.next_request() == now_ + milliseconds(4));
     }
 
     void request_waits_after_a_report()
     {
         request_pacing subject;
         subject.message_sent(now_);
-        CPPUNIT_ASSERT(!subject.may_request(now_ + milliseconds(3)));
-        CPPUNIT_ASSERT(subject.may_request(now_ + milliseconds(4)));
+        CPPUNIT_ASSERT(subject.next_request() == now_ + milliseconds(4));
     }
 };
 
--- a/tools/daemon/fleet_agent.hpp
+++ b/tools/daemon/fleet_agent.hpp
@@ -167,6 +167,7 @@
     boost::asio::ip::udp::endpoint sender_;
     std::array<char, 65536> datagram_{};
     boost::asio::steady_timer report_timer_;
+    boost::asio::steady_timer request_timer_;
     table_watch config_watch_;
     table_watch server_watch_;
     platform::store_client lease_store_;
@@ -191,7 +192,7 @@
     std::uint64_t config_version_ = 0;
     bool was_coordinator_ = false;
     bool fetching_config_ = false;
-    bool request_scheduled_ = false;
+    std::optional<moment> request_at_; ///< when the request timer fires
     request_pacing pacing_;
     lasting_condition servers_outdated_; ///< compared to the coordinator's
     lasting_condition config_outdated_;
--- a/tools/daemon/fleet_agent_messages.cpp
+++ b/tools/daemon/fleet_agent_messages.cpp
@@ -90,6 +90,7 @@
     {
         proxy_.use_grants(now_(), reply.grants());
     }
+    request_grants_if_needed();
 }
 
 /// @return whether the view has a lead that is new to this VM
--- a/tools/daemon/fleet_agent_reports.cpp
+++ b/tools/daemon/fleet_agent_reports.cpp
@@ -1,7 +1,6 @@
 #include "fleet_agent.hpp"
 
-#include <boost/asio/post.hpp>
-
+#include <algorithm>
 #include <utility>
 
 // Reports and requests to the coordinator.
@@ -116,21 +115,31 @@
     }
 }
 
+/// Requests grants as soon as the pacing allows. Called whenever statements
+/// wait for one, and after each answer: statements that came while a request
+/// was on its way need another one.
 void fleet_agent::request_grants_if_needed()
 {
-    if (request_scheduled_ || !pacing_.may_request(now_()) ||
-        !proxy_.limits().needs_grant(now_()))
+    if (!proxy_.limits().needs_grant(now_()))
     {
         return;
     }
-    request_scheduled_ = true;
-    // Posted, since the caller may be in the middle of a statement.
-    asio::post(context_,
-               [this]
-               {
-                   request_scheduled_ = false;
-                   request_grants();
-               });
+    const auto at = pacing_.next_request();
+    if (request_at_ && *request_at_ <= at)
+    {
+        return; // the timer is set
+    }
+    request_at_ = at;
+    request_timer_.expires_after(std::max(microseconds(0), at - now_()));
+    request_timer_.async_wait(
+        [this](error_code error)
+        {
+            if (!error)
+            {
+                request_at_.reset();
+                request_grants();
+            }
+        });
 }
 
 } // namespace tanagerhoist
