Grant operations only to statements that wait for them

Cause: each refused statement counted as missing at its VM, so the coordinator granted operations to VMs whose client had gone elsewhere. They lay in the stocks of 195 VMs, a few a VM, and since stocks count towards a workspace's capacity, the account stopped filling: a workspace lowered to 31 operations/s got 15 to 20. A held statement, on the other hand, was asked for once; if that request or its grant was lost, or the account was empty, it waited in vain. Ruled out: the coordinator's rate (the account fills by the clock), the limit of a VM's stock (0 at 195 VMs; what lay there came from 'missing'). Change: a VM requests what its held statements lack, each time anew. While a limit is used up, the statement that comes when the next request is due is held for the answer, all others are rejected at once as before.

--- a/include/tanagerhoist/session/proxy.hpp
+++ b/include/tanagerhoist/session/proxy.hpp
@@ -98,6 +98,12 @@
     /// Adds this VM's observations and demand to its report to the coordinator.
     void describe(moment now, proto::VmReport& report);
 
+    /// Operations to request from the coordinator for held statements.
+    std::vector<proto::WorkspaceDemand> missing_grants(moment now)
+    {
+        return limits_.missing(now, held_statements());
+    }
+
     workspace_limits& limits() { return limits_; }
     const proxy_counters& figures() const { return figures_; }
     const session_settings* settings() const { return settings_.get(); }
@@ -130,6 +136,7 @@
     void refund(client_session& session);
     void refuse_rate(moment now, session_id id, client_session& session);
     void admit_held(moment now);
+    workspace_limits::held_counts held_statements() const;
     void submit_to_server(moment now, session_id id, client_session& session);
     void answer_done(moment now, session_id id, client_session& session);
     void answer_error(moment now, session_id id, client_session& session,
--- a/include/tanagerhoist/session/workspace_limits.hpp
+++ b/include/tanagerhoist/session/workspace_limits.hpp
@@ -6,6 +6,7 @@
 #include "tanagerhoist/decision/token_bucket.hpp"
 #include "tanagerhoist/session/session_settings.hpp"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -73,17 +74,23 @@
     /// Describes the state of the workspace's limit, for log lines.
     std::string describe(moment now, const std::string& workspace) const;
 
-    /// Whether a grant can be expected soon.
+    /// Whether a grant can be expected soon: while the fleet-wide limit is used
+    /// up, only by the statement that asks for it next.
     bool may_receive_grant(moment now, const std::string& workspace) const;
 
     /// Time until the even share admits one operation.
     milliseconds wait(moment now, const std::string& workspace) const;
 
+    /// Number of statements that are held for a grant, by workspace.
+    using held_counts = std::map<std::string, std::uint64_t>;
+
     /// Reports stock and demand. Returns stock that is no longer needed.
-    std::vector<proto::WorkspaceDemand> demand(moment now);
+    std::vector<proto::WorkspaceDemand> demand(moment now,
+                                               const held_counts& held);
 
-    /// Reports the operations that waiting statements lack.
-    std::vector<proto::WorkspaceDemand> missing(moment now);
+    /// Requests the operations that held statements lack.
+    std::vector<proto::WorkspaceDemand> missing(moment now,
+                                                const held_counts& held);
 
     /// Whether to request a grant now. While the fleet-wide limit is used up,
     /// the request rate of all VMs together is bounded.
@@ -97,9 +104,8 @@
         bool calm = false;     ///< the demand on the fleet is below its limit
         fleet_allowance fleet;
         std::uint64_t stock = 0;
-        std::uint64_t asked = 0;   ///< since the last report
-        std::uint64_t missing = 0; ///< refused or held since the last report
-        double asked_per_s = 0;    ///< over a few seconds
+        std::uint64_t asked = 0;         ///< since the last report
+        double asked_per_s = 0;          ///< over a few seconds
         double recently_asked_per_s = 0; ///< over the last reports
         bool exhausted = false;          ///< fleet-wide limit, for a while
         bool fleet_empty = false; ///< fleet-wide limit, at the last grant
@@ -108,6 +114,7 @@
 
     void apply(moment now, allowance& share) const;
     void record_request(moment now);
+    bool is_request_due(moment now) const;
     bool is_coordinator_lost(moment now) const;
     bool take_without_coordinator(moment now, allowance& share) const;
     static std::uint64_t wanted(moment now, const allowance& share);
--- a/src/session/proxy_sessions.cpp
+++ b/src/session/proxy_sessions.cpp
@@ -377,6 +377,21 @@
     }
 }
 
+workspace_limits::held_counts proxy::held_statements() const
+{
+    workspace_limits::held_counts held;
+    for (const auto id : held_)
+    {
+        const auto it = sessions_.find(id);
+        if (it != sessions_.end() &&
+            it->second.request.stage == request_stage::held)
+        {
+            ++held[it->second.workspace];
+        }
+    }
+    return held;
+}
+
 void proxy::use_grants(moment now, const workspace_limits::grants& given)
 {
     limits_.use_grants(now, given);
--- a/src/session/proxy_time.cpp
+++ b/src/session/proxy_time.cpp
@@ -620,7 +620,7 @@
             reported.set_age_ms(to_ms(now - sample->covers) + 1);
         }
     }
-    for (auto& demand : limits_.demand(now))
+    for (auto& demand : limits_.demand(now, held_statements()))
     {
         *report.add_demand() = std::move(demand);
     }
--- a/src/session/workspace_limits.cpp
+++ b/src/session/workspace_limits.cpp
@@ -51,6 +51,13 @@
 constexpr double fallback_factor = 1.3; // of the previous demand
 constexpr std::uint64_t fallback_burst = 3;
 
+std::uint64_t count_of(const workspace_limits::held_counts& held,
+                       const std::string& workspace)
+{
+    const auto it = held.find(workspace);
+    return it == held.end() ? 0 : it->second;
+}
+
 } // namespace
 
 fleet_allowance allowance_of(const session_workspace& workspace,
@@ -158,8 +165,9 @@
                                          const std::string& workspace) const
 {
     const auto it = shares_.find(workspace);
-    return it != shares_.end() && !it->second.exhausted &&
-           now < last_message_ + coordinator_message_timeout;
+    return it != shares_.end() &&
+           now < last_message_ + coordinator_message_timeout &&
+           (!it->second.exhausted || unanswered_since_ || is_request_due(now));
 }
 
 bool workspace_limits::take(moment now, const std::string& workspace,
@@ -183,7 +191,6 @@
     {
         return true;
     }
-    share.missing += granted || again ? 0 : 1;
     stock_empty_ = stock_empty_ || (!granted && !share.fleet_empty);
     fleet_exhausted_ = fleet_exhausted_ || !granted;
     return granted;
@@ -191,9 +198,13 @@
 
 bool workspace_limits::needs_grant(moment now) const
 {
-    return stock_empty_ ||
-           (fleet_exhausted_ &&
-            now >= last_request_ + exhausted_pause_per_vm * members_);
+    return stock_empty_ || (fleet_exhausted_ && is_request_due(now));
+}
+
+/// Whether the pause between requests to an exhausted fleet is over.
+bool workspace_limits::is_request_due(moment now) const
+{
+    return now >= last_request_ + exhausted_pause_per_vm * members_;
 }
 
 void workspace_limits::refund(const std::string& workspace)
@@ -271,7 +282,8 @@
     fleet_exhausted_ = false;
 }
 
-std::vector<proto::WorkspaceDemand> workspace_limits::demand(moment now)
+std::vector<proto::WorkspaceDemand>
+workspace_limits::demand(moment now, const held_counts& held)
 {
     const double seconds =
         std::chrono::duration<double>(now - last_report_).count();
@@ -300,7 +312,7 @@
         entry.set_workspace(name);
         entry.set_stock(share.stock);
         entry.set_wanted(want);
-        entry.set_missing(std::exchange(share.missing, 0));
+        entry.set_missing(count_of(held, name));
         entry.set_returned(returned);
         entry.set_asked_per_1000s(
             static_cast<std::uint64_t>(std::ceil(share.asked_per_s * 1000)));
@@ -318,18 +330,20 @@
     return demands;
 }
 
-std::vector<proto::WorkspaceDemand> workspace_limits::missing(moment now)
+std::vector<proto::WorkspaceDemand>
+workspace_limits::missing(moment now, const held_counts& held)
 {
     record_request(now);
     std::vector<proto::WorkspaceDemand> demands;
-    for (auto& [name, share] : shares_)
+    for (const auto& [name, count] : held)
     {
-        if (share.missing != 0)
+        const auto it = shares_.find(name);
+        if (it != shares_.end())
         {
             proto::WorkspaceDemand entry;
             entry.set_workspace(name);
-            entry.set_stock(share.stock);
-            entry.set_missing(std::exchange(share.missing, 0));
+            entry.set_stock(it->second.stock);
+            entry.set_missing(count);
             demands.push_back(std::move(entry));
         }
     }
