Ask once for a held statement; part proxy_time and proxy_dispatch

Tests: grants_at_limit_test holds as it is; missing_operations_are_reported checks its former numbers again.

Clean-up in the same commit, since both touch the same functions: proxy_time.cpp (697 lines) and proxy_dispatch.cpp (517) are now proxy.cpp, proxy_fleet.cpp, proxy_time.cpp, proxy_dispatch.cpp and proxy_connections.cpp, 57 to 346 lines; functions were moved, and taking a statement out of the queue, which stood twice, is withdraw().

--- a/include/tanagerhoist/session/proxy.hpp
+++ b/include/tanagerhoist/session/proxy.hpp
@@ -98,12 +98,6 @@
     /// Adds this VM's observations and demand to its report to the coordinator.
     void describe(moment now, proto::VmReport& report);
 
-    /// Operations to request from the coordinator for held statements.
-    std::vector<proto::WorkspaceDemand> missing_grants(moment now)
-    {
-        return limits_.missing(now, held_statements());
-    }
-
     workspace_limits& limits() { return limits_; }
     const proxy_counters& figures() const { return figures_; }
     const session_settings* settings() const { return settings_.get(); }
@@ -136,7 +130,6 @@
     void refund(client_session& session);
     void refuse_rate(moment now, session_id id, client_session& session);
     void admit_held(moment now);
-    workspace_limits::held_counts held_statements() const;
     void submit_to_server(moment now, session_id id, client_session& session);
     void answer_done(moment now, session_id id, client_session& session);
     void answer_error(moment now, session_id id, client_session& session,
@@ -149,6 +142,7 @@
 
     // Queueing and routing: proxy_dispatch.cpp
     void dispatch(moment now, const std::string& group);
+    void dispatch_group_of(moment now, const std::string& server);
     std::optional<milliseconds>
     primary_out_of_reach(moment now, const client_session& session) const;
     void reject_out_of_reach(moment now, const std::vector<session_id>& ids);
@@ -165,21 +159,28 @@
                                                 const client_session& session);
     bool has_capacity(moment now, const server_state& server,
                       const client_session& session) const;
+    void requeue(session_id id, client_session& session,
+                 const std::string& avoid);
+
+    // Connections: proxy_connections.cpp
+    connection_budget budget_at(const server_state& server) const;
+    std::vector<connection_id> connections_of(const std::string& server) const;
     connection_id idle_connection(const std::string& server,
                                   const client_session& session) const;
     connection_id longest_idle_connection(const std::string& server) const;
-    connection_budget budget_at(const server_state& server) const;
     void open_connection(moment now, server_state& server,
                          const std::string& workspace, session_id owner);
     void run_on_connection(moment now, session_id id, client_session& session,
                            connection_id connection);
+    void build_script(const client_session& session,
+                      server_connection& connection);
     void send_next(moment now, connection_id id, server_connection& connection);
     void close_connection(connection_id id);
     void release(moment now, connection_id id, server_connection& connection);
-    void build_script(const client_session& session,
-                      server_connection& connection);
-    void requeue(session_id id, client_session& session,
-                 const std::string& avoid);
+    template <typename Predicate>
+    void close_idle_if(Predicate closes);
+    void close_idle_at_draining();
+    void close_scarce_idle(moment now);
 
     // Answers: proxy_answers.cpp
     void finish_statement(moment now, connection_id id,
@@ -199,27 +200,24 @@
     void log_statement(log_level level, std::string_view event, moment now,
                        const client_session& session, std::string_view cause);
 
-    // Fleet state and timeouts: proxy_time.cpp
+    // Fleet state: proxy_fleet.cpp
     void remove_server(moment now, const std::string& id);
-    std::vector<connection_id> connections_of(const std::string& server) const;
-    void close_idle_at_draining();
-    void close_scarce_idle(moment now);
-    template <typename Predicate>
-    void close_idle_if(Predicate closes);
-    void abort_running_at(moment now, const std::string& server, bool writes);
-    void abort_running(moment now, connection_id id);
-    void dispatch_group_of(moment now, const std::string& server);
+    bool has_primary_work_at(const std::string& server) const;
+
+    // Timeouts and draining: proxy_time.cpp
+    void withdraw(session_id id, const client_session& session);
     void refuse_waiting(moment now, session_id id, client_session& session,
                         session_error error, const std::string& text);
     void expire_requests(moment now);
-    void end_idle_transactions(moment now);
     void expire_running(moment now, session_id id, client_session& session);
+    void end_idle_transactions(moment now);
     void check_silent_servers(moment now);
     void probe_failing_primaries(
         moment now, std::unordered_map<std::string, bool>& silent) const;
     void probe(moment now, const std::string& id);
     void abort_at_sealed_primaries(moment now);
-    bool has_primary_work_at(const std::string& server) const;
+    void abort_running_at(moment now, const std::string& server, bool writes);
+    void abort_running(moment now, connection_id id);
     void drain(moment now);
 
     server_state* find_server(const std::string& id);
--- a/include/tanagerhoist/session/workspace_limits.hpp
+++ b/include/tanagerhoist/session/workspace_limits.hpp
@@ -6,7 +6,6 @@
 #include "tanagerhoist/decision/token_bucket.hpp"
 #include "tanagerhoist/session/session_settings.hpp"
 
-#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -68,6 +67,10 @@
     /// @return false if no operation is left
     bool take(moment now, const std::string& workspace, bool again = false);
 
+    /// Notes that a statement is held for a grant, which the next request asks
+    /// for.
+    void note_held(const std::string& workspace);
+
     /// Returns an operation that was not run to the stock.
     void refund(const std::string& workspace);
 
@@ -81,16 +84,11 @@
     /// Time until the even share admits one operation.
     milliseconds wait(moment now, const std::string& workspace) const;
 
-    /// Number of statements that are held for a grant, by workspace.
-    using held_counts = std::map<std::string, std::uint64_t>;
-
     /// Reports stock and demand. Returns stock that is no longer needed.
-    std::vector<proto::WorkspaceDemand> demand(moment now,
-                                               const held_counts& held);
+    std::vector<proto::WorkspaceDemand> demand(moment now);
 
-    /// Requests the operations that held statements lack.
-    std::vector<proto::WorkspaceDemand> missing(moment now,
-                                                const held_counts& held);
+    /// Reports the operations that waiting statements lack.
+    std::vector<proto::WorkspaceDemand> missing(moment now);
 
     /// Whether to request a grant now. While the fleet-wide limit is used up,
     /// the request rate of all VMs together is bounded.
@@ -105,6 +103,7 @@
         fleet_allowance fleet;
         std::uint64_t stock = 0;
         std::uint64_t asked = 0;         ///< since the last report
+        std::uint64_t missing = 0;       ///< held statements, not yet requested
         double asked_per_s = 0;          ///< over a few seconds
         double recently_asked_per_s = 0; ///< over the last reports
         bool exhausted = false;          ///< fleet-wide limit, for a while
--- /dev/null
+++ b/src/session/proxy.cpp
@@ -0,0 +1,57 @@
+#include "tanagerhoist/session/proxy.hpp"
+
+#include <algorithm>
+#include <utility>
+
+// Construction, look-ups and state of a proxy.
+namespace tanagerhoist
+{
+
+proxy::proxy(std::string data_centre, workspace_limits limits,
+             proxy_transport& transport, structured_log& log)
+    : data_centre_(std::move(data_centre)),
+      transport_(transport),
+      log_(log),
+      limits_(std::move(limits))
+{
+}
+
+proxy::~proxy() = default;
+
+server_state* proxy::find_server(const std::string& id)
+{
+    const auto it = servers_.find(id);
+    return it == servers_.end() ? nullptr : &it->second;
+}
+
+const server_state* proxy::server(const std::string& id) const
+{
+    const auto it = servers_.find(id);
+    return it == servers_.end() ? nullptr : &it->second;
+}
+
+const proto::GroupLead* proxy::lead_of(const std::string& group) const
+{
+    const auto it = leads_.find(group);
+    return it == leads_.end() ? nullptr : &it->second;
+}
+
+bool proxy::has_work() const
+{
+    return std::any_of(sessions_.begin(), sessions_.end(),
+                       [](const auto& entry)
+                       { return !entry.second.is_idle(); });
+}
+
+bool proxy::is_ready(moment now) const
+{
+    if (!settings_ || draining_ || !primary_lease_.is_valid(now))
+    {
+        return false;
+    }
+    return std::all_of(settings_->groups.begin(), settings_->groups.end(),
+                       [this](const auto& group)
+                       { return lead_of(group.first) != nullptr; });
+}
+
+} // namespace tanagerhoist
--- a/src/session/proxy_dispatch.cpp
+++ b/src/session/proxy_dispatch.cpp
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <utility>
 
-// Assignment of queued statements to servers and connections.
+// Assignment of queued statements to servers.
 namespace tanagerhoist
 {
 namespace
@@ -64,6 +64,15 @@
     reject_out_of_reach(now, out_of_reach);
 }
 
+void proxy::dispatch_group_of(moment now, const std::string& server)
+{
+    if (const auto* state = find_server(server))
+    {
+        const auto group = state->server.group;
+        dispatch(now, group);
+    }
+}
+
 /// Whether a statement that could not be placed needs the primary, which is not
 /// to be expected before the statement expires.
 /// @return the time until the primary is to be expected; nullopt if the
@@ -267,14 +276,6 @@
     return std::max(*needed, own);
 }
 
-connection_budget proxy::budget_at(const server_state& server) const
-{
-    const auto it = settings_->groups.find(server.server.group);
-    return it == settings_->groups.end()
-               ? connection_budget{}
-               : connection_budget_of(it->second.connections, members_);
-}
-
 bool proxy::has_capacity(moment now, const server_state& server,
                          const client_session& session) const
 {
@@ -293,206 +294,6 @@
             longest_idle_connection(server.server.id) != 0);
 }
 
-/// Returns an idle connection of the session's workspace, preferably one with
-/// the same session values; 0: none.
-connection_id proxy::idle_connection(const std::string& server,
-                                     const client_session& session) const
-{
-    connection_id found = 0;
-    for (const auto& [id, connection] : connections_)
-    {
-        if (connection.phase != connection_phase::idle ||
-            connection.server != server ||
-            connection.workspace != session.workspace)
-        {
-            continue;
-        }
-        if (connection.values == session.values)
-        {
-            return id;
-        }
-        found = id;
-    }
-    return found;
-}
-
-/// Returns the connection that has been idle for the longest time, in any
-/// workspace; 0: none.
-connection_id proxy::longest_idle_connection(const std::string& server) const
-{
-    connection_id found = 0;
-    moment oldest{};
-    for (const auto& [id, connection] : connections_)
-    {
-        const bool idle = connection.phase == connection_phase::idle &&
-                          connection.server == server;
-        if (idle && (found == 0 || connection.idle_since < oldest))
-        {
-            found = id;
-            oldest = connection.idle_since;
-        }
-    }
-    return found;
-}
-
-/// @param owner session whose statement waits for the connection; 0: none
-void proxy::open_connection(moment now, server_state& server,
-                            const std::string& workspace, session_id owner)
-{
-    const auto id = next_connection_++;
-    auto& connection = connections_[id];
-    connection.server = server.server.id;
-    connection.workspace = workspace;
-    connection.owner = owner;
-    connection.opened = now;
-    ++server.connections;
-    ++server.opening;
-    ++figures_.connections_opened;
-    if (owner != 0)
-    {
-        sessions_.at(owner).request.connection = id;
-    }
-    transport_.open(id, server.server, workspace);
-}
-
-void proxy::run_on_connection(moment now, session_id id,
-                              client_session& session,
-                              connection_id connection_number)
-{
-    auto& connection = connections_.at(connection_number);
-    auto& request = session.request;
-    connection.phase = connection_phase::running;
-    connection.owner = id;
-    request.stage = request_stage::running;
-    request.connection = connection_number;
-    request.server = connection.server;
-    request.sent = now;
-    if (auto* server = find_server(connection.server))
-    {
-        ++server->running;
-        connection.counted = true;
-    }
-    build_script(session, connection);
-    if (session.state == transaction_state::open)
-    {
-        session.pinned = connection_number;
-    }
-    send_next(now, connection_number, connection);
-}
-
-/// Queues the statements that bring the connection to the session's state,
-/// followed by the client's statement.
-void proxy::build_script(const client_session& session,
-                         server_connection& connection)
-{
-    const auto& request = session.request;
-    const auto own = [&connection](statement_kind kind) -> server_statement&
-    {
-        connection.script.emplace_back();
-        connection.script.back().what.kind = kind;
-        return connection.script.back();
-    };
-    auto held = connection.values;
-    auto names = connection.prepared;
-    const bool foreign =
-        std::any_of(held.begin(), held.end(),
-                    [&session](const auto& value)
-                    { return session.values.count(value.first) == 0; });
-    if (foreign)
-    {
-        own(statement_kind::reset);
-        held.clear();
-        names.clear();
-    }
-    for (const auto& [name, value] : session.values)
-    {
-        const auto it = held.find(name);
-        if (it == held.end() || it->second != value)
-        {
-            auto& set = own(statement_kind::set).what;
-            set.name = name;
-            set.argument = value;
-        }
-    }
-    auto what = request.what;
-    if (what.kind == statement_kind::execute)
-    {
-        const auto& prepared = session.prepared.at(what.name);
-        what.name = prepared.shared_name();
-        if (names.count(what.name) == 0)
-        {
-            auto& prepare = own(statement_kind::prepare).what;
-            prepare.name = what.name;
-            prepare.argument = prepared.shape;
-            prepare.writes = prepared.writes;
-        }
-    }
-    const auto* lead = lead_of(session.group);
-    const bool at_primary = lead != nullptr && !lead->sealed() &&
-                            lead->primary() == connection.server;
-    const bool checks_position = !request.needs_primary && !at_primary;
-    const auto after = checks_position ? request.after : std::nullopt;
-    const bool begins =
-        session.state == transaction_state::open && request.first;
-    if (begins)
-    {
-        own(session.reads_only ? statement_kind::begin_read
-                               : statement_kind::begin)
-            .after = after;
-    }
-    server_statement real;
-    real.query_id = request.id;
-    real.what = std::move(what);
-    if (session.state == transaction_state::none)
-    {
-        real.after = after;
-    }
-    connection.script.push_back(std::move(real));
-}
-
-void proxy::send_next(moment now, connection_id id,
-                      server_connection& connection)
-{
-    connection.current = std::move(connection.script.front());
-    connection.script.pop_front();
-    connection.busy = true;
-    connection.sent = now;
-    connection.answer = session_answer{};
-    connection.phase = connection_phase::running;
-    transport_.send(id, connection.current);
-}
-
-void proxy::close_connection(connection_id id)
-{
-    const auto it = connections_.find(id);
-    if (it == connections_.end())
-    {
-        return;
-    }
-    if (auto* server = find_server(it->second.server))
-    {
-        --server->connections;
-        server->opening -= it->second.phase == connection_phase::opening;
-        server->running -= it->second.counted ? 1 : 0;
-    }
-    connections_.erase(it);
-    transport_.close(id);
-}
-
-/// Makes a connection without a transaction available again, or closes it.
-void proxy::release(moment now, connection_id id, server_connection& connection)
-{
-    connection.owner = 0;
-    connection.phase = connection_phase::idle;
-    connection.idle_since = now;
-    const auto* server = find_server(connection.server);
-    if (server == nullptr || server->server.draining ||
-        server->connections > budget_at(*server).connections)
-    {
-        close_connection(id);
-    }
-}
-
 /// Queues a statement again that had no effect.
 /// @param avoid server to exclude for this statement; empty: none
 void proxy::requeue(session_id id, client_session& session,
--- a/src/session/proxy_sessions.cpp
+++ b/src/session/proxy_sessions.cpp
@@ -311,6 +311,7 @@
     {
         session.request.stage = request_stage::held;
         held_.push_back(id);
+        limits_.note_held(session.workspace);
         transport_.request_grant();
         return false;
     }
@@ -377,21 +378,6 @@
     }
 }
 
-workspace_limits::held_counts proxy::held_statements() const
-{
-    workspace_limits::held_counts held;
-    for (const auto id : held_)
-    {
-        const auto it = sessions_.find(id);
-        if (it != sessions_.end() &&
-            it->second.request.stage == request_stage::held)
-        {
-            ++held[it->second.workspace];
-        }
-    }
-    return held;
-}
-
 void proxy::use_grants(moment now, const workspace_limits::grants& given)
 {
     limits_.use_grants(now, given);
@@ -492,17 +478,7 @@
     }
     auto& session = it->second;
     const auto group = session.group;
-    auto& waiting = groups_[group].waiting;
-    waiting.erase(std::remove(waiting.begin(), waiting.end(), id),
-                  waiting.end());
-    if (session.request.stage == request_stage::opening)
-    {
-        const auto opening = connections_.find(session.request.connection);
-        if (opening != connections_.end())
-        {
-            opening->second.owner = 0;
-        }
-    }
+    withdraw(id, session);
     if (session.request.stage == request_stage::running && session.pinned == 0)
     {
         // A single statement runs on; its answer is discarded.
--- a/src/session/proxy_time.cpp
+++ b/src/session/proxy_time.cpp
@@ -1,9 +1,8 @@
 #include "tanagerhoist/session/proxy.hpp"
 
 #include <algorithm>
-#include <utility>
 
-// Fleet state known to a proxy, and its timeouts.
+// Timeouts and draining of a proxy.
 namespace tanagerhoist
 {
 namespace
@@ -17,334 +16,11 @@
 
 constexpr milliseconds open_timeout{450};
 
-/// How long a server must be failing before its reads move to other servers,
-/// and before a primary is reported as unreachable.
+/// How long a server must be failing before its reads move to other servers.
 constexpr milliseconds failing_before_reads_move{200};
-constexpr milliseconds failing_before_report{250};
-constexpr milliseconds recent_contact{700};
 
 } // namespace
 
-proxy::proxy(std::string data_centre, workspace_limits limits,
-             proxy_transport& transport, structured_log& log)
-    : data_centre_(std::move(data_centre)),
-      transport_(transport),
-      log_(log),
-      limits_(std::move(limits))
-{
-}
-
-proxy::~proxy() = default;
-
-server_state* proxy::find_server(const std::string& id)
-{
-    const auto it = servers_.find(id);
-    return it == servers_.end() ? nullptr : &it->second;
-}
-
-const server_state* proxy::server(const std::string& id) const
-{
-    const auto it = servers_.find(id);
-    return it == servers_.end() ? nullptr : &it->second;
-}
-
-const proto::GroupLead* proxy::lead_of(const std::string& group) const
-{
-    const auto it = leads_.find(group);
-    return it == leads_.end() ? nullptr : &it->second;
-}
-
-void proxy::use_settings(moment now,
-                         std::shared_ptr<const session_settings> settings)
-{
-    if (settings_ && settings->version <= settings_->version)
-    {
-        return;
-    }
-    log_.write(log_level::change, "settings",
-               {{"version", std::to_string(settings->version)},
-                {"before", settings_ ? std::to_string(settings_->version)
-                                     : std::string("-")}});
-    settings_ = std::move(settings);
-    limits_.use_settings(now, *settings_);
-    std::vector<session_id> ended;
-    for (auto& [id, session] : sessions_)
-    {
-        const auto* route = settings_->route(session.database);
-        const bool keyless = route != nullptr && route->open;
-        const bool allowed =
-            route != nullptr &&
-            (keyless || settings_->workspace_of(session.key) != nullptr);
-        if (!allowed)
-        {
-            session.leaving = true;
-            ended.push_back(id);
-        }
-    }
-    for (const auto id : ended)
-    {
-        auto& session = sessions_.at(id);
-        const auto stage = session.request.stage;
-        if (stage != request_stage::none && stage != request_stage::running)
-        {
-            refuse_waiting(now, id, session, session_error::no_key,
-                           "taken away, not run");
-        }
-        end_session_if_done(now, id);
-    }
-}
-
-void proxy::use_servers(moment now, const server_list& servers)
-{
-    std::vector<std::string> gone;
-    for (auto& [id, state] : servers_)
-    {
-        const auto it = servers.find(id);
-        const bool replaced =
-            it != servers.end() && it->second.address != state.server.address;
-        if (it == servers.end() || replaced)
-        {
-            gone.push_back(id);
-        }
-    }
-    for (const auto& id : gone)
-    {
-        const auto* lead = lead_of(servers_.at(id).server.group);
-        if (lead != nullptr && lead->primary() == id && servers.count(id) == 0)
-        {
-            continue; // its entry may have expired while it is still primary
-        }
-        log_.write(log_level::change, "server_gone", {{"server", id}});
-        remove_server(now, id);
-    }
-    for (const auto& [id, server] : servers)
-    {
-        const auto [it, added] = servers_.try_emplace(id, server);
-        auto& state = it->second;
-        if (added || state.server.draining != server.draining)
-        {
-            log_.write(log_level::change,
-                       server.draining ? "server_draining" : "server_ready",
-                       {{"server", id}, {"group", server.group}});
-        }
-        if (server.draining && !state.server.draining)
-        {
-            state.draining_since = now;
-        }
-        if (added && server.draining)
-        {
-            state.draining_since = now;
-        }
-        state.server = server;
-    }
-    close_idle_at_draining();
-    for (auto& [name, group] : groups_)
-    {
-        dispatch(now, name);
-    }
-}
-
-void proxy::remove_server(moment now, const std::string& id)
-{
-    for (const auto connection : connections_of(id))
-    {
-        const bool idle =
-            connections_.at(connection).phase == connection_phase::idle;
-        if (idle)
-        {
-            close_connection(connection);
-        }
-        else
-        {
-            connection_lost(now, connection);
-        }
-    }
-    servers_.erase(id);
-}
-
-std::vector<connection_id>
-proxy::connections_of(const std::string& server) const
-{
-    std::vector<connection_id> found;
-    for (const auto& [id, connection] : connections_)
-    {
-        if (connection.server == server)
-        {
-            found.push_back(id);
-        }
-    }
-    return found;
-}
-
-/// Closes the idle connections for which `closes(connection, server)` holds.
-template <typename Predicate>
-void proxy::close_idle_if(Predicate closes)
-{
-    std::vector<connection_id> closing;
-    for (const auto& [id, connection] : connections_)
-    {
-        const auto* server = find_server(connection.server);
-        if (server != nullptr && connection.phase == connection_phase::idle &&
-            closes(connection, *server))
-        {
-            closing.push_back(id);
-        }
-    }
-    for (const auto id : closing)
-    {
-        close_connection(id);
-    }
-}
-
-void proxy::close_idle_at_draining()
-{
-    close_idle_if([](const server_connection&, const server_state& server)
-                  { return server.server.draining; });
-}
-
-/// Gives back idle connections at servers that have fewer than there are VMs.
-void proxy::close_scarce_idle(moment now)
-{
-    if (!settings_)
-    {
-        return;
-    }
-    close_idle_if(
-        [this, now](const server_connection& connection,
-                    const server_state& server)
-        {
-            const auto idle_time = budget_at(server).idle_time;
-            return idle_time && now >= connection.idle_since + *idle_time;
-        });
-}
-
-void proxy::use_members(moment now, std::size_t members)
-{
-    if (members == 0 || members == members_)
-    {
-        return;
-    }
-    members_ = members;
-    limits_.use_members(now, members);
-}
-
-void proxy::use_lead(moment now, const proto::GroupLead& lead)
-{
-    auto& known = leads_[lead.group()];
-    if (lead.epoch() <= known.epoch())
-    {
-        return;
-    }
-    log_.write(log_level::change, lead.sealed() ? "primary_sealed" : "primary",
-               {{"group", lead.group()},
-                {"server", lead.primary()},
-                {"epoch", std::to_string(lead.epoch())},
-                {"term", std::to_string(lead.term())},
-                {"right_ms", std::to_string(to_ms(primary_lease_.age(now)))}});
-    const auto before = known.primary();
-    known = lead;
-    auto& group = groups_[lead.group()];
-    group.promotion_waits_until.reset();
-    if (lead.sealed())
-    {
-        group.sealed_at = now;
-        return;
-    }
-    if (before != lead.primary())
-    {
-        group.history.clear();
-        if (!before.empty())
-        {
-            abort_running_at(now, before, true);
-        }
-    }
-    dispatch(now, lead.group());
-}
-
-void proxy::use_position(moment sent, const proto::PositionSample& sample)
-{
-    const auto* lead = lead_of(sample.group());
-    // While the primary is sealed, the coordinator tells the log end of the
-    // demoted one, so that reads at replicas go on.
-    if (lead != nullptr && lead->term() == sample.term())
-    {
-        groups_[sample.group()].history.add(
-            {sent - milliseconds(sample.age_ms()),
-             {sample.term(), sample.number()}});
-    }
-}
-
-void proxy::use_seal_wait(moment now, const proto::SealWait& wait)
-{
-    const auto* lead = lead_of(wait.group());
-    if (lead == nullptr || !lead->sealed())
-    {
-        return;
-    }
-    groups_[wait.group()].promotion_waits_until =
-        now + milliseconds(wait.wait_ms());
-    dispatch(now, wait.group());
-}
-
-/// Aborts running statements at a server that is no longer the primary.
-/// @param writes true: statements that require the primary; false: statements
-/// that cannot have had an effect
-void proxy::abort_running_at(moment now, const std::string& server, bool writes)
-{
-    for (const auto id : connections_of(server))
-    {
-        const auto it = connections_.find(id);
-        if (it == connections_.end() ||
-            it->second.phase != connection_phase::running)
-        {
-            continue;
-        }
-        const auto session = sessions_.find(it->second.owner);
-        const bool primary_use =
-            session == sessions_.end() || session->second.request.needs_primary;
-        const bool effect =
-            session != sessions_.end() && session->second.request.writes;
-        if (writes ? primary_use : !effect)
-        {
-            abort_running(now, id);
-        }
-    }
-}
-
-/// Closes a running connection without marking its server as failing.
-void proxy::abort_running(moment now, connection_id id)
-{
-    const auto it = connections_.find(id);
-    const auto owner = it->second.owner;
-    const bool sent = it->second.runs_request();
-    close_connection(id);
-    const auto found = sessions_.find(owner);
-    if (found == sessions_.end())
-    {
-        return;
-    }
-    auto& session = found->second;
-    if (session.request.stage == request_stage::running &&
-        session.request.connection == id)
-    {
-        handle_lost_connection(now, owner, session, sent);
-    }
-    else if (session.pinned == id)
-    {
-        session.pinned = 0;
-        session.aborted = true;
-    }
-}
-
-void proxy::dispatch_group_of(moment now, const std::string& server)
-{
-    if (const auto* state = find_server(server))
-    {
-        const auto group = state->server.group;
-        dispatch(now, group);
-    }
-}
-
 void proxy::tick(moment now)
 {
     expire_requests(now);
@@ -363,28 +39,29 @@
     }
 }
 
-bool proxy::has_work() const
+/// Takes a statement out of the queue, or from the connection that is being
+/// opened for it.
+void proxy::withdraw(session_id id, const client_session& session)
 {
-    return std::any_of(sessions_.begin(), sessions_.end(),
-                       [](const auto& entry)
-                       { return !entry.second.is_idle(); });
+    auto& waiting = groups_[session.group].waiting;
+    waiting.erase(std::remove(waiting.begin(), waiting.end(), id),
+                  waiting.end());
+    if (session.request.stage != request_stage::opening)
+    {
+        return;
+    }
+    const auto opening = connections_.find(session.request.connection);
+    if (opening != connections_.end())
+    {
+        opening->second.owner = 0;
+    }
 }
 
 /// Refuses a statement that has not been sent to a server.
 void proxy::refuse_waiting(moment now, session_id id, client_session& session,
                            session_error error, const std::string& text)
 {
-    auto& waiting = groups_[session.group].waiting;
-    waiting.erase(std::remove(waiting.begin(), waiting.end(), id),
-                  waiting.end());
-    if (session.request.stage == request_stage::opening)
-    {
-        const auto opening = connections_.find(session.request.connection);
-        if (opening != connections_.end())
-        {
-            opening->second.owner = 0;
-        }
-    }
+    withdraw(id, session);
     if (session.state == transaction_state::open)
     {
         const bool is_commit =
@@ -424,32 +101,6 @@
     }
 }
 
-/// Rolls back transactions whose clients have been idle for too long, since
-/// each occupies a connection.
-void proxy::end_idle_transactions(moment now)
-{
-    const bool limited =
-        settings_ && settings_->transaction_idle > milliseconds(0);
-    if (!limited)
-    {
-        return;
-    }
-    for (auto& [id, session] : sessions_)
-    {
-        const bool waits_for_client =
-            session.pinned != 0 && session.request.stage == request_stage::none;
-        if (waits_for_client &&
-            now >= session.answered + settings_->transaction_idle)
-        {
-            log_statement(log_level::change, "transaction_idle", now, session,
-                          "rolled back");
-            ++figures_.refusals["transaction_idle"];
-            session.aborted = true;
-            roll_back_at_server(now, session);
-        }
-    }
-}
-
 /// Aborts a statement that has not been answered before its timeout.
 void proxy::expire_running(moment now, session_id id, client_session& session)
 {
@@ -489,6 +140,32 @@
     answer_error(now, id, session, error, "the server took too long");
 }
 
+/// Rolls back transactions whose clients have been idle for too long, since
+/// each occupies a connection.
+void proxy::end_idle_transactions(moment now)
+{
+    const bool limited =
+        settings_ && settings_->transaction_idle > milliseconds(0);
+    if (!limited)
+    {
+        return;
+    }
+    for (auto& [id, session] : sessions_)
+    {
+        const bool waits_for_client =
+            session.pinned != 0 && session.request.stage == request_stage::none;
+        if (waits_for_client &&
+            now >= session.answered + settings_->transaction_idle)
+        {
+            log_statement(log_level::change, "transaction_idle", now, session,
+                          "rolled back");
+            ++figures_.refusals["transaction_idle"];
+            session.aborted = true;
+            roll_back_at_server(now, session);
+        }
+    }
+}
+
 /// Probes servers with overdue answers, and moves reads away from failing
 /// ones.
 void proxy::check_silent_servers(moment now)
@@ -588,82 +265,54 @@
     }
 }
 
-void proxy::describe(moment now, proto::VmReport& report)
+/// Aborts running statements at a server that is no longer the primary.
+/// @param writes true: statements that require the primary; false: statements
+/// that cannot have had an effect
+void proxy::abort_running_at(moment now, const std::string& server, bool writes)
 {
-    for (const auto& [name, lead] : leads_)
+    for (const auto id : connections_of(server))
     {
-        const auto* state = server(lead.primary());
-        const bool failing = state == nullptr || state->is_failing();
-        if (state != nullptr && failing &&
-            now >= state->failing_since() + failing_before_report)
-        {
-            report.add_unreachable(lead.primary());
-        }
-        else if (state != nullptr && !failing &&
-                 now < state->last_contact() + recent_contact)
-        {
-            report.add_reachable(lead.primary());
-        }
-        if (lead.sealed() && !has_primary_work_at(lead.primary()))
+        const auto it = connections_.find(id);
+        if (it == connections_.end() ||
+            it->second.phase != connection_phase::running)
         {
-            auto& ack = *report.add_sealed();
-            ack.set_group(name);
-            ack.set_epoch(lead.epoch());
+            continue;
         }
-        const auto sample = groups_[name].history.newest();
-        if (sample && !lead.sealed())
+        const auto session = sessions_.find(it->second.owner);
+        const bool primary_use =
+            session == sessions_.end() || session->second.request.needs_primary;
+        const bool effect =
+            session != sessions_.end() && session->second.request.writes;
+        if (writes ? primary_use : !effect)
         {
-            auto& reported = *report.add_positions();
-            reported.set_group(name);
-            reported.set_term(sample->position.term);
-            reported.set_number(sample->position.number);
-            reported.set_age_ms(to_ms(now - sample->covers) + 1);
+            abort_running(now, id);
         }
     }
-    for (auto& demand : limits_.demand(now, held_statements()))
-    {
-        *report.add_demand() = std::move(demand);
-    }
 }
 
-bool proxy::is_sealed_primary_in_use() const
-{
-    return std::any_of(leads_.begin(), leads_.end(),
-                       [this](const auto& entry)
-                       {
-                           const auto& lead = entry.second;
-                           return lead.sealed() &&
-                                  has_primary_work_at(lead.primary());
-                       });
-}
-
-/// Whether a statement that requires the primary is running at the server.
-bool proxy::has_primary_work_at(const std::string& server) const
-{
-    return std::any_of(connections_.begin(), connections_.end(),
-                       [this, &server](const auto& entry)
-                       {
-                           const auto& connection = entry.second;
-                           if (connection.server != server ||
-                               connection.phase != connection_phase::running)
-                           {
-                               return false;
-                           }
-                           const auto owner = sessions_.find(connection.owner);
-                           return owner == sessions_.end() ||
-                                  owner->second.request.needs_primary;
-                       });
-}
-
-bool proxy::is_ready(moment now) const
+/// Closes a running connection without marking its server as failing.
+void proxy::abort_running(moment now, connection_id id)
 {
-    if (!settings_ || draining_ || !primary_lease_.is_valid(now))
+    const auto it = connections_.find(id);
+    const auto owner = it->second.owner;
+    const bool sent = it->second.runs_request();
+    close_connection(id);
+    const auto found = sessions_.find(owner);
+    if (found == sessions_.end())
+    {
+        return;
+    }
+    auto& session = found->second;
+    if (session.request.stage == request_stage::running &&
+        session.request.connection == id)
     {
-        return false;
+        handle_lost_connection(now, owner, session, sent);
+    }
+    else if (session.pinned == id)
+    {
+        session.pinned = 0;
+        session.aborted = true;
     }
-    return std::all_of(settings_->groups.begin(), settings_->groups.end(),
-                       [this](const auto& group)
-                       { return lead_of(group.first) != nullptr; });
 }
 
 void proxy::begin_drain(moment close_idle, moment end_transactions)
--- a/src/session/workspace_limits.cpp
+++ b/src/session/workspace_limits.cpp
@@ -51,13 +51,6 @@
 constexpr double fallback_factor = 1.3; // of the previous demand
 constexpr std::uint64_t fallback_burst = 3;
 
-std::uint64_t count_of(const workspace_limits::held_counts& held,
-                       const std::string& workspace)
-{
-    const auto it = held.find(workspace);
-    return it == held.end() ? 0 : it->second;
-}
-
 } // namespace
 
 fleet_allowance allowance_of(const session_workspace& workspace,
@@ -148,6 +141,10 @@
             it->second.exhausted = grant.exhausted();
             it->second.fleet_empty = grant.empty();
             it->second.calm = grant.calm();
+            if (grant.exhausted())
+            {
+                it->second.missing = 0; // what is held is going to be refused
+            }
         }
     }
 }
@@ -207,6 +204,15 @@
     return now >= last_request_ + exhausted_pause_per_vm * members_;
 }
 
+void workspace_limits::note_held(const std::string& workspace)
+{
+    const auto it = shares_.find(workspace);
+    if (it != shares_.end())
+    {
+        ++it->second.missing;
+    }
+}
+
 void workspace_limits::refund(const std::string& workspace)
 {
     const auto it = shares_.find(workspace);
@@ -282,8 +288,7 @@
     fleet_exhausted_ = false;
 }
 
-std::vector<proto::WorkspaceDemand>
-workspace_limits::demand(moment now, const held_counts& held)
+std::vector<proto::WorkspaceDemand> workspace_limits::demand(moment now)
 {
     const double seconds =
         std::chrono::duration<double>(now - last_report_).count();
@@ -312,7 +317,7 @@
         entry.set_workspace(name);
         entry.set_stock(share.stock);
         entry.set_wanted(want);
-        entry.set_missing(count_of(held, name));
+        entry.set_missing(std::exchange(share.missing, 0));
         entry.set_returned(returned);
         entry.set_asked_per_1000s(
             static_cast<std::uint64_t>(std::ceil(share.asked_per_s * 1000)));
@@ -330,20 +335,18 @@
     return demands;
 }
 
-std::vector<proto::WorkspaceDemand>
-workspace_limits::missing(moment now, const held_counts& held)
+std::vector<proto::WorkspaceDemand> workspace_limits::missing(moment now)
 {
     record_request(now);
     std::vector<proto::WorkspaceDemand> demands;
-    for (const auto& [name, count] : held)
+    for (auto& [name, share] : shares_)
     {
-        const auto it = shares_.find(name);
-        if (it != shares_.end())
+        if (share.missing != 0)
         {
             proto::WorkspaceDemand entry;
             entry.set_workspace(name);
-            entry.set_stock(it->second.stock);
-            entry.set_missing(count);
+            entry.set_stock(share.stock);
+            entry.set_missing(std::exchange(share.missing, 0));
             demands.push_back(std::move(entry));
         }
     }
--- a/tools/daemon/fleet_agent_reports.cpp
+++ b/tools/daemon/fleet_agent_reports.cpp
@@ -91,7 +91,7 @@
     pacing_.message_sent(now_());
     proto::FleetDatagram datagram;
     auto& request = *datagram.mutable_request();
-    for (auto& demand : proxy_.missing_grants(now_()))
+    for (auto& demand : proxy_.limits().missing(now_()))
     {
         *request.add_demand() = std::move(demand);
     }
