--- a/standin/http_service.cpp
+++ b/standin/http_service.cpp
@@ -93,13 +93,15 @@
         }
         auto request = parser_->release();
         keep_alive_ = request.keep_alive();
-        const auto found = service->routes.find(std::string(request.target()));
+        const std::string target(request.target());
+        const auto path = target.substr(0, target.find('?'));
+        const auto found = service->routes.find(path);
         if (found == service->routes.end())
         {
             write({404, "{}"});
             return;
         }
-        found->second({std::move(request.body()), number_},
+        found->second({target, std::move(request.body()), number_},
                       [self = this->shared_from_this()](http_response answer)
                       { self->write(std::move(answer)); });
     }
@@ -110,6 +112,10 @@
         response_.version(11);
         response_.result(answer.status);
         response_.set(http::field::content_type, "application/json");
+        for (const auto& [name, value] : answer.headers)
+        {
+            response_.set(name, value);
+        }
         response_.keep_alive(keep_alive_);
         response_.body() = std::move(answer.body);
         response_.prepare_payload();
@@ -166,9 +172,9 @@
 
 http_service::~http_service() = default;
 
-void http_service::route(const std::string& target, handler run)
+void http_service::route(const std::string& path, handler run)
 {
-    state_->routes[target] = std::move(run);
+    state_->routes[path] = std::move(run);
 }
 
 tcp::endpoint http_service::local() const
--- a/standin/http_service.hpp
+++ b/standin/http_service.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -15,6 +16,7 @@
 /// Request passed to a handler.
 struct http_request
 {
+    std::string target; ///< with the query, if any
     std::string body;
     std::uint64_t connection = 0; ///< id, unique for each service object
 };
@@ -24,6 +26,7 @@
 {
     unsigned status = 200;
     std::string body;
+    std::map<std::string, std::string> headers{}; ///< additional ones
 };
 
 /// Minimal HTTP/1.1 server with keep-alive. `context` must run on one thread.
@@ -45,8 +48,8 @@
     http_service(const http_service&) = delete;
     http_service& operator=(const http_service&) = delete;
 
-    /// Sets the handler of requests to `target`, for every method.
-    void route(const std::string& target, handler run);
+    /// Sets the handler of requests to a path, for every method and query.
+    void route(const std::string& path, handler run);
 
     /// Endpoint that the service listens on.
     boost::asio::ip::tcp::endpoint local() const;
--- a/tests/fake_row_store.hpp
+++ b/tests/fake_row_store.hpp
@@ -1,17 +1,17 @@
 #ifndef TANAGERHOIST_TESTS_FAKE_ROW_STORE_HPP
 #define TANAGERHOIST_TESTS_FAKE_ROW_STORE_HPP
 
+#include "standin/row_table.hpp"
 #include "tanagerhoist/fleet/row_store.hpp"
 
-#include <map>
 #include <string>
 #include <utility>
 
 namespace tanagerhoist
 {
 
-/// In-memory row store on an injected clock, with simulated outages and lost
-/// answers.
+/// In-memory row store on an injected clock, with simulated outages, lost
+/// answers, and returns to an older copy.
 class fake_row_store : public row_store
 {
 public:
@@ -22,70 +22,30 @@
     {
         down = down || reads == reads_until_down;
         ++reads;
-        auto answer = begin();
-        for (const auto& [key, row] : rows_)
-        {
-            const bool asked = key.first == table && key.second >= from &&
-                               answer.result == store_result::done;
-            if (asked && answer.rows.size() == page_rows)
-            {
-                answer.truncated = true;
-            }
-            else if (asked)
-            {
-                answer.rows.push_back(row);
-            }
-        }
-        return answer;
+        return finish(down ? refused() : table_.read(table, from, page_rows));
     }
 
     store_answer write(const store_transaction& transaction) override
     {
-        auto answer = begin();
-        if (answer.result != store_result::done)
-        {
-            return answer;
-        }
-        for (const auto& expected : transaction.expected)
-        {
-            const auto it = rows_.find({expected.table, expected.key});
-            const auto version = it == rows_.end() ? 0 : it->second.version;
-            if (version != expected.version)
-            {
-                answer.result = store_result::conflict;
-                answer.rows.push_back(it == rows_.end() ? expected
-                                                        : it->second);
-                answer.rows.back().version = version;
-            }
-        }
-        if (answer.result == store_result::conflict)
-        {
-            return answer;
-        }
-        answer.version = ++version_;
-        for (const auto& put : transaction.puts)
-        {
-            auto& row = rows_[{put.table, put.key}];
-            row = put;
-            row.version = version_;
-        }
-        for (const auto& removed : transaction.removals)
-        {
-            rows_.erase({removed.table, removed.key});
-        }
-        if (std::exchange(lose_next_answer, false))
+        auto answer = finish(down ? refused() : table_.write(transaction));
+        if (answer.result == store_result::done &&
+            std::exchange(lose_next_answer, false))
         {
             answer.result = store_result::unanswered;
         }
         return answer;
     }
 
-    store_answer watch(const std::string& table, std::uint64_t,
+    store_answer watch(const std::string& table, std::uint64_t version,
                        milliseconds) override
     {
-        return read(table, "");
+        return finish(down ? refused() : table_.changes(table, version));
     }
 
+    /// Takes a copy that restore() returns to, with an era that rises by one.
+    void take_copy() { table_.take_copy(); }
+    void restore() { table_.restore(); }
+
     bool down = false;
     std::size_t page_rows = 500;
     int reads = 0;
@@ -93,19 +53,22 @@
     bool lose_next_answer = false;
 
 private:
-    store_answer begin() const
+    static store_answer refused()
     {
         store_answer answer;
-        answer.result = down ? store_result::refused : store_result::done;
-        answer.version = version_;
+        answer.result = store_result::refused;
+        return answer;
+    }
+
+    store_answer finish(store_answer answer) const
+    {
         answer.sent = now_;
         answer.now = milliseconds(to_ms(now_.time_since_epoch()));
         return answer;
     }
 
     moment& now_;
-    std::map<std::pair<std::string, std::string>, store_row> rows_;
-    std::uint64_t version_ = 0;
+    standin::row_table table_;
 };
 
 } // namespace tanagerhoist
