Log the store's era and versions where a restored store shows

Observability only. Lines that tell the hypotheses of the incident apart: store_older (a table was read at a lower version than known), the version and era in store_history_gone, row_conflict (each row of a failed renewal with the expected and the found version), version and era in duty_taken.

--- a/include/tanagerhoist/adapter/http_stream.hpp
+++ b/include/tanagerhoist/adapter/http_stream.hpp
@@ -38,6 +38,8 @@
     bool keep_alive = true;
     /// Additional headers of an outgoing request.
     std::vector<std::pair<std::string, std::string>> headers{};
+    /// Name of the response's header that the sender needs; empty: none.
+    std::string wanted_header{};
 };
 
 /// One HTTP response.
@@ -46,6 +48,7 @@
     unsigned status = 200;
     std::string content_type = "application/json";
     std::string body;
+    std::string header{}; ///< value of the wanted header, empty if absent
 };
 
 /// Server side of one HTTP/1.1 connection. `read` and `write` suspend the
--- a/include/tanagerhoist/fleet/row_store.hpp
+++ b/include/tanagerhoist/fleet/row_store.hpp
@@ -58,6 +58,7 @@
     store_result result = store_result::unanswered;
     std::vector<store_row> rows; ///< read, changed, or in conflict
     std::uint64_t version = 0; ///< newest transaction that the answer reflects
+    std::uint64_t era = 0;     ///< rises when the store comes back older
     milliseconds now{0};       ///< the store's clock
     moment sent{};             ///< when the call was sent
     bool truncated = false;    ///< the table has rows after the last one
--- a/src/adapter/http_stream.cpp
+++ b/src/adapter/http_stream.cpp
@@ -249,9 +249,14 @@
         return std::nullopt;
     }
     auto answer = parser.release();
+    std::string header;
+    if (!request.wanted_header.empty())
+    {
+        header = std::string(answer[request.wanted_header]);
+    }
     return http_answer{answer.result_int(),
                        std::string(answer[http::field::content_type]),
-                       std::move(answer.body())};
+                       std::move(answer.body()), std::move(header)};
 }
 
 std::optional<std::string> http_client_stream::post(const std::string& target,
--- a/src/fleet/coordinator_lease.cpp
+++ b/src/fleet/coordinator_lease.cpp
@@ -177,7 +177,9 @@
     held_until_ =
         answer.sent + coordinator_lease_duration - coordinator_lease_margin;
     lines_.write(log_level::change, "duty_taken",
-                 {{"token", std::to_string(row_.token())}});
+                 {{"token", std::to_string(row_.token())},
+                  {"version", std::to_string(version_)},
+                  {"era", std::to_string(answer.era)}});
 }
 
 void coordinator_lease::release(
--- a/tools/daemon/fleet_agent.hpp
+++ b/tools/daemon/fleet_agent.hpp
@@ -85,6 +85,7 @@
         bool refresh_requested = false; ///< read at once: a peer has newer rows
     };
     void follow_table(table_watch& watch);
+    void log_older_table(const table_watch& watch, const store_answer& answer);
     void request_refresh(table_watch& watch);
     store_answer poll_store(table_watch& watch, bool known, bool at_once);
     bool is_updated_by_coordinator(const table_watch& watch);
@@ -101,6 +102,8 @@
     void register_self();
     void maintain_primary_lease();
     bool write_member_row();
+    void log_conflicts(const store_transaction& change,
+                       const store_answer& answer);
     void apply_lead_row(const store_row& row);
     void read_members();
     void apply_members(const store_answer& answer);
--- a/tools/daemon/fleet_agent_members.cpp
+++ b/tools/daemon/fleet_agent_members.cpp
@@ -137,6 +137,7 @@
                   {"took_ms", std::to_string(to_ms(now_() - answer.sent))}});
     if (answer.result == store_result::conflict)
     {
+        log_conflicts(change, answer);
         for (const auto& current : answer.rows)
         {
             if (current.table == member_table)
@@ -149,6 +150,30 @@
     return false;
 }
 
+/// Logs which rows have another version than this VM knows.
+void fleet_agent::log_conflicts(const store_transaction& change,
+                                const store_answer& answer)
+{
+    for (const auto& current : answer.rows)
+    {
+        for (const auto& expected : change.expected)
+        {
+            const bool differs = expected.table == current.table &&
+                                 expected.key == current.key &&
+                                 expected.version != current.version;
+            if (differs)
+            {
+                lines_.write(log_level::change, "row_conflict",
+                             {{"table", current.table},
+                              {"key", current.key},
+                              {"expected", std::to_string(expected.version)},
+                              {"found", std::to_string(current.version)},
+                              {"era", std::to_string(answer.era)}});
+            }
+        }
+    }
+}
+
 /// Applies the row of a group's lead; other rows are ignored.
 void fleet_agent::apply_lead_row(const store_row& row)
 {
--- a/tools/daemon/fleet_agent_tables.cpp
+++ b/tools/daemon/fleet_agent_tables.cpp
@@ -84,6 +84,7 @@
             }
             lost = false;
             retry.reset();
+            log_older_table(watch, answer);
             watch.handle(watch.rows.apply(answer, !known));
             known = true;
             pause(answer.rows.empty() ? milliseconds(0) : batch_interval);
@@ -96,7 +97,9 @@
         if (answer.result == store_result::compacted)
         {
             lines_.write(log_level::change, "store_history_gone",
-                         {{"table", watch.table}});
+                         {{"table", watch.table},
+                          {"version", std::to_string(watch.rows.version())},
+                          {"era", std::to_string(answer.era)}});
             known = false;
             continue;
         }
@@ -111,6 +114,21 @@
     }
 }
 
+/// Logs that the store has come back older than this VM's copy of a table.
+void fleet_agent::log_older_table(const table_watch& watch,
+                                  const store_answer& answer)
+{
+    if (answer.version < watch.rows.version())
+    {
+        lines_.write(log_level::change, "store_older",
+                     {{"table", watch.table},
+                      {"era", std::to_string(answer.era)},
+                      {"version", std::to_string(answer.version)},
+                      {"known", std::to_string(watch.rows.version())},
+                      {"rows", std::to_string(answer.rows.size())}});
+    }
+}
+
 /// Makes a watch read at once, because a peer has seen newer rows.
 void fleet_agent::request_refresh(table_watch& watch)
 {
