Order the store's versions by its era

Cause: versions were compared as if they never went back. After the restore rows have lower versions than the copies in the VMs, which ignored them, and watches asked for versions that the store did not have, or skipped what was written again once its counter had caught up.

Change: era_row_store joins each version with its era (Store-Era), so that every comparison orders by era first; watches and conditional writes that name a version of an ended era return 'restored', and a table read across a restore fails. The rest of the code compares versions as before.

Leads, members and the coordinator lease follow: their rows are now seen, but are still believed when they are older.

--- a/include/tanagerhoist/fleet/row_store.hpp
+++ b/include/tanagerhoist/fleet/row_store.hpp
@@ -25,9 +25,12 @@
 enum class store_result
 {
     done,
-    conflict,   ///< a row had another version; nothing was written
-    refused,    ///< the store does not serve this VM now; nothing was written
-    compacted,  ///< the requested history has been discarded
+    conflict,  ///< a row had another version; nothing was written
+    refused,   ///< the store does not serve this VM now; nothing was written
+    compacted, ///< the requested history has been discarded
+    /// The store has come back older since the versions of the call were read.
+    /// A write has run, on conditions that meant other rows.
+    restored,
     unanswered, ///< the call may have run, or may still run
     malformed   ///< the answer could not be decoded
 };
@@ -45,6 +48,8 @@
         return "refused";
     case store_result::compacted:
         return "history gone";
+    case store_result::restored:
+        return "store restored";
     case store_result::unanswered:
         return "no answer";
     default:
--- a/src/fleet/table_read.cpp
+++ b/src/fleet/table_read.cpp
@@ -42,6 +42,11 @@
         {
             return page;
         }
+        if (page.era != whole.era)
+        {
+            whole.result = store_result::restored;
+            break;
+        }
         if (!append_page(whole, std::move(page)) && whole.truncated)
         {
             whole.result = store_result::malformed; // would loop forever
--- a/standin/row_table.cpp
+++ b/standin/row_table.cpp
@@ -8,6 +8,7 @@
     store_answer answer;
     answer.result = store_result::done;
     answer.version = current_.version;
+    answer.era = era_;
     return answer;
 }
 
--- a/tests/fake_row_store.hpp
+++ b/tests/fake_row_store.hpp
@@ -4,6 +4,7 @@
 #include "standin/row_table.hpp"
 #include "tanagerhoist/fleet/row_store.hpp"
 
+#include <functional>
 #include <string>
 #include <utility>
 
@@ -22,6 +23,10 @@
     {
         down = down || reads == reads_until_down;
         ++reads;
+        if (on_read)
+        {
+            on_read();
+        }
         return finish(down ? refused() : table_.read(table, from, page_rows));
     }
 
@@ -49,7 +54,8 @@
     bool down = false;
     std::size_t page_rows = 500;
     int reads = 0;
-    int reads_until_down = -1; ///< -1: unlimited
+    int reads_until_down = -1;     ///< -1: unlimited
+    std::function<void()> on_read; ///< called before each read
     bool lose_next_answer = false;
 
 private:
--- a/tools/daemon/fleet_agent.cpp
+++ b/tools/daemon/fleet_agent.cpp
@@ -68,21 +68,21 @@
       request_timer_(context),
       config_watch_{platform::operator_table, config_wait,
                     [this](const auto& rows) { apply_config_rows(rows); },
-                    make_client(), false},
+                    make_store(), false},
       server_watch_{platform::server_table, server_wait,
                     [this](const auto& rows) { apply_server_rows(rows); },
-                    make_client(), true},
-      lease_store_(make_client()),
-      lead_store_(make_client()),
-      member_store_(make_client()),
-      lease_(lease_store_, self_row(), now_, lines),
+                    make_store(), true},
+      lease_store_(make_store()),
+      lead_store_(make_store()),
+      member_store_(make_store()),
+      lease_(lease_store_.rows, self_row(), now_, lines),
       coordinator_(tolerance, settings.sessions().first_start() == "true")
 {
 }
 
-platform::store_client fleet_agent::make_client() const
+store_link fleet_agent::make_store() const
 {
-    return {context_, store_.address, store_.port, now_};
+    return {{context_, store_.address, store_.port, now_}};
 }
 
 proto::MemberRow fleet_agent::self_row() const
@@ -137,7 +137,7 @@
     store_transaction change;
     change.removals.push_back(
         {member_table, settings_.vm().name(), "", 0, false});
-    const auto answer = lead_store_.write(change);
+    const auto answer = lead_store_.rows.write(change);
     lines_.write(
         log_level::change, "left",
         {{"row_removed", answer.result == store_result::done ? "yes" : "no"}});
--- a/tools/daemon/fleet_agent.hpp
+++ b/tools/daemon/fleet_agent.hpp
@@ -9,6 +9,7 @@
 #include "tanagerhoist/fleet/backoff.hpp"
 #include "tanagerhoist/fleet/coordinator_lease.hpp"
 #include "tanagerhoist/fleet/coordinator_messages.hpp"
+#include "tanagerhoist/fleet/era_row_store.hpp"
 #include "tanagerhoist/fleet/failover_executor.hpp"
 #include "tanagerhoist/fleet/fleet_coordinator.hpp"
 #include "tanagerhoist/fleet/group_monitor.hpp"
@@ -42,6 +43,14 @@
 /// Splits "address:port"; the text must have passed the settings' checks.
 endpoint_setting split_endpoint(const std::string& text);
 
+/// A connection to the platform's store, with versions that never go back.
+/// Must not be used by two fibers at a time.
+struct store_link
+{
+    platform::store_client client;
+    era_row_store rows{client};
+};
+
 /// A VM's membership in the fleet: follows the store's tables, reports to the
 /// coordinator, and acts as coordinator while it holds the lease. Runs as
 /// fibers on one thread.
@@ -79,7 +88,7 @@
         const char* table;
         milliseconds holder_wait; ///< longest watch call of the coordinator
         row_handler handle;
-        platform::store_client client;
+        store_link store;
         bool updated_by_coordinator; ///< the coordinator sends changes
         table_cache rows{updated_by_coordinator};
         bool refresh_requested = false; ///< read at once: a peer has newer rows
@@ -152,7 +161,7 @@
     std::optional<server_role> query_server(const backend_server& server,
                                             const std::string& line);
 
-    platform::store_client make_client() const;
+    store_link make_store() const;
     proto::MemberRow self_row() const;
     static backoff store_backoff();
     void run_fiber(std::function<void()> body);
@@ -173,9 +182,9 @@
     boost::asio::steady_timer request_timer_;
     table_watch config_watch_;
     table_watch server_watch_;
-    platform::store_client lease_store_;
-    platform::store_client lead_store_;
-    platform::store_client member_store_;
+    store_link lease_store_;
+    store_link lead_store_;
+    store_link member_store_;
     coordinator_lease lease_;
     fleet_coordinator coordinator_;
     fleet_members members_;
--- a/tools/daemon/fleet_agent_coordinator.cpp
+++ b/tools/daemon/fleet_agent_coordinator.cpp
@@ -41,7 +41,7 @@
         if (holds && !was_coordinator_)
         {
             coordinator_.reset(lease_.former());
-            read_leads(lease_store_);
+            read_leads(lease_store_.rows);
             read_members();
             request_refresh(config_watch_);
             request_refresh(server_watch_);
@@ -159,12 +159,12 @@
     change.expected.push_back({fleet_table, key, "", version, false});
     change.puts.push_back(
         {fleet_table, key, lead.SerializeAsString(), 0, false});
-    auto store = make_client();
-    auto answer = store.write(change);
+    auto store = make_store();
+    auto answer = store.rows.write(change);
     if (answer.result == store_result::unanswered)
     {
         // Reading the row shows whether the write succeeded.
-        const auto read = store.read(fleet_table, key);
+        const auto read = store.rows.read(fleet_table, key);
         for (const auto& row : read.rows)
         {
             if (row.key == key && row.value == lead.SerializeAsString())
--- a/tools/daemon/fleet_agent_members.cpp
+++ b/tools/daemon/fleet_agent_members.cpp
@@ -56,11 +56,11 @@
 /// Reads the leads and members, so that this VM can register.
 void fleet_agent::register_self()
 {
-    if (!read_leads(member_store_))
+    if (!read_leads(member_store_.rows))
     {
         return; // the caller retries
     }
-    const auto members = read_table(member_store_, member_table);
+    const auto members = read_table(member_store_.rows, member_table);
     if (members.result != store_result::done)
     {
         return;
@@ -117,7 +117,7 @@
     }
     change.puts.push_back(
         {member_table, row.vm(), row.SerializeAsString(), 0, false});
-    const auto answer = member_store_.write(change);
+    const auto answer = member_store_.rows.write(change);
     if (answer.result == store_result::done)
     {
         if (!registered_)
@@ -210,8 +210,8 @@
     run_fiber(
         [this]
         {
-            auto store = make_client();
-            const auto answer = read_table(store, member_table);
+            auto store = make_store();
+            const auto answer = read_table(store.rows, member_table);
             if (answer.result == store_result::done)
             {
                 apply_members(answer);
@@ -259,7 +259,7 @@
         change.expected.push_back(
             {member_table, vm, "", members_.rows.at(vm).version, false});
         change.removals.push_back({member_table, vm, "", 0, false});
-        const auto answer = lead_store_.write(change);
+        const auto answer = lead_store_.rows.write(change);
         const bool done = answer.result == store_result::done;
         lines_.write(log_level::change, "vm_removed",
                      {{"gone", vm}, {"done", done ? "yes" : "no"}});
--- a/tools/daemon/fleet_agent_tables.cpp
+++ b/tools/daemon/fleet_agent_tables.cpp
@@ -39,11 +39,11 @@
 {
     if (!known)
     {
-        return read_table(watch.client, watch.table);
+        return read_table(watch.store.rows, watch.table);
     }
     const auto wait = is_coordinator() ? watch.holder_wait : member_watch_wait;
-    return watch.client.watch(watch.table, watch.rows.version(),
-                              at_once ? milliseconds(0) : wait);
+    return watch.store.rows.watch(watch.table, watch.rows.version(),
+                                  at_once ? milliseconds(0) : wait);
 }
 
 /// Whether the coordinator currently sends the table's changes to this VM.
@@ -94,7 +94,8 @@
         {
             continue; // cancelled by request_refresh()
         }
-        if (answer.result == store_result::compacted)
+        if (answer.result == store_result::compacted ||
+            answer.result == store_result::restored)
         {
             lines_.write(log_level::change, "store_history_gone",
                          {{"table", watch.table},
@@ -135,7 +136,7 @@
     if (!watch.refresh_requested)
     {
         watch.refresh_requested = true;
-        watch.client.cancel();
+        watch.store.client.cancel();
     }
 }
 
