Hold the coordinator lease across a store that comes back older

What callers could see: two coordinators with one fencing token, or a workspace over its limit.

Cause: the row's holder, token, lease end and balances were believed although the store had come back older than they.

Change: a token holds the store's era in its upper bits, so no token is given out twice. A row whose token is of an ended era is not believed: the holder goes on with its claim and a new token, the last holder takes the lease back at once if the era ended during its claim, everybody else waits until all lost claims must be over; balances of such a row are not granted. The row says since when its era is known (era_since_ms).

--- a/include/tanagerhoist/fleet/coordinator_lease.hpp
+++ b/include/tanagerhoist/fleet/coordinator_lease.hpp
@@ -5,6 +5,7 @@
 #include "tanagerhoist/core/structured_log.hpp"
 #include "tanagerhoist/core/time.hpp"
 #include "tanagerhoist/fleet/row_store.hpp"
+#include "tanagerhoist/fleet/store_era.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -31,7 +32,9 @@
 /// One VM's client for the coordinator lease, which at most one VM holds at a
 /// time. The row in the store (table "duty") contains the holder, its fencing
 /// token and the store's time of the last renewal. If a write is not answered,
-/// its outcome is found by reading the row.
+/// its outcome is found by reading the row. If the store comes back from an
+/// older copy, the holder goes on with a new token; other VMs leave the lease
+/// alone until the claims of holders that the copy does not name are over.
 class coordinator_lease
 {
 public:
@@ -68,9 +71,17 @@
 private:
     bool renew();
     void read_lease(milliseconds takeover_delay);
-    void acquire(const store_answer& read, std::uint64_t version);
-    bool apply_row(const store_answer& answer);
-    bool is_own() const;
+    void resolve_conflict(const store_answer& answer);
+    void acquire(const store_answer& read, const proto::DutyRow& former);
+    std::optional<proto::DutyRow> find_row(const store_answer& answer);
+    proto::DutyRow renewed_row() const;
+    proto::DutyRow lost_row() const;
+    bool is_own(const proto::DutyRow& row) const;
+    bool is_from_copy(const proto::DutyRow& row) const;
+    bool is_restored() const;
+    moment former_claims_end() const;
+    void extend_claim(moment sent);
+    void note_answer(const store_answer& answer);
     store_answer write(const proto::DutyRow& row, std::uint64_t version);
     milliseconds store_now() const;
     void mark_lost(const char* cause);
@@ -83,11 +94,15 @@
     proto::DutyRow former_;
     std::uint64_t version_ = 0;
     moment held_until_{};
+    moment claim_end_{}; ///< others may take the lease from then on
     bool holding_ = false;
     /// When the row was first missing.
     std::optional<moment> row_missing_since_;
-    milliseconds store_clock_{0}; ///< in the newest answer
-    moment store_clock_at_{};     ///< when that call was sent
+    milliseconds store_clock_{0};   ///< in the newest answer
+    moment store_clock_at_{};       ///< when that call was sent
+    store_era era_ = 0;             ///< of the newest answer
+    moment era_seen_{};             ///< when the first answer of that era came
+    std::uint64_t era_seen_ms_ = 0; ///< the same on the store's clock
 };
 
 } // namespace tanagerhoist
--- a/include/tanagerhoist/fleet/store_era.hpp
+++ b/include/tanagerhoist/fleet/store_era.hpp
@@ -12,6 +12,9 @@
 /// again; so a version means something only together with its era.
 using store_era = std::uint64_t;
 
+/// Era of a store that has never come back older.
+constexpr store_era first_store_era = 1;
+
 /// Bits of a number below its era.
 constexpr unsigned numbers_per_era_bits = 40;
 
--- a/src/fleet/coordinator_lease.cpp
+++ b/src/fleet/coordinator_lease.cpp
@@ -1,5 +1,7 @@
 #include "tanagerhoist/fleet/coordinator_lease.hpp"
 
+#include "tanagerhoist/fleet/store_era.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -19,9 +21,22 @@
 {
 }
 
-bool coordinator_lease::is_own() const
+bool coordinator_lease::is_own(const proto::DutyRow& row) const
+{
+    return row.holder() == self_.vm() && row.life() == self_.life();
+}
+
+/// Whether the row was written before the store came back older, so that a
+/// later holder may have been lost with the rest.
+bool coordinator_lease::is_from_copy(const proto::DutyRow& row) const
+{
+    return era_of(row.token()) < era_;
+}
+
+/// Whether the store has come back older at least once.
+bool coordinator_lease::is_restored() const
 {
-    return row_.holder() == self_.vm() && row_.life() == self_.life();
+    return era_ > first_store_era;
 }
 
 /// Upper bound of the store's clock at this moment.
@@ -30,6 +45,13 @@
     return store_clock_ + milliseconds(to_ms(now_() - store_clock_at_) + 1);
 }
 
+/// Notes that the row was written by a call sent at this moment.
+void coordinator_lease::extend_claim(moment sent)
+{
+    claim_end_ = sent + coordinator_lease_duration;
+    held_until_ = claim_end_ - coordinator_lease_margin;
+}
+
 bool coordinator_lease::update(moment last_contact, milliseconds takeover_delay)
 {
     if (holding_ && !holds(now_()))
@@ -64,46 +86,75 @@
         {lease_table, lease_key, row.SerializeAsString(), 0, false});
     auto answer = store_.write(change);
     if (answer.result == store_result::done ||
-        answer.result == store_result::conflict)
+        answer.result == store_result::conflict ||
+        answer.result == store_result::restored)
     {
-        store_clock_ = answer.now;
-        store_clock_at_ = answer.sent;
+        note_answer(answer);
     }
     return answer;
 }
 
-/// Applies the lease row from a read or a conflict.
-/// @return false if the row is missing or can't be decoded
-bool coordinator_lease::apply_row(const store_answer& answer)
+/// Notes the store's clock and era.
+void coordinator_lease::note_answer(const store_answer& answer)
 {
+    store_clock_ = answer.now;
+    store_clock_at_ = answer.sent;
+    if (answer.era > era_)
+    {
+        era_ = answer.era;
+        era_seen_ = now_();
+        era_seen_ms_ = static_cast<std::uint64_t>(answer.now.count());
+    }
+}
+
+/// Finds the lease row in a read or a conflict, and notes its version.
+/// @return nothing if the row is missing or can't be decoded
+std::optional<proto::DutyRow>
+coordinator_lease::find_row(const store_answer& answer)
+{
+    version_ = 0;
     for (const auto& row : answer.rows)
     {
         if (row.key == lease_key && row.table == lease_table &&
             row.version != 0)
         {
             version_ = row.version;
-            if (row_.ParseFromString(row.value))
+            proto::DutyRow found;
+            if (found.ParseFromString(row.value))
             {
-                return true;
+                return found;
             }
             lines_.write(log_level::change, "row_unreadable",
                          {{"table", lease_table}, {"key", lease_key}});
         }
     }
-    return false;
+    return std::nullopt;
 }
 
-bool coordinator_lease::renew()
+/// The row with which this VM goes on as holder. In a new era it gets a new
+/// token, as those of the copy are given out again.
+proto::DutyRow coordinator_lease::renewed_row() const
 {
     auto renewed = row_;
     renewed.set_renewed_ms(static_cast<std::uint64_t>(store_now().count()));
+    if (is_from_copy(renewed))
+    {
+        renewed.set_token(next_number(renewed.token(), era_));
+        renewed.set_era_since_ms(era_seen_ms_);
+    }
+    return renewed;
+}
+
+bool coordinator_lease::renew()
+{
+    const auto renewed = renewed_row();
     const auto answer = write(renewed, version_);
-    if (answer.result == store_result::done)
+    if (answer.result == store_result::done &&
+        answer.era == era_of(renewed.token()))
     {
         row_ = renewed;
         version_ = answer.version;
-        held_until_ =
-            answer.sent + coordinator_lease_duration - coordinator_lease_margin;
+        extend_claim(answer.sent);
         return true;
     }
     lines_.write(log_level::change, "duty_not_renewed",
@@ -112,16 +163,39 @@
                   {"took_ms", std::to_string(to_ms(now_() - answer.sent))}});
     if (answer.result == store_result::conflict)
     {
-        // If the conflict is with an earlier renewal whose answer was lost,
-        // this VM still holds the lease.
-        if (!apply_row(answer) || !is_own())
-        {
-            mark_lost("another VM holds it");
-        }
+        resolve_conflict(answer);
+    }
+    else if (answer.result == store_result::done ||
+             answer.result == store_result::restored)
+    {
+        version_ = answer.version; // written in an era that it does not name
     }
     return false;
 }
 
+/// This VM still holds the lease if the conflict is with an earlier renewal
+/// whose answer was lost, or with a row of the copy that the store came back
+/// from: nobody else takes the lease until this VM's claim is over.
+void coordinator_lease::resolve_conflict(const store_answer& answer)
+{
+    const auto found = find_row(answer);
+    const bool lost_by_restore =
+        is_from_copy(row_) &&
+        (version_ == 0 || (found && is_from_copy(*found)));
+    if (lost_by_restore)
+    {
+        return;
+    }
+    if (found)
+    {
+        row_ = *found;
+    }
+    if (!found || !is_own(*found))
+    {
+        mark_lost("another VM holds it");
+    }
+}
+
 void coordinator_lease::read_lease(milliseconds takeover_delay)
 {
     const auto answer = store_.read(lease_table, "");
@@ -129,53 +203,84 @@
     {
         return;
     }
-    store_clock_ = answer.now;
-    store_clock_at_ = answer.sent;
-    if (!apply_row(answer))
+    note_answer(answer);
+    const auto found = find_row(answer);
+    if (found ? is_from_copy(*found) : is_restored())
+    {
+        if (now_() >= former_claims_end() + takeover_delay)
+        {
+            acquire(answer, lost_row());
+        }
+        return;
+    }
+    if (!found)
     {
         row_missing_since_ = row_missing_since_.value_or(now_());
         if (now_() >= *row_missing_since_ + takeover_delay)
         {
-            acquire(answer, answer.rows.empty() ? 0 : version_);
+            acquire(answer, row_);
         }
         return;
     }
+    row_ = *found;
     const auto until = milliseconds(row_.renewed_ms() + row_.lease_ms());
     const bool own_name = row_.holder() == self_.vm();
     const bool released = row_.lease_ms() == 0 && takeover_delay.count() == 0;
     if (own_name || released || answer.now >= until + takeover_delay)
     {
-        acquire(answer, version_);
+        acquire(answer, row_);
     }
 }
 
-void coordinator_lease::acquire(const store_answer& read, std::uint64_t version)
+/// When the claims of all holders from before the store came back older are
+/// over. If that was during this VM's own claim, there was no later holder.
+moment coordinator_lease::former_claims_end() const
+{
+    return era_seen_ < claim_end_ ? era_seen_
+                                  : era_seen_ + coordinator_lease_duration;
+}
+
+/// Stands for the row of a holder that the store has lost: it has no balances,
+/// and no token above those of the current era.
+proto::DutyRow coordinator_lease::lost_row() const
+{
+    proto::DutyRow row;
+    row.set_token(numbered_in(era_, 0));
+    row.set_era_since_ms(era_seen_ms_);
+    return row;
+}
+
+/// Writes this VM as the holder, over the row that was just read.
+/// @param former the row of the previous holder
+void coordinator_lease::acquire(const store_answer& read,
+                                const proto::DutyRow& former)
 {
     proto::DutyRow taken;
     taken.set_holder(self_.vm());
     taken.set_life(self_.life());
-    taken.set_token(row_.token() + (is_own() ? 0 : 1));
+    taken.set_token(is_own(former) ? former.token()
+                                   : next_number(former.token(), era_));
+    taken.set_era_since_ms(former.era_since_ms());
     taken.set_renewed_ms(static_cast<std::uint64_t>(read.now.count()));
     taken.set_lease_ms(
         static_cast<std::uint64_t>(coordinator_lease_duration.count()));
     taken.set_address(self_.address());
     taken.set_peer_port(self_.peer_port());
-    const auto answer = write(taken, version);
+    const auto answer = write(taken, version_);
     if (answer.result == store_result::conflict)
     {
-        apply_row(answer);
+        row_ = find_row(answer).value_or(row_);
         return;
     }
-    if (answer.result != store_result::done)
+    if (answer.result != store_result::done || answer.era != read.era)
     {
         return; // the next update reads the outcome
     }
-    former_ = row_;
+    former_ = former;
     row_ = taken;
     version_ = answer.version;
     holding_ = true;
-    held_until_ =
-        answer.sent + coordinator_lease_duration - coordinator_lease_margin;
+    extend_claim(answer.sent);
     lines_.write(log_level::change, "duty_taken",
                  {{"token", std::to_string(row_.token())},
                   {"version", std::to_string(version_)},
--- a/tests/coordinator_lease_test.cpp
+++ b/tests/coordinator_lease_test.cpp
@@ -1,6 +1,7 @@
 #include "fake_row_store.hpp"
 #include "proxy_fixture.hpp"
 #include "tanagerhoist/fleet/coordinator_lease.hpp"
+#include "tanagerhoist/fleet/era_row_store.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -20,7 +21,8 @@
 struct two_vms
 {
     moment now{std::chrono::hours(1)};
-    fake_row_store store{now};
+    fake_row_store plain{now};
+    era_row_store store{plain};
     null_log lines;
     coordinator_lease a{store, member("a", 1), [this] { return now; }, lines};
     coordinator_lease b{store, member("b", 2), [this] { return now; }, lines};
@@ -43,6 +45,14 @@
     CPPUNIT_TEST(lost_answer_of_renewal_is_resolved_by_row);
     CPPUNIT_TEST(lost_answer_of_acquisition_is_resolved_by_row);
     CPPUNIT_TEST(released_lease_is_acquired_at_once_with_balance);
+    CPPUNIT_TEST(token_lost_with_the_store_is_not_given_out_again);
+    CPPUNIT_TEST(holder_keeps_lease_when_the_store_comes_back_older);
+    CPPUNIT_TEST(holder_keeps_lease_when_its_row_is_lost);
+    CPPUNIT_TEST(lease_of_older_copy_is_left_until_lost_claims_are_over);
+    CPPUNIT_TEST(last_holder_takes_lease_of_older_copy_at_once);
+    CPPUNIT_TEST(started_vm_leaves_missing_row_of_restored_store);
+    CPPUNIT_TEST(balances_of_older_copy_are_not_granted_again);
+    CPPUNIT_TEST(renewal_answered_by_restored_store_is_repeated);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -122,7 +132,7 @@
     {
         two_vms f;
         f.a.update(f.never);
-        f.store.down = true;
+        f.plain.down = true;
         f.now += coordinator_lease_duration - coordinator_lease_margin;
         f.a.update(f.never);
         CPPUNIT_ASSERT(!f.a.holds(f.now));
@@ -145,7 +155,7 @@
         two_vms f;
         f.a.update(f.never);
         f.now += coordinator_lease_renewal;
-        f.store.lose_next_answer = true;
+        f.plain.lose_next_answer = true;
         f.a.update(f.never); // written, but the answer is lost
         f.now += milliseconds(300);
         f.a.update(f.never); // conflicts with its own write
@@ -157,7 +167,7 @@
     void lost_answer_of_acquisition_is_resolved_by_row()
     {
         two_vms f;
-        f.store.lose_next_answer = true;
+        f.plain.lose_next_answer = true;
         f.a.update(f.never);
         CPPUNIT_ASSERT(!f.a.holds(f.now));
         f.a.update(f.never);
@@ -181,6 +191,138 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{7},
                              f.b.former().left(0).operations());
     }
+
+    void token_lost_with_the_store_is_not_given_out_again()
+    {
+        two_vms f;
+        f.a.update(f.never);
+        f.plain.take_copy();
+        f.now += coordinator_lease_duration;
+        f.b.update(f.never);
+        const auto lost = f.b.row().token();
+        f.plain.restore();
+        f.now += coordinator_lease_duration * 2;
+        coordinator_lease started(
+            f.store, member("c", 3), [&f] { return f.now; }, f.lines);
+        started.update(f.never);
+        f.now += coordinator_lease_duration;
+        started.update(f.never);
+        CPPUNIT_ASSERT(started.holds(f.now));
+        CPPUNIT_ASSERT(started.row().token() > lost);
+    }
+
+    void holder_keeps_lease_when_the_store_comes_back_older()
+    {
+        two_vms f;
+        f.a.update(f.never);
+        f.plain.take_copy();
+        f.now += coordinator_lease_duration;
+        f.b.update(f.never);
+        const auto token = f.b.row().token();
+        f.plain.restore();
+        f.now += coordinator_lease_renewal;
+        for (int i = 0; i < 5; ++i)
+        {
+            f.a.update(f.never); // its own name stands in the copy
+            f.b.update(f.never);
+            CPPUNIT_ASSERT(!f.a.holds(f.now));
+            CPPUNIT_ASSERT(f.b.holds(f.now));
+            f.now += coordinator_lease_renewal;
+        }
+        CPPUNIT_ASSERT(f.b.row().token() > token);
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), f.a.row().holder());
+    }
+
+    void holder_keeps_lease_when_its_row_is_lost()
+    {
+        two_vms f;
+        f.a.update(f.never);
+        f.plain.restore();
+        f.now += coordinator_lease_renewal;
+        f.a.update(f.never);
+        f.a.update(f.never);
+        f.now += coordinator_lease_renewal * 2;
+        CPPUNIT_ASSERT(f.a.holds(f.now));
+        f.b.update(f.never);
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), f.b.row().holder());
+    }
+
+    void lease_of_older_copy_is_left_until_lost_claims_are_over()
+    {
+        two_vms f;
+        f.a.update(f.never);
+        f.plain.take_copy();
+        f.now += coordinator_lease_duration * 2;
+        f.plain.restore(); // a lost holder may have acquired it just before
+        f.b.update(f.never);
+        f.now += coordinator_lease_duration - milliseconds(1);
+        f.b.update(f.never);
+        CPPUNIT_ASSERT(!f.b.holds(f.now));
+        f.now += milliseconds(1);
+        f.b.update(f.never);
+        CPPUNIT_ASSERT(f.b.holds(f.now));
+        CPPUNIT_ASSERT(f.b.row().era_since_ms() != 0);
+    }
+
+    void last_holder_takes_lease_of_older_copy_at_once()
+    {
+        two_vms f;
+        f.a.update(f.never);
+        f.plain.take_copy();
+        f.plain.restore();
+        f.now += coordinator_lease_duration - coordinator_lease_margin;
+        CPPUNIT_ASSERT(!f.a.holds(f.now)); // the store was away for too long
+        f.a.update(f.never);
+        CPPUNIT_ASSERT(f.a.holds(f.now));
+    }
+
+    void started_vm_leaves_missing_row_of_restored_store()
+    {
+        two_vms f;
+        f.a.update(f.never);
+        f.plain.restore();
+        f.b.update(f.never);
+        f.now += coordinator_lease_duration - milliseconds(1);
+        f.b.update(f.never);
+        CPPUNIT_ASSERT(!f.b.holds(f.now));
+        f.now += milliseconds(1);
+        f.b.update(f.never);
+        CPPUNIT_ASSERT(f.b.holds(f.now));
+    }
+
+    void balances_of_older_copy_are_not_granted_again()
+    {
+        two_vms f;
+        f.a.update(f.never);
+        proto::WorkspaceBalance balance;
+        balance.set_workspace("w");
+        balance.set_operations(7);
+        f.a.release({balance});
+        f.plain.take_copy();
+        f.plain.restore();
+        f.b.update(f.never);
+        CPPUNIT_ASSERT(!f.b.holds(f.now)); // a lost holder may have them
+        f.now += coordinator_lease_duration;
+        f.b.update(f.never);
+        CPPUNIT_ASSERT(f.b.holds(f.now));
+        CPPUNIT_ASSERT_EQUAL(0, f.b.former().left_size());
+        CPPUNIT_ASSERT(f.b.former().token() != 0); // not the first start
+    }
+
+    void renewal_answered_by_restored_store_is_repeated()
+    {
+        two_vms f;
+        f.a.update(f.never);
+        f.plain.take_copy();
+        f.plain.restore(); // the row has the version that a knows
+        f.now += coordinator_lease_renewal;
+        CPPUNIT_ASSERT(!f.a.update(f.never));
+        CPPUNIT_ASSERT(f.a.update(f.never));
+        f.now += coordinator_lease_renewal * 2;
+        CPPUNIT_ASSERT(f.a.holds(f.now));
+        f.b.update(f.never);
+        CPPUNIT_ASSERT_EQUAL(f.a.row().token(), f.b.row().token());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(coordinator_lease_test);
