Count on leases that a store which came back older doesn't show

What callers saw: two of seven VMs served nothing from 24.2 s on. What could have been worse: a failover that takes such a VM, or one whose row is lost, for gone, and promotes while it uses the old primary.

Cause: a VM's row was believed to show its newest renewal, and a VM without a row to hold no lease.

Change: fleet_members knows until when the rows are incomplete (the longest lease after the restore was seen).

--- a/include/tanagerhoist/fleet/fleet_coordinator.hpp
+++ b/include/tanagerhoist/fleet/fleet_coordinator.hpp
@@ -4,6 +4,7 @@
 #include "fleet.pb.h"
 #include "tanagerhoist/core/time.hpp"
 #include "tanagerhoist/decision/token_bucket.hpp"
+#include "tanagerhoist/fleet/fleet_members.hpp"
 #include "tanagerhoist/session/log_position.hpp"
 #include "tanagerhoist/session/session_settings.hpp"
 #include "tanagerhoist/session/workspace_limits.hpp"
@@ -16,21 +17,6 @@
 namespace tanagerhoist
 {
 
-/// A VM's row as the store has it.
-struct fleet_member
-{
-    proto::MemberRow row;
-    std::uint64_t version = 0; ///< of the row
-};
-
-/// Rows of all registered VMs, and when they were read.
-struct fleet_members
-{
-    std::map<std::string, fleet_member> rows; ///< by VM
-    milliseconds store_now{0}; ///< lower bound of the store's clock
-    moment read_at{};          ///< when the read was sent
-};
-
 /// State of the coordinator, built from the reports of all VMs: which
 /// primaries are unreachable, which VMs have acknowledged the seal of a
 /// primary, and how many operations of each workspace's rate each VM may admit.
@@ -76,7 +62,8 @@
 
     /// Whether no VM uses the sealed primary any more: each has acknowledged
     /// the seal, or its primary lease has expired. If not, records until when
-    /// silent VMs may use it, for add_seal_waits().
+    /// silent VMs may use it, for add_seal_waits(). While the rows of the VMs
+    /// are incomplete, all leases from before must have expired.
     /// @param seal_version version of the group's row that sealed the primary
     /// @param sealed when that row was written
     bool is_primary_unused(moment now, const proto::GroupLead& lead,
--- a/src/fleet/fleet_coordinator.cpp
+++ b/src/fleet/fleet_coordinator.cpp
@@ -240,6 +240,12 @@
     {
         return true; // every lease from before the seal has expired
     }
+    if (now < members.incomplete_until)
+    {
+        seal_waits_[lead.group()] =
+            std::min(members.incomplete_until, leases_end);
+        return false;
+    }
     if (members.read_at < sealed)
     {
         return false; // a VM may have registered between the read and the seal
@@ -274,6 +280,10 @@
 fleet_coordinator::expired_vms(moment now, const fleet_members& members) const
 {
     std::vector<std::string> found;
+    if (now < members.incomplete_until)
+    {
+        return found; // a row may be older than the lease of its VM
+    }
     for (const auto& [vm, member] : members.rows)
     {
         if (!is_reporting(now, vm) &&
--- a/tests/fleet_coordinator_test.cpp
+++ b/tests/fleet_coordinator_test.cpp
@@ -71,6 +71,8 @@
     CPPUNIT_TEST(seal_needs_members_read_after_it);
     CPPUNIT_TEST(acknowledgement_of_earlier_process_is_ignored);
     CPPUNIT_TEST(vm_registered_after_the_seal_knows_of_it);
+    CPPUNIT_TEST(seal_waits_for_leases_that_the_store_has_lost);
+    CPPUNIT_TEST(running_vm_with_older_row_is_not_removed);
     CPPUNIT_TEST(grants_never_exceed_the_limit_of_a_window);
     CPPUNIT_TEST(empty_account_below_limit_is_not_exhausted);
     CPPUNIT_TEST(repeated_request_is_granted_once);
@@ -355,6 +357,30 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, given.Get(0).operations());
         CPPUNIT_ASSERT(!given.Get(0).exhausted());
     }
+
+    void seal_waits_for_leases_that_the_store_has_lost()
+    {
+        coordinator_fixture f;
+        f.members.incomplete_until = f.now + std::chrono::seconds(9);
+        const auto begun = f.now;
+        CPPUNIT_ASSERT(!f.sealed(begun)); // no row, but perhaps a lease
+        proto::FleetView view;
+        f.subject.add_seal_waits(f.now, view);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{9000}, view.seal_waits(0).wait_ms());
+        f.now += std::chrono::seconds(9);
+        CPPUNIT_ASSERT(f.sealed(begun));
+    }
+
+    void running_vm_with_older_row_is_not_removed()
+    {
+        coordinator_fixture f;
+        f.add_member("a", 1, milliseconds(0)); // written 100 s ago
+        f.members.incomplete_until = f.now + milliseconds(1);
+        CPPUNIT_ASSERT(f.subject.expired_vms(f.now, f.members).empty());
+        f.now += milliseconds(1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             f.subject.expired_vms(f.now, f.members).size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(fleet_coordinator_test);
