Confirm leads after the store came back older, before leases are renewed on them

What callers saw: with a primary crash before the restore nothing was served from 24.2 s on, 13 s after the last renewal, for good.

Cause: the renewal took the store's rows for never older than what the VM knows. Taking over the older version alone would have been worse: a VM that had missed a seal could have renewed on the row from before it, and used the old primary beside the promoted one.

Ruled out: the servers (the promoted primary served on), the coordinator (it had its lease again at 17.58 s).

Change: lead_table keeps leads and the versions of their rows apart; a known lead never goes back. Epochs hold the store's era, so none is given out twice. A lead is confirmed once it is written in the present era; until then no renewal counts. The coordinator, 0.6 s after it took the lease, writes each lead anew, with what VMs report that knew newer ones, and as sealed if the servers show a primary of a later term; a failover that runs across the restore ends and is begun again; a first lead names the primary of the latest term. VMs register anew as soon as the leads are confirmed. From here on the agent sets how long members are incomplete, and finds its own row removed.

Tests: lead_table_test, five cases of failover_executor_test. The functions are new, so they could not be run on the former code.

--- a/include/tanagerhoist/fleet/failover_executor.hpp
+++ b/include/tanagerhoist/fleet/failover_executor.hpp
@@ -4,6 +4,7 @@
 #include "fleet.pb.h"
 #include "tanagerhoist/core/structured_log.hpp"
 #include "tanagerhoist/core/time.hpp"
+#include "tanagerhoist/fleet/lead_table.hpp"
 #include "tanagerhoist/fleet/promotion_request.hpp"
 #include "tanagerhoist/fleet/row_store.hpp"
 #include "tanagerhoist/session/backend_server.hpp"
@@ -40,6 +41,9 @@
     /// call.
     virtual bool is_coordinator() = 0;
 
+    /// Present era of the store.
+    virtual store_era era() = 0;
+
     /// Writes the group's row if it still has `version`.
     virtual store_answer write_lead(const proto::GroupLead& lead,
                                     std::uint64_t version) = 0;
@@ -68,13 +72,6 @@
                                                const std::string& server) = 0;
 };
 
-/// A group's row in the store and its version.
-struct group_lead_row
-{
-    proto::GroupLead lead;
-    std::uint64_t version = 0;
-};
-
 /// Replaces a group's primary: seals the old primary for all VMs, waits until
 /// no VM uses it, requests the promotion of the most up-to-date server and
 /// publishes the result to all VMs. Another VM can resume after any step from
@@ -92,10 +89,17 @@
     std::optional<group_lead_row> change_primary(group_lead_row row,
                                                  bool planned);
 
+    /// Writes a lead that is from before the store came back older anew. If the
+    /// servers show a primary of a later term, whose lead is lost, it is
+    /// written as sealed, to be replaced.
+    std::optional<group_lead_row> confirm_lead(group_lead_row row);
+
     /// Writes the first row of a group from the roles that its servers report.
     std::optional<group_lead_row> create_lead(const std::string& group);
 
 private:
+    std::uint64_t next_epoch(const proto::GroupLead& lead);
+    bool has_later_primary(const proto::GroupLead& lead);
     bool seal(group_lead_row& row);
     bool write(group_lead_row& row, const proto::GroupLead& lead);
     bool wait_until_unused(const group_lead_row& row, moment sealed);
--- a/include/tanagerhoist/fleet/group_monitor.hpp
+++ b/include/tanagerhoist/fleet/group_monitor.hpp
@@ -32,6 +32,11 @@
                              const proto::GroupLead* lead,
                              const server_list& servers, bool unreachable);
 
+    bool is_running(const std::string& group) const
+    {
+        return running_.count(group) != 0;
+    }
+
     /// Notes that an operation on the group begins or ends.
     void operation_begun(const std::string& group) { running_.insert(group); }
     void operation_ended(const std::string& group);
--- a/src/fleet/failover_executor.cpp
+++ b/src/fleet/failover_executor.cpp
@@ -60,10 +60,15 @@
     return true;
 }
 
+std::uint64_t failover_executor::next_epoch(const proto::GroupLead& lead)
+{
+    return next_number(lead.epoch(), port_.era());
+}
+
 bool failover_executor::seal(group_lead_row& row)
 {
     auto sealed = row.lead;
-    sealed.set_epoch(sealed.epoch() + 1);
+    sealed.set_epoch(next_epoch(row.lead));
     sealed.set_sealed(true);
     return write(row, sealed);
 }
@@ -115,7 +120,8 @@
 {
     while (!port_.is_primary_unused(row.lead, row.version, sealed))
     {
-        if (!port_.is_coordinator())
+        const bool lost = era_of(row.version) < port_.era();
+        if (lost || !port_.is_coordinator())
         {
             return false;
         }
@@ -283,7 +289,7 @@
     group_lead_row row, const backend_server& server, const server_role& role)
 {
     auto lead = row.lead;
-    lead.set_epoch(lead.epoch() + 1);
+    lead.set_epoch(next_epoch(row.lead));
     lead.set_sealed(false);
     lead.set_primary(server.id);
     lead.set_term(role.term);
@@ -296,9 +302,43 @@
     return row;
 }
 
+/// Whether a server that is not the lead's primary is primary of a later term.
+bool failover_executor::has_later_primary(const proto::GroupLead& lead)
+{
+    const auto servers = port_.servers(lead.group());
+    return std::any_of(servers.begin(), servers.end(),
+                       [this, &lead](const backend_server& server)
+                       {
+                           const auto role = port_.role(server);
+                           return role && role->primary &&
+                                  server.id != lead.primary() &&
+                                  role->term > lead.term();
+                       });
+}
+
+std::optional<group_lead_row>
+failover_executor::confirm_lead(group_lead_row row)
+{
+    auto confirmed = row.lead;
+    confirmed.set_sealed(row.lead.sealed() || has_later_primary(row.lead));
+    confirmed.set_epoch(next_epoch(row.lead));
+    if (!write(row, confirmed))
+    {
+        return std::nullopt;
+    }
+    lines_.write(log_level::change, "lead_confirmed",
+                 {{"group", confirmed.group()},
+                  {"server", confirmed.primary()},
+                  {"epoch", std::to_string(confirmed.epoch())},
+                  {"sealed", confirmed.sealed() ? "yes" : "no"}});
+    return row;
+}
+
 std::optional<group_lead_row>
 failover_executor::create_lead(const std::string& group)
 {
+    proto::GroupLead lead;
+    lead.set_group(group);
     for (const auto& server : port_.servers(group))
     {
         if (!server.claims_primary)
@@ -306,22 +346,22 @@
             continue;
         }
         const auto role = port_.role(server);
-        if (!role || !role->primary)
-        {
-            continue;
-        }
-        group_lead_row row;
-        proto::GroupLead lead;
-        lead.set_group(group);
-        lead.set_epoch(1);
-        lead.set_primary(server.id);
-        lead.set_term(role->term);
-        if (write(row, lead))
+        const bool latest =
+            role && role->primary &&
+            (lead.primary().empty() || role->term > lead.term());
+        if (latest)
         {
-            return row;
+            lead.set_primary(server.id);
+            lead.set_term(role->term);
         }
     }
-    return std::nullopt;
+    lead.set_epoch(next_epoch(lead));
+    group_lead_row row;
+    if (lead.primary().empty() || !write(row, lead))
+    {
+        return std::nullopt;
+    }
+    return row;
 }
 
 } // namespace tanagerhoist
--- a/src/fleet/group_monitor.cpp
+++ b/src/fleet/group_monitor.cpp
@@ -18,7 +18,7 @@
                                         const server_list& servers,
                                         bool unreachable)
 {
-    if (running_.count(group) != 0)
+    if (is_running(group))
     {
         return group_action::none;
     }
--- /dev/null
+++ b/src/fleet/lead_table.cpp
@@ -0,0 +1,73 @@
+#include "tanagerhoist/fleet/lead_table.hpp"
+
+#include <algorithm>
+
+namespace tanagerhoist
+{
+
+bool lead_table::apply(const proto::GroupLead& lead, std::uint64_t version)
+{
+    auto& known = rows_[lead.group()];
+    known.version = std::max(known.version, version);
+    return learn(lead);
+}
+
+bool lead_table::learn(const proto::GroupLead& lead)
+{
+    auto& known = rows_[lead.group()];
+    if (lead.epoch() <= known.lead.epoch())
+    {
+        return false;
+    }
+    known.lead = lead;
+    return true;
+}
+
+void lead_table::forget_rows_except(const std::vector<std::string>& groups,
+                                    std::uint64_t version)
+{
+    for (auto& [group, row] : rows_)
+    {
+        const bool shown =
+            std::find(groups.begin(), groups.end(), group) != groups.end();
+        if (!shown && row.version < version)
+        {
+            row.version = 0;
+        }
+    }
+}
+
+const group_lead_row* lead_table::find(const std::string& group) const
+{
+    const auto it = rows_.find(group);
+    return it == rows_.end() ? nullptr : &it->second;
+}
+
+bool lead_table::is_confirmed(const std::string& group, store_era era) const
+{
+    const auto* row = find(group);
+    return row == nullptr || era_of(row->lead.epoch()) >= era;
+}
+
+bool lead_table::are_confirmed(store_era era) const
+{
+    return std::all_of(rows_.begin(), rows_.end(),
+                       [this, era](const auto& entry)
+                       { return is_confirmed(entry.first, era); });
+}
+
+std::vector<store_row> lead_table::conditions(std::size_t limit) const
+{
+    std::vector<store_row> expected;
+    for (const auto& [group, row] : rows_)
+    {
+        if (expected.size() < limit)
+        {
+            expected.push_back(
+                {fleet_table, group_prefix + group, "", row.version, false});
+        }
+    }
+    return expected;
+}
+
+} // namespace tanagerhoist
--- a/tests/failover_executor_test.cpp
+++ b/tests/failover_executor_test.cpp
@@ -43,6 +43,7 @@
             on_pause();
         }
     }
+    store_era era() override { return present_era; }
     bool is_coordinator() override { return coordinator && time < lease_end; }
 
     store_answer write_lead(const proto::GroupLead& lead,
@@ -55,7 +56,7 @@
             return answer;
         }
         row.lead = lead;
-        ++row.version;
+        row.version = std::max(row.version, numbered_in(present_era, 0)) + 1;
         answer.result = store_result::done;
         answer.version = row.version;
         return answer;
@@ -139,6 +140,7 @@
     bool all_acknowledged = true;
     bool promotion_starts = true;
     unsigned synchronous = 0;
+    store_era present_era = 0;
     std::vector<std::string> promotions;
     std::vector<position_sample> confirmed_ends;
     null_log lines;
@@ -163,6 +165,11 @@
     CPPUNIT_TEST(synchronous_group_waits_for_all_replicas);
     CPPUNIT_TEST(draining_replica_is_promoted_only_without_others);
     CPPUNIT_TEST(lead_is_created_from_current_primary);
+    CPPUNIT_TEST(lead_lost_with_the_store_is_written_again);
+    CPPUNIT_TEST(promotion_lost_with_the_store_is_found_at_the_servers);
+    CPPUNIT_TEST(epoch_lost_with_the_store_is_not_given_out_again);
+    CPPUNIT_TEST(failover_ends_when_the_store_comes_back_older);
+    CPPUNIT_TEST(lead_is_created_from_primary_of_latest_term);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -387,6 +394,71 @@
         CPPUNIT_ASSERT_EQUAL(std::string("p"), created->lead.primary());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, created->lead.term());
     }
+
+    void lead_lost_with_the_store_is_written_again()
+    {
+        fake_group f;
+        f.present_era = 2;
+        failover_executor executor(f, f.lines);
+        const auto done = executor.confirm_lead(f.row);
+        CPPUNIT_ASSERT(done);
+        CPPUNIT_ASSERT_EQUAL(std::string("p"), done->lead.primary());
+        CPPUNIT_ASSERT(!done->lead.sealed());
+        CPPUNIT_ASSERT_EQUAL(store_era{2}, era_of(done->lead.epoch()));
+    }
+
+    void promotion_lost_with_the_store_is_found_at_the_servers()
+    {
+        fake_group f;
+        f.present_era = 2;
+        f.members["q"].role = {true, 2, {2, 103}};
+        failover_executor executor(f, f.lines);
+        const auto confirmed = executor.confirm_lead(f.row);
+        CPPUNIT_ASSERT(confirmed);
+        CPPUNIT_ASSERT(confirmed->lead.sealed()); // nobody may use p
+        const auto done = executor.change_primary(*confirmed, false);
+        CPPUNIT_ASSERT(done);
+        CPPUNIT_ASSERT_EQUAL(std::string("q"), done->lead.primary());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, done->lead.term());
+    }
+
+    void epoch_lost_with_the_store_is_not_given_out_again()
+    {
+        fake_group f;
+        f.present_era = 1;
+        f.members["p"].answers = false;
+        const auto copy = f.row;
+        const auto lost = f.change_primary(false);
+        f.row = copy;
+        f.present_era = 2;
+        failover_executor executor(f, f.lines);
+        const auto again = executor.confirm_lead(copy);
+        CPPUNIT_ASSERT(again->lead.epoch() > lost->lead.epoch());
+    }
+
+    void failover_ends_when_the_store_comes_back_older()
+    {
+        fake_group f;
+        f.all_acknowledged = false;
+        f.on_pause = [&]
+        {
+            f.present_era = 2;
+            f.all_acknowledged = f.time > f.lease_end - milliseconds(100);
+        };
+        CPPUNIT_ASSERT(!f.change_primary(false));
+        CPPUNIT_ASSERT(f.promotions.empty());
+    }
+
+    void lead_is_created_from_primary_of_latest_term()
+    {
+        fake_group f;
+        f.members["r"].role = {true, 2, {2, 96}};
+        f.row.version = 0;
+        failover_executor executor(f, f.lines);
+        const auto made = executor.create_lead("g");
+        CPPUNIT_ASSERT(made);
+        CPPUNIT_ASSERT_EQUAL(std::string("r"), made->lead.primary());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(failover_executor_test);
--- a/tools/daemon/fleet_agent.hpp
+++ b/tools/daemon/fleet_agent.hpp
@@ -14,6 +14,7 @@
 #include "tanagerhoist/fleet/fleet_coordinator.hpp"
 #include "tanagerhoist/fleet/group_monitor.hpp"
 #include "tanagerhoist/fleet/lasting_condition.hpp"
+#include "tanagerhoist/fleet/lead_table.hpp"
 #include "tanagerhoist/fleet/request_pacing.hpp"
 #include "tanagerhoist/fleet/table_cache.hpp"
 #include "tanagerhoist/session/proxy.hpp"
@@ -111,6 +112,10 @@
     void register_self();
     void maintain_primary_lease();
     bool write_member_row();
+    void apply_conflict(const store_transaction& change,
+                        const store_answer& answer);
+    bool may_renew() const;
+    void note_era(store_era era);
     void log_conflicts(const store_transaction& change,
                        const store_answer& answer);
     void apply_lead_row(const store_row& row);
@@ -124,6 +129,7 @@
     void handle_datagram(std::size_t size);
     bool use_leads(const proto::FleetView& view);
     void handle_view(const proto::FleetView& view);
+    void use_reported_leads(const proto::VmReport& report);
     void handle_grant_request(const proto::GrantRequest& request);
     void handle_grant_reply(const proto::GrantReply& reply);
     void request_grants();
@@ -137,6 +143,9 @@
     void maintain_coordinator_lease();
     void monitor_groups();
     void check_group(const std::string& group);
+    void confirm_leads();
+    void start_confirmation(const std::string& group);
+    void use_lost_leases();
     void start_failover(const std::string& group, bool planned);
     void create_group_lead(const std::string& group);
     void end_operation(const std::string& group);
@@ -145,6 +154,7 @@
     moment now() override { return now_(); }
     void pause(milliseconds time) override;
     bool is_coordinator() override;
+    store_era era() override { return era_; }
     store_answer write_lead(const proto::GroupLead& lead,
                             std::uint64_t version) override;
     bool is_primary_unused(const proto::GroupLead& lead,
@@ -195,7 +205,8 @@
     bool registered_ = false;       ///< this process has written its row
     milliseconds store_clock_{0};   ///< in the newest answer to a renewal
     moment store_clock_at_{};       ///< when that renewal was sent
-    std::map<std::string, group_lead_row> lead_rows_;
+    store_era era_ = 0; ///< newest one that any answer of the store had
+    lead_table leads_;
     std::map<std::string, backend_server> servers_;
     group_monitor groups_;
     std::map<std::string, std::unique_ptr<platform::server_control>> controls_;
@@ -203,6 +214,7 @@
     std::string config_text_;
     std::uint64_t config_version_ = 0;
     bool was_coordinator_ = false;
+    moment confirm_from_{}; ///< reports of all VMs have arrived by then
     bool fetching_config_ = false;
     std::optional<moment> request_at_; ///< when the request timer fires
     request_pacing pacing_;
@@ -210,6 +222,7 @@
     lasting_condition config_outdated_;
     bool leaving_ = false;
     coordinator_messages messages_;
+    std::map<std::string, std::uint64_t> told_epochs_; ///< in the last view
     boost::asio::ip::udp::endpoint coordinator_endpoint_;
     std::uint64_t view_sequence_ = 0; ///< of the last view or reply sent
 };
--- a/tools/daemon/fleet_agent_coordinator.cpp
+++ b/tools/daemon/fleet_agent_coordinator.cpp
@@ -3,7 +3,9 @@
 
 #include "platform/failover_call.hpp"
 #include "tanagerhoist/fleet/fleet_schedule.hpp"
+#include "tanagerhoist/session/primary_lease.hpp"
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -18,6 +20,9 @@
 constexpr milliseconds check_interval{300};
 constexpr milliseconds control_timeout{350};
 
+/// Time after which a new coordinator has heard all VMs that run.
+constexpr milliseconds report_wait{600};
+
 } // namespace
 
 void fleet_agent::maintain_coordinator_lease()
@@ -42,6 +47,8 @@
         {
             coordinator_.reset(lease_.former());
             read_leads(lease_store_.rows);
+            use_lost_leases();
+            confirm_from_ = now_() + report_wait;
             read_members();
             request_refresh(config_watch_);
             request_refresh(server_watch_);
@@ -55,6 +62,21 @@
     }
 }
 
+/// Takes over from the lease row how long primary leases may be valid that the
+/// store, which has come back older, does not show.
+void fleet_agent::use_lost_leases()
+{
+    const auto since = lease_.row().era_since_ms();
+    if (since == 0)
+    {
+        return;
+    }
+    const auto end =
+        milliseconds(since) + primary_lease_duration + primary_lease_margin;
+    members_.incomplete_until = std::max(
+        members_.incomplete_until, now_() + (end - milliseconds(store_time())));
+}
+
 bool fleet_agent::is_coordinator()
 {
     return lease_.holds(now_()) && !leaving_;
@@ -75,6 +97,7 @@
         {
             read_members();
         }
+        confirm_leads();
         for (const auto& [group, ignored] : settings->groups)
         {
             check_group(group);
@@ -82,10 +105,46 @@
     }
 }
 
+/// Writes leads anew that are from before the store came back older. VMs are
+/// heard first: one of them may know a lead that is lost.
+void fleet_agent::confirm_leads()
+{
+    if (now_() < confirm_from_)
+    {
+        return;
+    }
+    for (const auto& [group, row] : leads_.rows())
+    {
+        if (!leads_.is_confirmed(group, era_) && !groups_.is_running(group))
+        {
+            start_confirmation(group);
+        }
+    }
+}
+
+void fleet_agent::start_confirmation(const std::string& group)
+{
+    groups_.operation_begun(group);
+    run_fiber(
+        [this, group]
+        {
+            failover_executor executor(*this, lines_);
+            if (!executor.confirm_lead(*leads_.find(group)))
+            {
+                pause(watch_interval);
+            }
+            end_operation(group);
+        });
+}
+
 void fleet_agent::check_group(const std::string& group)
 {
-    const auto row = lead_rows_.find(group);
-    const auto* lead = row == lead_rows_.end() ? nullptr : &row->second.lead;
+    if (!leads_.is_confirmed(group, era_))
+    {
+        return;
+    }
+    const auto* row = leads_.find(group);
+    const auto* lead = row == nullptr ? nullptr : &row->lead;
     const bool unreachable =
         lead != nullptr &&
         coordinator_.is_primary_unreachable(now_(), lead->primary());
@@ -114,7 +173,7 @@
             failover_executor executor(*this, lines_);
             const auto begun = now_();
             const auto done =
-                executor.change_primary(lead_rows_.at(group), planned);
+                executor.change_primary(*leads_.find(group), planned);
             lines_.write(log_level::change, "lead_change_ended",
                          {{"group", group},
                           {"ms", std::to_string(to_ms(now_() - begun))},
@@ -174,16 +233,18 @@
             }
         }
     }
+    note_era(answer.era);
     if (answer.result == store_result::done)
     {
-        auto& known = lead_rows_[lead.group()];
-        if (answer.version > known.version)
-        {
-            known = {lead, answer.version};
-        }
+        leads_.apply(lead, answer.version);
         proxy_.use_lead(now_(), lead);
         send_views();
     }
+    else if (answer.result == store_result::conflict ||
+             answer.result == store_result::restored)
+    {
+        read_leads(store.rows); // the row is not what this VM knows
+    }
     return answer;
 }
 
--- a/tools/daemon/fleet_agent_members.cpp
+++ b/tools/daemon/fleet_agent_members.cpp
@@ -2,7 +2,9 @@
 #include "fleet_tables.hpp"
 
 #include "tanagerhoist/fleet/fleet_schedule.hpp"
+#include "tanagerhoist/fleet/row_conflict.hpp"
 #include "tanagerhoist/fleet/table_read.hpp"
+#include "tanagerhoist/session/primary_lease.hpp"
 
 #include <utility>
 
@@ -46,10 +48,17 @@
     {
         return false;
     }
+    note_era(leads.era);
+    std::vector<std::string> groups;
     for (const auto& row : leads.rows)
     {
         apply_lead_row(row);
+        if (has_prefix(row.key, group_prefix))
+        {
+            groups.push_back(group_of_key(row.key));
+        }
     }
+    leads_.forget_rows_except(groups, leads.version);
     return true;
 }
 
@@ -83,14 +92,18 @@
         {
             register_self();
         }
-        if (!state_known_ || !write_member_row())
+        else if (!leads_.are_confirmed(era_))
+        {
+            read_leads(member_store_.rows);
+        }
+        if (!may_renew() || !write_member_row())
         {
             pause(retry.next());
             continue;
         }
         retry.reset();
         const auto renewed = now_();
-        while (!leaving_ &&
+        while (!leaving_ && era_of(own_version_) == era_ &&
                !is_renewal_due(now_(), renewed, messages_.last_contact(),
                                proxy_.members()))
         {
@@ -99,7 +112,34 @@
     }
 }
 
+/// Whether this VM may write its row: until all leads are confirmed, only to
+/// register.
+bool fleet_agent::may_renew() const
+{
+    return state_known_ && (!registered_ || leads_.are_confirmed(era_));
+}
+
+/// Notes the era of an answer of the store. When it rises, leases that were
+/// renewed just before may be missing from the store.
+void fleet_agent::note_era(store_era era)
+{
+    if (era <= era_)
+    {
+        return;
+    }
+    if (era_ != 0)
+    {
+        lines_.write(
+            log_level::change, "store_restored",
+            {{"era", std::to_string(era)}, {"before", std::to_string(era_)}});
+        members_.incomplete_until =
+            now_() + primary_lease_duration + primary_lease_margin;
+    }
+    era_ = era;
+}
+
 /// Writes this VM's row on the condition that no lead known here has changed.
+/// @return whether that renewed the primary lease
 bool fleet_agent::write_member_row()
 {
     auto row = self_row();
@@ -107,49 +147,58 @@
     store_transaction change;
     change.expected.push_back(
         {member_table, row.vm(), "", own_version_, false});
-    for (const auto& [group, lead] : lead_rows_)
+    for (auto& condition : leads_.conditions(transaction_rows - 1))
     {
-        if (change.expected.size() < transaction_rows)
-        {
-            change.expected.push_back(
-                {fleet_table, group_prefix + group, "", lead.version, false});
-        }
+        change.expected.push_back(std::move(condition));
     }
     change.puts.push_back(
         {member_table, row.vm(), row.SerializeAsString(), 0, false});
     const auto answer = member_store_.rows.write(change);
-    if (answer.result == store_result::done)
+    note_era(answer.era);
+    const bool done = answer.result == store_result::done;
+    if (done || answer.result == store_result::restored)
     {
-        if (!registered_)
-        {
-            registered_ = true;
-            lines_.write(log_level::change, "registered",
-                         {{"life", std::to_string(life_)}});
-        }
         own_version_ = answer.version;
         store_clock_ = answer.now;
         store_clock_at_ = answer.sent;
+    }
+    if (done && !registered_)
+    {
+        registered_ = true;
+        lines_.write(log_level::change, "registered",
+                     {{"life", std::to_string(life_)}});
+    }
+    // The store may have lost a newer lead than one that is not confirmed.
+    const bool confirmed = leads_.are_confirmed(era_);
+    if (done && confirmed)
+    {
         proxy_.renew_primary_lease(answer.sent);
         return true;
     }
     lines_.write(log_level::change, "right_not_renewed",
-                 {{"cause", store_result_name(answer.result)},
+                 {{"cause", confirmed ? store_result_name(answer.result)
+                                      : "leads not confirmed"},
                   {"took_ms", std::to_string(to_ms(now_() - answer.sent))}});
     if (answer.result == store_result::conflict)
     {
-        log_conflicts(change, answer);
-        for (const auto& current : answer.rows)
-        {
-            if (current.table == member_table)
-            {
-                own_version_ = current.version; // an earlier write, or removed
-            }
-            apply_lead_row(current);
-        }
+        apply_conflict(change, answer);
     }
     return false;
 }
 
+/// Takes over the versions of the rows that a failed renewal conflicted with.
+void fleet_agent::apply_conflict(const store_transaction& change,
+                                 const store_answer& answer)
+{
+    log_conflicts(change, answer);
+    own_version_ =
+        version_after_conflict(change, answer, change.expected.front());
+    for (const auto& current : answer.rows)
+    {
+        apply_lead_row(current);
+    }
+}
+
 /// Logs which rows have another version than this VM knows.
 void fleet_agent::log_conflicts(const store_transaction& change,
                                 const store_answer& answer)
@@ -181,19 +230,17 @@
     {
         return;
     }
-    group_lead_row lead;
-    lead.version = row.version;
-    if (!lead.lead.ParseFromString(row.value))
+    proto::GroupLead lead;
+    if (!lead.ParseFromString(row.value))
     {
         lines_.write(log_level::change, "row_unreadable",
                      {{"table", fleet_table}, {"key", row.key}});
         return;
     }
-    auto& known = lead_rows_[group_of_key(row.key)];
-    if (lead.version > known.version)
+    lead.set_group(group_of_key(row.key));
+    if (leads_.apply(lead, row.version))
     {
-        known = lead;
-        proxy_.use_lead(now_(), lead.lead);
+        proxy_.use_lead(now_(), lead);
         report_soon();
     }
 }
@@ -222,7 +269,8 @@
 
 void fleet_agent::apply_members(const store_answer& answer)
 {
-    members_.rows.clear();
+    note_era(answer.era);
+    std::map<std::string, fleet_member> read;
     members_.store_now = answer.now;
     members_.read_at = answer.sent;
     for (const auto& row : answer.rows)
@@ -235,7 +283,7 @@
                          {{"table", member_table}, {"key", row.key}});
             continue;
         }
-        members_.rows[row.key] = member;
+        read[row.key] = member;
         error_code error;
         const auto ip = asio::ip::make_address(member.row.address(), error);
         if (!error)
@@ -244,6 +292,7 @@
                 ip, static_cast<std::uint16_t>(member.row.peer_port())};
         }
     }
+    members_.replace(std::move(read));
     const std::size_t others =
         members_.rows.size() - members_.rows.count(settings_.vm().name());
     proxy_.use_members(now_(), others + 1);
--- a/tools/daemon/fleet_agent_messages.cpp
+++ b/tools/daemon/fleet_agent_messages.cpp
@@ -40,6 +40,7 @@
         const auto vm = datagram.report().vm();
         peers_[vm] = sender_;
         coordinator_.apply_report(now_(), datagram.report());
+        use_reported_leads(datagram.report());
         send_view(vm);
     }
     else if (datagram.has_request() && lease_.holds(now_()))
@@ -61,6 +62,18 @@
     }
 }
 
+/// Learns leads that a VM knows and this coordinator does not.
+void fleet_agent::use_reported_leads(const proto::VmReport& report)
+{
+    for (const auto& lead : report.leads())
+    {
+        if (leads_.learn(lead))
+        {
+            proxy_.use_lead(now_(), lead);
+        }
+    }
+}
+
 void fleet_agent::handle_grant_request(const proto::GrantRequest& request)
 {
     const auto* settings = proxy_.settings();
@@ -97,15 +110,13 @@
 bool fleet_agent::use_leads(const proto::FleetView& view)
 {
     bool changed = false;
+    told_epochs_.clear();
     for (int i = 0; i < view.leads_size(); ++i)
     {
         const auto& lead = view.leads(i);
-        auto& row = lead_rows_[lead.group()];
-        if (i < view.lead_versions_size() &&
-            view.lead_versions(i) > row.version)
-        {
-            row = {lead, view.lead_versions(i)};
-        }
+        told_epochs_[lead.group()] = lead.epoch();
+        leads_.apply(lead,
+                     i < view.lead_versions_size() ? view.lead_versions(i) : 0);
         const auto& known = proxy_.leads();
         const auto it = known.find(lead.group());
         changed =
@@ -163,7 +174,7 @@
     view.set_servers_version(server_watch_.rows.newest_seen_version());
     add_server_changes(vm, view);
     view.set_members(members_.rows.size());
-    for (const auto& [group, row] : lead_rows_)
+    for (const auto& [group, row] : leads_.rows())
     {
         *view.add_leads() = row.lead;
         view.add_lead_versions(row.version);
--- a/tools/daemon/fleet_agent_reports.cpp
+++ b/tools/daemon/fleet_agent_reports.cpp
@@ -30,6 +30,14 @@
     report.set_view(messages_.newest_view());
     report.set_settings_version(config_version_);
     report.set_servers_version(server_watch_.rows.version());
+    for (const auto& [group, row] : leads_.rows())
+    {
+        const auto told = told_epochs_.find(group);
+        if (told == told_epochs_.end() || told->second < row.lead.epoch())
+        {
+            *report.add_leads() = row.lead;
+        }
+    }
     proxy_.describe(now_(), report);
     if (lease_.holds(now_()))
     {
--- a/tools/daemon/fleet_agent_tables.cpp
+++ b/tools/daemon/fleet_agent_tables.cpp
@@ -75,6 +75,7 @@
         resumed = false;
         watch.refresh_requested = false;
         const auto answer = poll_store(watch, known, at_once);
+        note_era(answer.era);
         if (answer.result == store_result::done)
         {
             if (lost)
--- a/tools/daemon/fleet_tables.hpp
+++ b/tools/daemon/fleet_tables.hpp
@@ -4,10 +4,6 @@
 namespace tanagerhoist
 {
 
-/// Table of the groups' leads; the key is the prefix and the group.
-constexpr const char* fleet_table = "fleet";
-constexpr const char* group_prefix = "db.";
-
 /// Table of the registered VMs; the key is the VM's name.
 constexpr const char* member_table = "members";
 
