Hold server entries that go back with the store until they are written again

What callers could see: for a moment after a restore a server that registered shortly before is missing from the list (its running statements are cut off, writes among them end as unknown), one that left is there again, one that drains looks ready.

Cause: the list read after a restore was applied as if it were the newest.

Change: held_rows holds entries that contradict what the VM knows (gone though it ran, there though it had left, ready though draining in the same process) for 4 s; whatever is written meanwhile takes effect at once.

Evidence: held_rows_test.

--- a/tools/daemon/fleet_agent.hpp
+++ b/tools/daemon/fleet_agent.hpp
@@ -13,6 +13,7 @@
 #include "tanagerhoist/fleet/failover_executor.hpp"
 #include "tanagerhoist/fleet/fleet_coordinator.hpp"
 #include "tanagerhoist/fleet/group_monitor.hpp"
+#include "tanagerhoist/fleet/held_rows.hpp"
 #include "tanagerhoist/fleet/lasting_condition.hpp"
 #include "tanagerhoist/fleet/lead_table.hpp"
 #include "tanagerhoist/fleet/request_pacing.hpp"
@@ -28,6 +29,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -81,7 +83,10 @@
     const std::string& config_text() const { return config_text_; }
 
 private:
-    using row_handler = std::function<void(const std::vector<store_row>&)>;
+    /// Handles changed rows; the flag tells whether the store has come back
+    /// older since the rows before them.
+    using row_handler =
+        std::function<void(const std::vector<store_row>&, bool)>;
 
     // Following the store's tables: fleet_agent_tables.cpp
     struct table_watch
@@ -102,7 +107,10 @@
     void apply_config_rows(const std::vector<store_row>& rows);
     void adopt_config(const std::string& text);
     void fetch_config(const std::string& address, std::uint16_t port);
+    void handle_server_rows(const std::vector<store_row>& rows, bool restored);
     void apply_server_rows(const std::vector<store_row>& rows);
+    void apply_held_servers();
+    bool goes_back(const store_row& row) const;
     void add_server_changes(const std::string& vm, proto::FleetView& view);
     void apply_server_changes(const proto::FleetView& view);
     void refresh_outdated_tables(const proto::FleetView& view);
@@ -208,6 +216,8 @@
     store_era era_ = 0; ///< newest one that any answer of the store had
     lead_table leads_;
     std::map<std::string, backend_server> servers_;
+    std::set<std::string> left_servers_; ///< ids
+    held_rows held_servers_;
     group_monitor groups_;
     std::map<std::string, std::unique_ptr<platform::server_control>> controls_;
     std::map<std::string, boost::asio::ip::udp::endpoint> peers_;
--- a/tools/daemon/fleet_agent_reports.cpp
+++ b/tools/daemon/fleet_agent_reports.cpp
@@ -79,6 +79,7 @@
 
 void fleet_agent::report_regularly()
 {
+    apply_held_servers();
     send_report();
     report_timer_.expires_after(proxy_.is_sealed_primary_in_use()
                                     ? sealed_report_interval
--- a/tools/daemon/fleet_agent_tables.cpp
+++ b/tools/daemon/fleet_agent_tables.cpp
@@ -86,7 +86,10 @@
             lost = false;
             retry.reset();
             log_older_table(watch, answer);
-            watch.handle(watch.rows.apply(answer, !known));
+            const auto before = watch.rows.version();
+            const bool restored =
+                before != 0 && era_of(answer.version) > era_of(before);
+            watch.handle(watch.rows.apply(answer, !known), restored);
             known = true;
             pause(answer.rows.empty() ? milliseconds(0) : batch_interval);
             continue;
@@ -199,6 +202,50 @@
         });
 }
 
+void fleet_agent::handle_server_rows(const std::vector<store_row>& rows,
+                                     bool restored)
+{
+    if (restored)
+    {
+        const auto check = [this](const store_row& row)
+        { return goes_back(row); };
+        apply_server_rows(held_servers_.hold(now_(), rows, check));
+    }
+    else
+    {
+        apply_server_rows(held_servers_.pass(rows));
+    }
+}
+
+/// Whether a row of a restored store contradicts what is known of a server: it
+/// is gone though it ran, there though it had left, or ready though draining.
+bool fleet_agent::goes_back(const store_row& row) const
+{
+    const auto known = servers_.find(row.key);
+    if (known == servers_.end())
+    {
+        return !row.removed && left_servers_.count(row.key) != 0;
+    }
+    if (row.removed)
+    {
+        return true;
+    }
+    std::string ignored; // logged when the row takes effect
+    const auto server = platform::decode_server(row.key, row.value, ignored);
+    return server && known->second.draining && !server->draining &&
+           server->born_ms == known->second.born_ms;
+}
+
+/// Applies rows that went back with the store and were not written again.
+void fleet_agent::apply_held_servers()
+{
+    const auto due = held_servers_.take_due(now_());
+    if (!due.empty())
+    {
+        apply_server_rows(due);
+    }
+}
+
 void fleet_agent::apply_server_rows(const std::vector<store_row>& rows)
 {
     for (const auto& row : rows)
@@ -206,8 +253,10 @@
         servers_.erase(row.key);
         if (row.removed)
         {
+            left_servers_.insert(row.key);
             continue;
         }
+        left_servers_.erase(row.key);
         std::string reason;
         auto server = platform::decode_server(row.key, row.value, reason);
         if (server)
@@ -259,7 +308,7 @@
         view.servers_from(), view.servers_to(), rows);
     if (!changed.empty())
     {
-        apply_server_rows(changed);
+        apply_server_rows(held_servers_.pass(changed));
     }
 }
 
