Bound lost leases by the store's newest answer, not by its estimated time

The estimate is an upper bound, so the wait for leases that the store has lost could end early by the time of a slow call. Found by reading; no test, as the difference is within one call.

--- a/include/tanagerhoist/fleet/coordinator_lease.hpp
+++ b/include/tanagerhoist/fleet/coordinator_lease.hpp
@@ -63,6 +63,10 @@
     /// the lease.
     const proto::DutyRow& former() const { return former_; }
 
+    /// The store's clock in the newest answer, a lower bound of its present
+    /// time.
+    milliseconds store_clock() const { return store_clock_; }
+
     /// Releases the lease, so that the next holder need not wait for it to
     /// expire.
     /// @param left operations that were still to be granted, by workspace
--- a/tools/daemon/fleet_agent_coordinator.cpp
+++ b/tools/daemon/fleet_agent_coordinator.cpp
@@ -73,8 +73,8 @@
     }
     const auto end =
         milliseconds(since) + primary_lease_duration + primary_lease_margin;
-    members_.incomplete_until = std::max(
-        members_.incomplete_until, now_() + (end - milliseconds(store_time())));
+    members_.incomplete_until = std::max(members_.incomplete_until,
+                                         now_() + (end - lease_.store_clock()));
 }
 
 bool fleet_agent::is_coordinator()
