--- a/tools/daemon/fleet_agent.hpp
+++ b/tools/daemon/fleet_agent.hpp
@@ -107,16 +107,26 @@
     void apply_config_rows(const std::vector<store_row>& rows);
     void adopt_config(const std::string& text);
     void fetch_config(const std::string& address, std::uint16_t port);
+    void refresh_outdated_tables(const proto::FleetView& view);
+
+    // List of servers: fleet_agent_servers.cpp
     void handle_server_rows(const std::vector<store_row>& rows, bool restored);
     void apply_server_rows(const std::vector<store_row>& rows);
     void apply_held_servers();
     bool goes_back(const store_row& row) const;
     void add_server_changes(const std::string& vm, proto::FleetView& view);
     void apply_server_changes(const proto::FleetView& view);
-    void refresh_outdated_tables(const proto::FleetView& view);
 
-    // Registration and members: fleet_agent_members.cpp
+    // Leads: fleet_agent_leads.cpp (with write_lead)
     bool read_leads(row_store& store);
+    void apply_lead_row(const store_row& row);
+    bool use_leads(const proto::FleetView& view);
+    void use_reported_leads(const proto::VmReport& report);
+    void confirm_leads();
+    void start_confirmation(const std::string& group);
+    void create_group_lead(const std::string& group);
+
+    // Registration and members: fleet_agent_members.cpp
     void register_self();
     void maintain_primary_lease();
     bool write_member_row();
@@ -126,7 +136,6 @@
     void note_era(store_era era);
     void log_conflicts(const store_transaction& change,
                        const store_answer& answer);
-    void apply_lead_row(const store_row& row);
     void read_members();
     void apply_members(const store_answer& answer);
     std::uint64_t store_time() const;
@@ -135,9 +144,7 @@
     // Datagrams: fleet_agent_messages.cpp, fleet_agent_reports.cpp
     void receive();
     void handle_datagram(std::size_t size);
-    bool use_leads(const proto::FleetView& view);
     void handle_view(const proto::FleetView& view);
-    void use_reported_leads(const proto::VmReport& report);
     void handle_grant_request(const proto::GrantRequest& request);
     void handle_grant_reply(const proto::GrantReply& reply);
     void request_grants();
@@ -151,11 +158,8 @@
     void maintain_coordinator_lease();
     void monitor_groups();
     void check_group(const std::string& group);
-    void confirm_leads();
-    void start_confirmation(const std::string& group);
     void use_lost_leases();
     void start_failover(const std::string& group, bool planned);
-    void create_group_lead(const std::string& group);
     void end_operation(const std::string& group);
 
     // failover_port
--- a/tools/daemon/fleet_agent_coordinator.cpp
+++ b/tools/daemon/fleet_agent_coordinator.cpp
@@ -105,38 +105,6 @@
     }
 }
 
-/// Writes leads anew that are from before the store came back older. VMs are
-/// heard first: one of them may know a lead that is lost.
-void fleet_agent::confirm_leads()
-{
-    if (now_() < confirm_from_)
-    {
-        return;
-    }
-    for (const auto& [group, row] : leads_.rows())
-    {
-        if (!leads_.is_confirmed(group, era_) && !groups_.is_running(group))
-        {
-            start_confirmation(group);
-        }
-    }
-}
-
-void fleet_agent::start_confirmation(const std::string& group)
-{
-    groups_.operation_begun(group);
-    run_fiber(
-        [this, group]
-        {
-            failover_executor executor(*this, lines_);
-            if (!executor.confirm_lead(*leads_.find(group)))
-            {
-                pause(watch_interval);
-            }
-            end_operation(group);
-        });
-}
-
 void fleet_agent::check_group(const std::string& group)
 {
     if (!leads_.is_confirmed(group, era_))
@@ -182,25 +150,6 @@
         });
 }
 
-void fleet_agent::create_group_lead(const std::string& group)
-{
-    if (servers(group).empty())
-    {
-        return;
-    }
-    groups_.operation_begun(group);
-    run_fiber(
-        [this, group]
-        {
-            failover_executor executor(*this, lines_);
-            if (!executor.create_lead(group))
-            {
-                pause(watch_interval);
-            }
-            end_operation(group);
-        });
-}
-
 void fleet_agent::end_operation(const std::string& group)
 {
     for (const auto& server : servers(group))
@@ -210,44 +159,6 @@
     groups_.operation_ended(group);
 }
 
-store_answer fleet_agent::write_lead(const proto::GroupLead& lead,
-                                     std::uint64_t version)
-{
-    const auto key = group_prefix + lead.group();
-    store_transaction change;
-    change.expected.push_back({fleet_table, key, "", version, false});
-    change.puts.push_back(
-        {fleet_table, key, lead.SerializeAsString(), 0, false});
-    auto store = make_store();
-    auto answer = store.rows.write(change);
-    if (answer.result == store_result::unanswered)
-    {
-        // Reading the row shows whether the write succeeded.
-        const auto read = store.rows.read(fleet_table, key);
-        for (const auto& row : read.rows)
-        {
-            if (row.key == key && row.value == lead.SerializeAsString())
-            {
-                answer.result = store_result::done;
-                answer.version = row.version;
-            }
-        }
-    }
-    note_era(answer.era);
-    if (answer.result == store_result::done)
-    {
-        leads_.apply(lead, answer.version);
-        proxy_.use_lead(now_(), lead);
-        send_views();
-    }
-    else if (answer.result == store_result::conflict ||
-             answer.result == store_result::restored)
-    {
-        read_leads(store.rows); // the row is not what this VM knows
-    }
-    return answer;
-}
-
 bool fleet_agent::is_primary_unused(const proto::GroupLead& lead,
                                     std::uint64_t seal_version, moment sealed)
 {
--- a/tools/daemon/fleet_agent_members.cpp
+++ b/tools/daemon/fleet_agent_members.cpp
@@ -20,16 +20,6 @@
 /// Most rows that one transaction may have conditions on.
 constexpr std::size_t transaction_rows = 90;
 
-std::string group_of_key(const std::string& key)
-{
-    return key.substr(std::char_traits<char>::length(group_prefix));
-}
-
-bool has_prefix(const std::string& key, const char* prefix)
-{
-    return key.rfind(prefix, 0) == 0;
-}
-
 } // namespace
 
 /// Upper bound of the store's clock at this moment.
@@ -39,29 +29,6 @@
            to_ms(now_() - store_clock_at_) + 1;
 }
 
-/// Reads the leads of all groups.
-/// @param store a client that no other fiber is using
-bool fleet_agent::read_leads(row_store& store)
-{
-    const auto leads = read_table(store, fleet_table);
-    if (leads.result != store_result::done)
-    {
-        return false;
-    }
-    note_era(leads.era);
-    std::vector<std::string> groups;
-    for (const auto& row : leads.rows)
-    {
-        apply_lead_row(row);
-        if (has_prefix(row.key, group_prefix))
-        {
-            groups.push_back(group_of_key(row.key));
-        }
-    }
-    leads_.forget_rows_except(groups, leads.version);
-    return true;
-}
-
 /// Reads the leads and members, so that this VM can register.
 void fleet_agent::register_self()
 {
@@ -223,28 +190,6 @@
     }
 }
 
-/// Applies the row of a group's lead; other rows are ignored.
-void fleet_agent::apply_lead_row(const store_row& row)
-{
-    if (!has_prefix(row.key, group_prefix) || row.removed || row.version == 0)
-    {
-        return;
-    }
-    proto::GroupLead lead;
-    if (!lead.ParseFromString(row.value))
-    {
-        lines_.write(log_level::change, "row_unreadable",
-                     {{"table", fleet_table}, {"key", row.key}});
-        return;
-    }
-    lead.set_group(group_of_key(row.key));
-    if (leads_.apply(lead, row.version))
-    {
-        proxy_.use_lead(now_(), lead);
-        report_soon();
-    }
-}
-
 /// Reads the rows of all VMs.
 void fleet_agent::read_members()
 {
--- a/tools/daemon/fleet_agent_messages.cpp
+++ b/tools/daemon/fleet_agent_messages.cpp
@@ -62,18 +62,6 @@
     }
 }
 
-/// Learns leads that a VM knows and this coordinator does not.
-void fleet_agent::use_reported_leads(const proto::VmReport& report)
-{
-    for (const auto& lead : report.leads())
-    {
-        if (leads_.learn(lead))
-        {
-            proxy_.use_lead(now_(), lead);
-        }
-    }
-}
-
 void fleet_agent::handle_grant_request(const proto::GrantRequest& request)
 {
     const auto* settings = proxy_.settings();
@@ -106,26 +94,6 @@
     request_grants_if_needed();
 }
 
-/// @return whether the view has a lead that is new to this VM
-bool fleet_agent::use_leads(const proto::FleetView& view)
-{
-    bool changed = false;
-    told_epochs_.clear();
-    for (int i = 0; i < view.leads_size(); ++i)
-    {
-        const auto& lead = view.leads(i);
-        told_epochs_[lead.group()] = lead.epoch();
-        leads_.apply(lead,
-                     i < view.lead_versions_size() ? view.lead_versions(i) : 0);
-        const auto& known = proxy_.leads();
-        const auto it = known.find(lead.group());
-        changed =
-            changed || it == known.end() || it->second.epoch() < lead.epoch();
-        proxy_.use_lead(now_(), lead);
-    }
-    return changed;
-}
-
 void fleet_agent::handle_view(const proto::FleetView& view)
 {
     const auto now = now_();
