Test the coordinator lease under random restores of the store

200 seeds of four VMs on one store that is down, copied, restored, loses answers, while processes restart: never two holders, and no token held by two processes.

--- a/tests/coordinator_lease_test.cpp
+++ b/tests/coordinator_lease_test.cpp
@@ -5,6 +5,13 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <array>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+
 namespace tanagerhoist
 {
 namespace
@@ -29,6 +36,94 @@
     const moment never{};
 };
 
+/// Four VMs that renew or take the lease at random intervals.
+class lease_trial
+{
+public:
+    explicit lease_trial(unsigned seed) : random_(seed)
+    {
+        for (std::size_t vm = 0; vm < vm_count; ++vm)
+        {
+            restart(vm);
+        }
+    }
+
+    void step()
+    {
+        now_ += milliseconds(random_() % 400);
+        disturb();
+        const auto vm = random_() % vm_count;
+        auto& lease = *leases_[vm];
+        lease.update(moment{}, milliseconds(random_() % 900));
+        if (lease.holds(now_))
+        {
+            lives_by_token_[lease.row().token()].insert(lives_[vm]);
+        }
+    }
+
+    std::size_t holders() const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            leases_.begin(), leases_.end(),
+            [this](const auto& lease) { return lease->holds(now_); }));
+    }
+
+    /// Whether two processes have held the lease with one token.
+    bool has_reused_token() const
+    {
+        return std::any_of(lives_by_token_.begin(), lives_by_token_.end(),
+                           [](const auto& entry)
+                           { return entry.second.size() > 1; });
+    }
+
+    std::size_t lives_that_held() const { return lives_by_token_.size(); }
+
+private:
+    static constexpr std::size_t vm_count = 4;
+
+    void disturb()
+    {
+        switch (random_() % 40)
+        {
+        case 0:
+            plain_.take_copy();
+            break;
+        case 1:
+            plain_.restore();
+            break;
+        case 2:
+            plain_.down = true;
+            break;
+        case 3:
+            plain_.lose_next_answer = true;
+            break;
+        case 4:
+            restart(random_() % vm_count);
+            break;
+        default:
+            plain_.down = plain_.down && random_() % 8 != 0;
+        }
+    }
+
+    void restart(std::size_t vm)
+    {
+        lives_[vm] = ++last_life_;
+        leases_[vm] = std::make_unique<coordinator_lease>(
+            store_, member("vm" + std::to_string(vm), lives_[vm]),
+            [this] { return now_; }, lines_);
+    }
+
+    std::minstd_rand random_;
+    moment now_{std::chrono::hours(1)};
+    fake_row_store plain_{now_};
+    era_row_store store_{plain_};
+    null_log lines_;
+    std::uint64_t last_life_ = 0;
+    std::array<std::uint64_t, vm_count> lives_{};
+    std::array<std::unique_ptr<coordinator_lease>, vm_count> leases_;
+    std::map<std::uint64_t, std::set<std::uint64_t>> lives_by_token_;
+};
+
 } // namespace
 
 class coordinator_lease_test : public CppUnit::TestFixture
@@ -53,6 +148,7 @@
     CPPUNIT_TEST(started_vm_leaves_missing_row_of_restored_store);
     CPPUNIT_TEST(balances_of_older_copy_are_not_granted_again);
     CPPUNIT_TEST(renewal_answered_by_restored_store_is_repeated);
+    CPPUNIT_TEST(random_restores_give_no_two_holders_and_no_token_twice);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -323,6 +419,26 @@
         f.b.update(f.never);
         CPPUNIT_ASSERT_EQUAL(f.a.row().token(), f.b.row().token());
     }
+
+    /// Outages, copies, restores, lost answers and restarts at random moments.
+    void random_restores_give_no_two_holders_and_no_token_twice()
+    {
+        std::size_t holders = 0;
+        for (unsigned seed = 1; seed <= 200; ++seed)
+        {
+            lease_trial trial(seed);
+            for (int step = 0; step < 600; ++step)
+            {
+                trial.step();
+                CPPUNIT_ASSERT_MESSAGE(std::to_string(seed),
+                                       trial.holders() <= 1);
+            }
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(seed),
+                                   !trial.has_reused_token());
+            holders += trial.lives_that_held();
+        }
+        CPPUNIT_ASSERT(holders > 400); // the lease changes hands all the time
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(coordinator_lease_test);
