Believe rows of former builds until the store comes back older

What callers would have seen: during an upgrade new VMs serve no primary as long as a daemon of the former build is the coordinator. It writes leads and a token without an era, which the new build took for rows of an ended one.

Cause: the check compared eras also where no era has ended.

Change: is_of_ended_era is false in a store's first era.

--- a/include/tanagerhoist/fleet/store_era.hpp
+++ b/include/tanagerhoist/fleet/store_era.hpp
@@ -37,6 +37,13 @@
     return joined & ((std::uint64_t{1} << numbers_per_era_bits) - 1);
 }
 
+/// Whether a joined number is from before the store came back older. A store
+/// that never has may hold numbers without an era, of former builds.
+constexpr bool is_of_ended_era(std::uint64_t joined, store_era era)
+{
+    return era > first_store_era && era_of(joined) < era;
+}
+
 /// Next joined number, above all that earlier eras gave out, whether the store
 /// still knows them or not.
 /// @param last the last one known
--- a/src/fleet/coordinator_lease.cpp
+++ b/src/fleet/coordinator_lease.cpp
@@ -30,7 +30,7 @@
 /// later holder may have been lost with the rest.
 bool coordinator_lease::is_from_copy(const proto::DutyRow& row) const
 {
-    return era_of(row.token()) < era_;
+    return is_of_ended_era(row.token(), era_);
 }
 
 /// Whether the store has come back older at least once.
@@ -149,8 +149,7 @@
 {
     const auto renewed = renewed_row();
     const auto answer = write(renewed, version_);
-    if (answer.result == store_result::done &&
-        answer.era == era_of(renewed.token()))
+    if (answer.result == store_result::done && !is_from_copy(renewed))
     {
         row_ = renewed;
         version_ = answer.version;
--- a/src/fleet/lead_table.cpp
+++ b/src/fleet/lead_table.cpp
@@ -46,7 +46,7 @@
 bool lead_table::is_confirmed(const std::string& group, store_era era) const
 {
     const auto* row = find(group);
-    return row == nullptr || era_of(row->lead.epoch()) >= era;
+    return row == nullptr || !is_of_ended_era(row->lead.epoch(), era);
 }
 
 bool lead_table::are_confirmed(store_era era) const
--- a/tests/coordinator_lease_test.cpp
+++ b/tests/coordinator_lease_test.cpp
@@ -148,6 +148,7 @@
     CPPUNIT_TEST(started_vm_leaves_missing_row_of_restored_store);
     CPPUNIT_TEST(balances_of_older_copy_are_not_granted_again);
     CPPUNIT_TEST(renewal_answered_by_restored_store_is_repeated);
+    CPPUNIT_TEST(row_of_former_build_is_believed_until_a_restore);
     CPPUNIT_TEST(random_restores_give_no_two_holders_and_no_token_twice);
     CPPUNIT_TEST_SUITE_END();
 
@@ -420,6 +421,30 @@
         CPPUNIT_ASSERT_EQUAL(f.a.row().token(), f.b.row().token());
     }
 
+    void row_of_former_build_is_believed_until_a_restore()
+    {
+        two_vms f;
+        proto::DutyRow former;
+        former.set_holder("z");
+        former.set_token(5); // without an era
+        former.set_renewed_ms(
+            static_cast<std::uint64_t>(to_ms(f.now.time_since_epoch())));
+        former.set_lease_ms(
+            static_cast<std::uint64_t>(coordinator_lease_duration.count()));
+        f.store.write(
+            {{},
+             {{"duty", "failover", former.SerializeAsString(), 0, false}},
+             {}});
+        f.a.update(f.never);
+        CPPUNIT_ASSERT_EQUAL(std::string("z"), f.a.row().holder());
+        f.now += coordinator_lease_duration;
+        f.a.update(f.never);
+        CPPUNIT_ASSERT(f.a.holds(f.now));
+        CPPUNIT_ASSERT(f.a.row().token() > 5);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, f.a.row().era_since_ms());
+        CPPUNIT_ASSERT(f.a.update(f.never));
+    }
+
     /// Outages, copies, restores, lost answers and restarts at random moments.
     void random_restores_give_no_two_holders_and_no_token_twice()
     {
--- a/tests/lead_table_test.cpp
+++ b/tests/lead_table_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(row_written_after_a_read_is_not_forgotten_by_it);
     CPPUNIT_TEST(lead_told_by_a_peer_replaces_that_of_the_copy);
     CPPUNIT_TEST(all_leads_are_confirmed_without_eras);
+    CPPUNIT_TEST(lead_of_former_build_is_confirmed_until_a_restore);
     CPPUNIT_TEST_SUITE_END();
 
     static proto::GroupLead lead(const std::string& primary,
@@ -83,6 +84,13 @@
         subject_.apply(lead("p", 1), 5);
         CPPUNIT_ASSERT(subject_.are_confirmed(0));
     }
+
+    void lead_of_former_build_is_confirmed_until_a_restore()
+    {
+        subject_.apply(lead("p", 5), numbered_in(1, 90));
+        CPPUNIT_ASSERT(subject_.are_confirmed(1));
+        CPPUNIT_ASSERT(!subject_.are_confirmed(2));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(lead_table_test);
