Log and count how late the event loop runs, and what takes its time

Needed to tell the hypotheses of the lost coordinator apart: no log line or metric showed how late a fiber or a timer ran, nor which messages fill the loop.

loop_monitor counts the work on the event loop by kind with its time, notes runs that are 150 ms late or more, and writes at most one line loop_late a second, with queue lengths and the time since the last renewal began. No logic changed.

--- a/include/tanagerhoist/session/proxy.hpp
+++ b/include/tanagerhoist/session/proxy.hpp
@@ -90,6 +90,10 @@
     bool is_ready(moment now) const;
     std::size_t members() const { return members_; }
     std::size_t sessions() const { return sessions_.size(); }
+    /// Statements that wait for a grant.
+    std::size_t held() const { return held_.size(); }
+    /// Statements that wait for a server.
+    std::size_t waiting() const;
     bool has_work() const;
 
     /// Whether statements of this VM still run at a sealed primary.
--- a/src/session/proxy.cpp
+++ b/src/session/proxy.cpp
@@ -1,6 +1,7 @@
 #include "tanagerhoist/session/proxy.hpp"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 // Construction, look-ups and state of a proxy.
@@ -36,6 +37,13 @@
     return it == leads_.end() ? nullptr : &it->second;
 }
 
+std::size_t proxy::waiting() const
+{
+    return std::accumulate(groups_.begin(), groups_.end(), std::size_t{0},
+                           [](std::size_t sum, const auto& entry)
+                           { return sum + entry.second.waiting.size(); });
+}
+
 bool proxy::has_work() const
 {
     return std::any_of(sessions_.begin(), sessions_.end(),
--- a/tools/daemon/fleet_agent.cpp
+++ b/tools/daemon/fleet_agent.cpp
@@ -49,13 +49,15 @@
 fleet_agent::fleet_agent(asio::io_context& context,
                          const proto::SessionDaemonSettings& settings,
                          std::uint64_t life, limit_tolerance tolerance,
-                         proxy& decisions, structured_log& lines, clock now)
+                         proxy& decisions, structured_log& lines,
+                         loop_monitor& monitor, clock now)
     : context_(context),
       settings_(settings),
       life_(life),
       cpu_percent_(percent_of(settings.sessions().cpu_share())),
       proxy_(decisions),
       lines_(lines),
+      monitor_(monitor),
       now_(std::move(now)),
       store_(split_endpoint(settings.sessions().store())),
       promotion_address_(split_endpoint(settings.sessions().duty())),
@@ -116,8 +118,16 @@
 
 void fleet_agent::pause(milliseconds time)
 {
+    const auto due = now_() + time;
     asio::steady_timer timer(context_, time);
     await([&timer](auto handler) { timer.async_wait(std::move(handler)); });
+    monitor_.fiber_runs(due);
+}
+
+microseconds fleet_agent::since_renewal() const
+{
+    return now_() -
+           (was_coordinator_ ? lease_renewal_begun_ : primary_renewal_begun_);
 }
 
 void fleet_agent::start()
--- a/tools/daemon/fleet_agent.hpp
+++ b/tools/daemon/fleet_agent.hpp
@@ -5,6 +5,7 @@
 
 #include "platform/server_control.hpp"
 #include "platform/store_client.hpp"
+#include "tanagerhoist/adapter/loop_monitor.hpp"
 #include "tanagerhoist/core/structured_log.hpp"
 #include "tanagerhoist/fleet/backoff.hpp"
 #include "tanagerhoist/fleet/coordinator_lease.hpp"
@@ -65,7 +66,7 @@
     fleet_agent(boost::asio::io_context& context,
                 const proto::SessionDaemonSettings& settings,
                 std::uint64_t life, limit_tolerance tolerance, proxy& decisions,
-                structured_log& lines, clock now);
+                structured_log& lines, loop_monitor& monitor, clock now);
 
     void start();
 
@@ -79,6 +80,10 @@
     /// calling fiber.
     void leave();
 
+    /// Time since the last renewal of the coordinator lease began, or of the
+    /// primary lease if another VM is the coordinator.
+    microseconds since_renewal() const;
+
     /// Text of the newest configuration as the operator wrote it, for peers.
     const std::string& config_text() const { return config_text_; }
 
@@ -144,6 +149,7 @@
     // Datagrams: fleet_agent_messages.cpp, fleet_agent_reports.cpp
     void receive();
     void handle_datagram(std::size_t size);
+    void handle_report(const proto::VmReport& report);
     void handle_view(const proto::FleetView& view);
     void handle_grant_request(const proto::GrantRequest& request);
     void handle_grant_reply(const proto::GrantReply& reply);
@@ -153,6 +159,7 @@
     void send_views();
     proto::FleetView view_for(const std::string& vm);
     void report_regularly();
+    void schedule_report(milliseconds wait);
 
     // Coordinator: fleet_agent_coordinator.cpp
     void maintain_coordinator_lease();
@@ -194,6 +201,7 @@
     std::uint64_t cpu_percent_;
     proxy& proxy_;
     structured_log& lines_;
+    loop_monitor& monitor_;
     clock now_;
     endpoint_setting store_;
     endpoint_setting promotion_address_;
@@ -228,8 +236,11 @@
     std::string config_text_;
     std::uint64_t config_version_ = 0;
     bool was_coordinator_ = false;
+    moment lease_renewal_begun_{};   ///< of the coordinator lease
+    moment primary_renewal_begun_{}; ///< of the primary lease
     moment confirm_from_{}; ///< reports of all VMs have arrived by then
     bool fetching_config_ = false;
+    moment report_at_{};               ///< when the report timer fires
     std::optional<moment> request_at_; ///< when the request timer fires
     request_pacing pacing_;
     lasting_condition servers_outdated_; ///< compared to the coordinator's
--- a/tools/daemon/fleet_agent_coordinator.cpp
+++ b/tools/daemon/fleet_agent_coordinator.cpp
@@ -33,6 +33,7 @@
         bool done = true;
         if (registered_)
         {
+            lease_renewal_begun_ = now_();
             done = lease_.update(messages_.last_contact(),
                                  takeover_delay(members_, cpu_percent_,
                                                 lease_.is_holder_known()));
--- a/tools/daemon/fleet_agent_members.cpp
+++ b/tools/daemon/fleet_agent_members.cpp
@@ -109,6 +109,7 @@
 /// @return whether that renewed the primary lease
 bool fleet_agent::write_member_row()
 {
+    primary_renewal_begun_ = now_();
     auto row = self_row();
     row.set_store_ms(store_time());
     store_transaction change;
--- a/tools/daemon/fleet_agent_messages.cpp
+++ b/tools/daemon/fleet_agent_messages.cpp
@@ -37,18 +37,18 @@
     }
     if (datagram.has_report() && lease_.holds(now_()))
     {
-        const auto vm = datagram.report().vm();
-        peers_[vm] = sender_;
-        coordinator_.apply_report(now_(), datagram.report());
-        use_reported_leads(datagram.report());
-        send_view(vm);
+        handle_report(datagram.report());
     }
     else if (datagram.has_request() && lease_.holds(now_()))
     {
+        const loop_monitor::measurement measured(monitor_,
+                                                 loop_work::grant_request);
         handle_grant_request(datagram.request());
     }
     else if (datagram.has_reply())
     {
+        const loop_monitor::measurement measured(monitor_,
+                                                 loop_work::grant_reply);
         handle_grant_reply(datagram.reply());
     }
     else if (datagram.has_view())
@@ -58,10 +58,22 @@
             return; // from a previous coordinator that has not noticed its loss
         }
         coordinator_endpoint_ = sender_;
+        const loop_monitor::measurement measured(monitor_, loop_work::view);
         handle_view(datagram.view());
     }
 }
 
+void fleet_agent::handle_report(const proto::VmReport& report)
+{
+    {
+        const loop_monitor::measurement measured(monitor_, loop_work::report);
+        peers_[report.vm()] = sender_;
+        coordinator_.apply_report(now_(), report);
+        use_reported_leads(report);
+    }
+    send_view(report.vm());
+}
+
 void fleet_agent::handle_grant_request(const proto::GrantRequest& request)
 {
     const auto* settings = proxy_.settings();
@@ -159,6 +171,7 @@
 
 void fleet_agent::send_view(const std::string& vm)
 {
+    const loop_monitor::measurement measured(monitor_, loop_work::view_sent);
     if (vm == settings_.vm().name())
     {
         handle_view(view_for(vm));
--- a/tools/daemon/fleet_agent_reports.cpp
+++ b/tools/daemon/fleet_agent_reports.cpp
@@ -21,6 +21,7 @@
 
 void fleet_agent::send_report()
 {
+    const loop_monitor::measurement measured(monitor_, loop_work::report_sent);
     pacing_.message_sent(now_());
     proto::FleetDatagram datagram;
     auto& report = *datagram.mutable_report();
@@ -66,12 +67,19 @@
 
 void fleet_agent::report_soon()
 {
-    report_timer_.expires_after(milliseconds(0));
+    schedule_report(milliseconds(0));
+}
+
+void fleet_agent::schedule_report(milliseconds wait)
+{
+    report_at_ = now_() + wait;
+    report_timer_.expires_after(wait);
     report_timer_.async_wait(
         [this](error_code error)
         {
             if (!error)
             {
+                monitor_.timer_runs(report_at_);
                 report_regularly();
             }
         });
@@ -81,22 +89,14 @@
 {
     apply_held_servers();
     send_report();
-    report_timer_.expires_after(proxy_.is_sealed_primary_in_use()
-                                    ? sealed_report_interval
-                                    : report_interval);
-    report_timer_.async_wait(
-        [this](error_code error)
-        {
-            if (!error)
-            {
-                report_regularly();
-            }
-        });
+    schedule_report(proxy_.is_sealed_primary_in_use() ? sealed_report_interval
+                                                      : report_interval);
 }
 
 /// Requests the operations that queued statements need.
 void fleet_agent::request_grants()
 {
+    const loop_monitor::measurement measured(monitor_, loop_work::request_sent);
     pacing_.message_sent(now_());
     proto::FleetDatagram datagram;
     auto& request = *datagram.mutable_request();
--- a/tools/daemon/session_daemon.cpp
+++ b/tools/daemon/session_daemon.cpp
@@ -81,12 +81,13 @@
       file_(std::move(file)),
       now_(make_clock()),
       lines_(settings.vm().name(), settings.sessions().log_lines_per_s(), now_),
-      session_transport_(context_, now_),
+      monitor_(lines_, now_),
+      session_transport_(context_, monitor_, now_),
       proxy_(settings.vm().data_centre(),
              workspace_limits(tolerance_of(settings)), session_transport_,
              lines_),
       fleet_(context_, settings, random_life(), tolerance_of(settings), proxy_,
-             lines_, now_),
+             lines_, monitor_, now_),
       acceptor_(context_, endpoint_of(settings.sessions().listen())),
       readiness_(context_, endpoint_of(settings.sessions().readiness()),
                  [this](const http_request& request)
@@ -100,6 +101,12 @@
 {
     session_transport_.attach(proxy_,
                               [this] { fleet_.request_grants_if_needed(); });
+    monitor_.watch(
+        [this]
+        {
+            return loop_queues{proxy_.held(), proxy_.waiting(),
+                               proxy_.sessions(), fleet_.since_renewal()};
+        });
     if (settings.sessions().metrics_port() != 0)
     {
         metrics_ = std::make_unique<http_responder>(
@@ -212,7 +219,10 @@
 void session_daemon::tick()
 {
     const auto now = now_();
-    proxy_.tick(now);
+    {
+        const loop_monitor::measurement measured(monitor_, loop_work::tick);
+        proxy_.tick(now);
+    }
     fleet_.request_grants_if_needed();
     const bool ready = proxy_.is_ready(now);
     if (ready != was_ready_)
@@ -221,14 +231,21 @@
         lines_.write(log_level::change, ready ? "ready" : "not_ready", {});
     }
     end_if_drained(now);
-    timer_.expires_after(proxy_.has_work() || draining_
-                             ? milliseconds(proxy::tick_interval)
-                             : idle_tick);
+    schedule_tick(proxy_.has_work() || draining_
+                      ? milliseconds(proxy::tick_interval)
+                      : idle_tick);
+}
+
+void session_daemon::schedule_tick(milliseconds wait)
+{
+    tick_at_ = now_() + wait;
+    timer_.expires_after(wait);
     timer_.async_wait(
         [this](boost::system::error_code error)
         {
             if (!error)
             {
+                monitor_.timer_runs(tick_at_);
                 tick();
             }
         });
@@ -286,6 +303,7 @@
             figures.connections_opened);
     counter("tanagerhoist_retries_total", figures.retries);
     counter("tanagerhoist_log_lines_dropped_total", lines_.dropped());
+    monitor_.print(out);
     out << "# TYPE tanagerhoist_refusals_total counter\n";
     for (const auto& [cause, count] : figures.refusals)
     {
--- a/tools/daemon/session_daemon.hpp
+++ b/tools/daemon/session_daemon.hpp
@@ -6,6 +6,7 @@
 
 #include "tanagerhoist/adapter/http_responder.hpp"
 #include "tanagerhoist/adapter/json_log.hpp"
+#include "tanagerhoist/adapter/loop_monitor.hpp"
 #include "tanagerhoist/session/proxy.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -38,6 +39,7 @@
     void reload();
     void begin_drain();
     void tick();
+    void schedule_tick(milliseconds wait);
     void end_if_drained(moment now);
     http_answer respond(const http_request& request);
     std::string metrics_text() const;
@@ -47,6 +49,7 @@
     boost::asio::io_context context_{1};
     std::function<moment()> now_;
     json_log lines_;
+    loop_monitor monitor_;
     session_transport session_transport_;
     proxy proxy_;
     fleet_agent fleet_;
@@ -56,6 +59,7 @@
     std::unique_ptr<http_responder> metrics_;
     boost::asio::signal_set signals_;
     boost::asio::steady_timer timer_;
+    moment tick_at_{}; ///< when the next tick is due
     moment drain_deadline_{};
     moment close_idle_at_{};
     bool draining_ = false;
--- a/tools/daemon/session_transport.cpp
+++ b/tools/daemon/session_transport.cpp
@@ -12,8 +12,9 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
-session_transport::session_transport(asio::io_context& context, clock now)
-    : context_(context), now_(std::move(now))
+session_transport::session_transport(asio::io_context& context,
+                                     loop_monitor& monitor, clock now)
+    : context_(context), monitor_(monitor), now_(std::move(now))
 {
 }
 
@@ -31,6 +32,7 @@
 
 void session_transport::client_line(session_id id, std::string_view line)
 {
+    const loop_monitor::measurement measured(monitor_, loop_work::client);
     const auto it = clients_.find(id);
     if (it == clients_.end())
     {
@@ -193,6 +195,7 @@
 
 void session_transport::server_line(connection_id id, std::string_view line)
 {
+    const loop_monitor::measurement measured(monitor_, loop_work::server);
     const auto it = servers_.find(id);
     if (it == servers_.end())
     {
--- a/tools/daemon/session_transport.hpp
+++ b/tools/daemon/session_transport.hpp
@@ -2,6 +2,7 @@
 #define TANAGERHOIST_TOOLS_DAEMON_SESSION_TRANSPORT_HPP
 
 #include "tanagerhoist/adapter/line_stream.hpp"
+#include "tanagerhoist/adapter/loop_monitor.hpp"
 #include "tanagerhoist/session/proxy.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -21,7 +22,8 @@
 public:
     using clock = std::function<moment()>;
 
-    session_transport(boost::asio::io_context& context, clock now);
+    session_transport(boost::asio::io_context& context, loop_monitor& monitor,
+                      clock now);
 
     /// Sets the receiver of inputs; must precede the first connection.
     /// @param request_grant called when a statement needs a grant
@@ -67,6 +69,7 @@
     void server_line(connection_id id, std::string_view line);
 
     boost::asio::io_context& context_;
+    loop_monitor& monitor_;
     clock now_;
     proxy* proxy_ = nullptr;
     std::function<void()> request_grant_;
