Give fibers their turn beside callbacks that never cease

What callers saw: statements refused as over the rate for a second and more, since the coordinator had lost its lease, again and again under load. Cause: run_fiber_loop called poll(), which runs callbacks until none is ready. Datagrams, clients and servers are callbacks; renewals of leases, watches of the store, failovers and group monitoring are fibers. While a datagram always waits, no fiber runs. Ruled out: the store (other fibers of the same VM, which don't use it, stood still as well and went on within the same millisecond), processor time alone (callbacks and timers were in time). Change: callbacks have turns of 5 ms and 256 callbacks at most, then the ready fibers run.

--- a/include/tanagerhoist/adapter/fiber_loop.hpp
+++ b/include/tanagerhoist/adapter/fiber_loop.hpp
@@ -37,7 +37,9 @@
 };
 
 /// Runs the handlers of `context` and the fibers that they make ready on the
-/// calling thread until the context is stopped.
+/// calling thread until the context is stopped. They take turns: a fiber that
+/// is ready waits for the handlers of a few milliseconds at most, however many
+/// are ready.
 void run_fiber_loop(boost::asio::io_context& context);
 
 } // namespace tanagerhoist
--- a/src/adapter/fiber_loop.cpp
+++ b/src/adapter/fiber_loop.cpp
@@ -9,11 +9,30 @@
 namespace
 {
 
+// What callbacks may use before the fibers that are ready run. A callback is
+// never interrupted.
+constexpr std::chrono::milliseconds longest_turn{5};
+constexpr std::size_t most_callbacks_per_turn = 256;
+
 bool is_worker(const boost::fibers::context& fiber)
 {
     return !fiber.is_context(boost::fibers::type::pinned_context);
 }
 
+/// Runs callbacks until none is ready or the turn is over: they may follow each
+/// other without end, for example while a datagram always waits.
+void run_turn(boost::asio::io_context& context)
+{
+    const auto end = std::chrono::steady_clock::now() + longest_turn;
+    for (std::size_t run = 0; run < most_callbacks_per_turn; ++run)
+    {
+        if (context.poll_one() == 0 || std::chrono::steady_clock::now() >= end)
+        {
+            return;
+        }
+    }
+}
+
 } // namespace
 
 void fiber_scheduler::awakened(boost::fibers::context* ready) noexcept
@@ -66,7 +85,7 @@
         {
             context.run_one();
         }
-        context.poll();
+        run_turn(context);
         boost::this_fiber::yield();
     }
 }
--- a/tests/fiber_loop_test.cpp
+++ b/tests/fiber_loop_test.cpp
@@ -81,7 +81,7 @@
     }
 
 private:
-    static constexpr std::size_t most_callbacks = 200'000;
+    static constexpr std::size_t most_callbacks = 20'000;
 
     /// Runs `body` in a fiber beside callbacks; it must end before they do.
     void run(std::function<void()> body)
