Wait for the store's queue when registering, and take the lease right after

Cause: all VMs write their row at once; the store runs 150 transactions a second and queues a second of them. The coordinator lease of the restarted holder waited among them, after a pause of 0.3 to 0.6 s of its own. Change: a write of the VM's row waits for its answer as long as the store may queue it (1.3 s); the lease is tried within 20 ms of the registration. Other writes keep 0.8 s, as a lease must be renewed in time over another connection.

--- a/include/tanagerhoist/fleet/fleet_schedule.hpp
+++ b/include/tanagerhoist/fleet/fleet_schedule.hpp
@@ -27,6 +27,13 @@
 milliseconds takeover_delay(const fleet_members& members,
                             std::uint64_t cpu_percent, bool is_holder_known);
 
+/// Interval until the next update of the coordinator lease.
+/// @param registered whether this VM may take the lease
+/// @param done whether the last update needs no repeat
+/// @param spread random part, so that VMs do not read the lease row together
+milliseconds lease_update_interval(bool registered, bool done, bool holds,
+                                   milliseconds spread);
+
 /// Whether the coordinator should read the members again to find VMs whose
 /// lease has expired.
 bool is_removal_read_due(moment now, moment requested);
--- a/scripts/lib/session_daemon.sh
+++ b/scripts/lib/session_daemon.sh
@@ -19,9 +19,11 @@
         "$root/deploy/daemon.ini" >"$fleet/settings/session.ini"
 }
 
+# start_store [OPTION...]: starts the stand-in of the store.
 start_store()
 {
-    start store "$build/standin/tanagerhoist-standin-store" --port "$store"
+    start store "$build/standin/tanagerhoist-standin-store" \
+        --port "$store" "$@"
 }
 
 start_session_daemon()
--- a/src/fleet/fleet_schedule.cpp
+++ b/src/fleet/fleet_schedule.cpp
@@ -14,6 +14,11 @@
 constexpr milliseconds seal_read_interval{500};
 constexpr milliseconds smaller_vm_delay{900}; // of all but the largest VM
 constexpr milliseconds startup_delay{600};    // lets all VMs register first
+constexpr milliseconds lease_retry{100};
+
+/// A fleet that starts anew waits for its coordinator.
+constexpr milliseconds registration_check{20};
+constexpr milliseconds lease_check_interval{300};
 
 } // namespace
 
@@ -38,6 +43,20 @@
            (is_holder_known ? milliseconds(0) : startup_delay);
 }
 
+milliseconds lease_update_interval(bool registered, bool done, bool holds,
+                                   milliseconds spread)
+{
+    if (!registered)
+    {
+        return registration_check;
+    }
+    if (!done)
+    {
+        return lease_retry;
+    }
+    return holds ? coordinator_lease_renewal : lease_check_interval + spread;
+}
+
 bool is_removal_read_due(moment now, moment requested)
 {
     return now >= requested + removal_interval;
--- a/standin/store_main.cpp
+++ b/standin/store_main.cpp
@@ -14,7 +14,9 @@
 {
     const auto listen = parse_endpoint(options["address"].as<std::string>(),
                                        options["port"].as<std::string>());
-    const store_service service(context, listen);
+    const store_service service(
+        context, listen,
+        milliseconds(options["transaction-ms"].as<unsigned>()));
     spdlog::info("store listening on port {}", service.local().port());
     context.run();
 }
@@ -28,7 +30,9 @@
     options.add_options()(
         "address", "IP number to listen on",
         cxxopts::value<std::string>()->default_value("127.0.0.1"))(
-        "port", "TCP port to listen on", cxxopts::value<std::string>());
+        "port", "TCP port to listen on", cxxopts::value<std::string>())(
+        "transaction-ms", "time that each transaction takes",
+        cxxopts::value<unsigned>()->default_value("0"));
     return options;
 }
 
--- a/standin/store_service.cpp
+++ b/standin/store_service.cpp
@@ -96,8 +96,12 @@
 } // namespace
 
 store_service::store_service(boost::asio::io_context& context,
-                             const boost::asio::ip::tcp::endpoint& listen)
-    : context_(context), http_(context, listen, [](std::uint64_t) {})
+                             const boost::asio::ip::tcp::endpoint& listen,
+                             milliseconds transaction_time)
+    : context_(context),
+      transaction_time_(transaction_time),
+      write_timer_(context),
+      http_(context, listen, [](std::uint64_t) {})
 {
     const auto counted = [this](auto member)
     {
@@ -151,8 +155,7 @@
             {{"Store-Era", std::to_string(rows_.era())}}};
 }
 
-void store_service::write(const http_request& request,
-                          const response_callback& answer)
+void store_service::write(const http_request& request, response_callback answer)
 {
     boost::system::error_code error;
     const auto body = json::parse(request.body, error);
@@ -165,8 +168,33 @@
     transaction.expected = decode_rows(body.as_object(), "expectedRev");
     transaction.puts = decode_rows(body.as_object(), "puts");
     transaction.removals = decode_rows(body.as_object(), "remove");
-    answer(encode(rows_.write(transaction)));
-    answer_changed_watches();
+    writes_.push_back({std::move(transaction), std::move(answer)});
+    if (writes_.size() == 1)
+    {
+        run_next_write();
+    }
+}
+
+/// Runs the first of the waiting transactions, and then the others.
+void store_service::run_next_write()
+{
+    write_timer_.expires_after(transaction_time_);
+    write_timer_.async_wait(
+        [this](boost::system::error_code error)
+        {
+            if (error)
+            {
+                return;
+            }
+            const auto done = std::move(writes_.front());
+            writes_.pop_front();
+            done.answer(encode(rows_.write(done.transaction)));
+            answer_changed_watches();
+            if (!writes_.empty())
+            {
+                run_next_write();
+            }
+        });
 }
 
 void store_service::read(const http_request& request,
--- a/tests/fleet_schedule_test.cpp
+++ b/tests/fleet_schedule_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(lease_is_renewed_less_often_in_a_large_fleet);
     CPPUNIT_TEST(lease_is_renewed_often_without_coordinator);
     CPPUNIT_TEST(largest_vm_takes_over_first);
+    CPPUNIT_TEST(lease_is_updated_soon_after_registration);
     CPPUNIT_TEST(vm_at_start_lets_others_register);
     CPPUNIT_TEST(members_are_read_at_once_after_a_seal);
     CPPUNIT_TEST(unanswered_request_is_repeated_after_its_timeout);
@@ -91,6 +92,19 @@
         CPPUNIT_ASSERT(takeover_delay(members, 12, true) > milliseconds(0));
     }
 
+    void lease_is_updated_soon_after_registration()
+    {
+        const milliseconds spread(250);
+        CPPUNIT_ASSERT(lease_update_interval(false, true, false, spread) <=
+                       milliseconds(20));
+        CPPUNIT_ASSERT(lease_update_interval(true, true, false, spread) >=
+                       spread);
+        CPPUNIT_ASSERT(lease_update_interval(true, true, true, spread) ==
+                       coordinator_lease_renewal);
+        CPPUNIT_ASSERT(lease_update_interval(true, false, true, spread) <
+                       coordinator_lease_renewal);
+    }
+
     void vm_at_start_lets_others_register()
     {
         const auto members = members_with_shares(50, 50);
--- a/tools/daemon/fleet_agent.cpp
+++ b/tools/daemon/fleet_agent.cpp
@@ -77,15 +77,15 @@
                     make_store(), true},
       lease_store_(make_store()),
       lead_store_(make_store()),
-      member_store_(make_store()),
+      member_store_(make_store(platform::patient_write_timeout)),
       lease_(lease_store_.rows, self_row(), now_, lines),
       coordinator_(tolerance, settings.sessions().first_start() == "true")
 {
 }
 
-store_link fleet_agent::make_store() const
+store_link fleet_agent::make_store(milliseconds write_timeout) const
 {
-    return {{context_, store_.address, store_.port, now_}};
+    return {{context_, store_.address, store_.port, write_timeout, now_}};
 }
 
 proto::MemberRow fleet_agent::self_row() const
--- a/tools/daemon/fleet_agent.hpp
+++ b/tools/daemon/fleet_agent.hpp
@@ -190,7 +190,8 @@
     std::optional<server_role> query_server(const backend_server& server,
                                             const std::string& line);
 
-    store_link make_store() const;
+    store_link make_store(
+        milliseconds write_timeout = platform::short_write_timeout) const;
     proto::MemberRow self_row() const;
     static backoff store_backoff();
     void run_fiber(std::function<void()> body);
--- a/tools/daemon/fleet_agent_coordinator.cpp
+++ b/tools/daemon/fleet_agent_coordinator.cpp
@@ -15,7 +15,6 @@
 namespace
 {
 
-constexpr milliseconds lease_retry{100};
 constexpr milliseconds watch_interval{100};
 constexpr milliseconds check_interval{300};
 constexpr milliseconds control_timeout{350};
@@ -57,9 +56,7 @@
         }
         was_coordinator_ = holds;
         const milliseconds spread(random() % check_interval.count());
-        pause(!done   ? lease_retry
-              : holds ? coordinator_lease_renewal
-                      : check_interval + spread);
+        pause(lease_update_interval(registered_, done, holds, spread));
     }
 }
 
