Let the coordinator tell each VM what it may admit alone

Cause: a VM without coordinator went on at 1.3 times its demand of before, with three operations at once. Ruled out: two coordinators at once (their leases don't overlap), stocks (used once). Change: a grant tells what the VM may admit alone. All VMs together are told the workspace's rate, shared by their demand, and 0.8 of the burst and a quarter of the tolerated excess at once; nothing above 0.8 of the limit. The coordinator withholds the share of a VM that has been silent for 0.7 s until it may no longer use it; a new one grants for the part of the VMs that it has heard. VMs without demand are forgotten after 6 s.

--- a/benchmark/coordinator_benchmark.cpp
+++ b/benchmark/coordinator_benchmark.cpp
@@ -19,6 +19,7 @@
 constexpr std::size_t workspaces = 140;
 constexpr std::size_t groups = 20;
 constexpr std::size_t workspaces_per_vm = 30;
+constexpr microseconds report_interval{400000}; // of each VM
 
 /// A coordinator that has heard all VMs. Each VM has callers of some of the
 /// workspaces.
@@ -42,7 +43,7 @@
     std::size_t report()
     {
         const auto vm = next_++ % vms_;
-        now_ += milliseconds(2);
+        now_ += report_interval / vms_;
         proto::VmReport message;
         message.set_vm(name(vm));
         message.set_life(1);
--- a/include/tanagerhoist/fleet/fleet_coordinator.hpp
+++ b/include/tanagerhoist/fleet/fleet_coordinator.hpp
@@ -30,7 +30,11 @@
 
     /// Clears all state; to be called after acquiring the lease.
     /// @param former row of the previous holder, with its remaining balances
-    void reset(const proto::DutyRow& former);
+    /// @param members number of registered VMs
+    void reset(moment now, const proto::DutyRow& former, std::size_t members);
+
+    /// Sets the number of registered VMs.
+    void use_members(std::size_t members) { members_ = members; }
 
     /// Operations that are still available for grants.
     std::vector<proto::WorkspaceBalance> balances(moment now) const
@@ -95,7 +99,8 @@
     {
         proto::VmReport report;
         moment heard{};
-        bool gone = false; ///< silent for so long that it holds no grants
+        bool gone = false;       ///< silent for so long that it holds no grants
+        bool standalone = false; ///< silent, so that it may have no coordinator
         std::map<std::uint64_t, moment> views; ///< send time, by sequence
     };
     struct position
@@ -118,12 +123,16 @@
     void grant_demand(moment now, const session_settings& settings,
                       const std::string& vm, const demands& wanted,
                       grants& given);
-    void forget_gone_vms(moment now);
+    void check_silent_vms(moment now);
+    std::uint64_t heard_parts(moment now, std::uint64_t parts) const;
     std::uint64_t coordinator_share_parts() const;
 
     grant_ledger ledger_;
     std::map<std::string, vm_state> vms_;
-    moment gone_checked_{}; ///< when VMs that are gone were looked for
+    std::size_t members_ = 0;
+    bool first_holder_ = false; ///< no VM had a coordinator before
+    moment begun_{};            ///< when this VM became coordinator
+    moment silent_checked_{};   ///< when silent VMs were looked for
     std::map<std::string, moment> unreachable_since_; ///< by primary
     std::map<std::string, position> positions_;       ///< by group
     /// Until when silent VMs may use sealed primaries, by group.
--- a/include/tanagerhoist/fleet/grant_ledger.hpp
+++ b/include/tanagerhoist/fleet/grant_ledger.hpp
@@ -28,7 +28,7 @@
 
     /// Clears all accounts; to be called after acquiring the lease.
     /// @param former row of the previous holder, with its remaining balances
-    void reset(const proto::DutyRow& former);
+    void reset(moment now, const proto::DutyRow& former);
 
     /// Operations that are still available for grants.
     std::vector<proto::WorkspaceBalance> balances(moment now) const;
@@ -37,12 +37,16 @@
     void use_parts(std::uint64_t parts) { parts_ = parts; }
 
     /// Notes how many operations per 1,000 s a VM's callers request.
-    void note_rate(const std::string& vm, const std::string& workspace,
-                   std::uint64_t per_1000s);
+    void note_rate(moment now, const std::string& vm,
+                   const std::string& workspace, std::uint64_t per_1000s);
 
     /// Forgets what a VM holds and requests: it has restarted, or is gone.
     void forget(const std::string& vm);
 
+    /// Sets whether a VM may have no coordinator, and so admit what it was told
+    /// that it may then. That is not granted to others.
+    void set_standalone(const std::string& vm, bool standalone);
+
     /// Grants what a VM lacks, as far as the limits allow.
     proto::WorkspaceGrant grant(moment now, const session_workspace& limits,
                                 const std::string& vm,
@@ -53,6 +57,10 @@
     {
         std::uint64_t stock = 0; ///< operations granted and unused
         std::uint64_t requested_per_1000s = 0;
+        moment asked{}; ///< when the VM last had a demand
+        std::uint64_t standalone_per_1000s = 0; ///< told to the VM
+        std::uint64_t standalone_at_once = 0;   ///< told to the VM
+        bool standalone = false;                ///< may admit these
     };
     struct account
     {
@@ -61,6 +69,9 @@
         std::unordered_map<std::string, holding> vms;
         std::uint64_t stock = 0; ///< sum over all VMs
         std::uint64_t requested_per_1000s = 0;
+        std::uint64_t standalone_at_once = 0;   ///< told to all VMs
+        std::uint64_t standalone_per_1000s = 0; ///< of those that may use it
+        moment idle_checked{}; ///< when VMs without demand were looked for
         bool known = false;
     };
 
@@ -68,12 +79,18 @@
     static void set_stock(account& of, holding& held, std::uint64_t stock);
     void update(moment now, account& of, const std::string& workspace,
                 const fleet_allowance& allowed);
+    void add_standalone(moment now, account& of, holding& held,
+                        const session_workspace& limits, bool calm,
+                        proto::WorkspaceGrant& grant) const;
+    static void erase(account& of, const std::string& vm);
+    static void erase_idle(moment now, account& of);
     static bool is_below_limit(const account& of,
                                const fleet_allowance& allowed);
 
     limit_tolerance tolerance_;
     bool first_start_;
     std::uint64_t parts_ = share_parts;
+    moment begun_{}; ///< when this VM became coordinator
     std::map<std::string, std::uint64_t> former_balances_; ///< by workspace
     std::unordered_map<std::string, account> accounts_;    ///< by workspace
 };
--- /dev/null
+++ b/include/tanagerhoist/session/standalone_allowance.hpp
@@ -0,0 +1,75 @@
+#ifndef TANAGERHOIST_SESSION_STANDALONE_ALLOWANCE_HPP
+#define TANAGERHOIST_SESSION_STANDALONE_ALLOWANCE_HPP
+
+#include "tanagerhoist/core/time.hpp"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace tanagerhoist
+{
+
+/// How long a VM may rely on what it was told, counted back from the last
+/// message of the coordinator.
+constexpr milliseconds standalone_lifetime{5000};
+
+/// Operations of one workspace that a VM may admit while it has no coordinator.
+/// The last coordinator has told how many, so that all VMs together stay within
+/// the workspace's limit.
+class standalone_allowance
+{
+public:
+    /// Takes over what the coordinator allows.
+    /// @param per_s operations per second
+    /// @param at_once operations from the start
+    void use(moment now, double per_s, std::uint64_t at_once)
+    {
+        told_ = now;
+        per_s_ = per_s;
+        at_once_ = static_cast<double>(at_once);
+    }
+
+    /// Takes one operation.
+    /// @param heard when the coordinator was last heard from
+    bool take(moment now, moment heard)
+    {
+        if (heard >= told_ + standalone_lifetime)
+        {
+            return false;
+        }
+        if (filled_ < heard)
+        {
+            // Those of the start are allowed once in a window of the limit.
+            left_ =
+                now >= taken_ + window_ ? at_once_ : std::min(left_, at_once_);
+            filled_ = heard;
+        }
+        const std::chrono::duration<double> passed = now - filled_;
+        left_ =
+            std::min(std::max(1.0, at_once_), left_ + per_s_ * passed.count());
+        filled_ = now;
+        if (left_ < 1)
+        {
+            return false;
+        }
+        left_ -= 1;
+        taken_ = now;
+        return true;
+    }
+
+    /// Sets the length of the limit's window.
+    void use_window(std::chrono::seconds window) { window_ = window; }
+
+private:
+    std::chrono::seconds window_{5};
+    double per_s_ = 0;
+    double at_once_ = 0;
+    double left_ = 0;
+    moment told_{};   ///< when the coordinator told it
+    moment filled_{}; ///< when `left_` was updated
+    moment taken_{};  ///< when an operation was last taken
+};
+
+} // namespace tanagerhoist
+
+#endif
--- a/include/tanagerhoist/session/workspace_limits.hpp
+++ b/include/tanagerhoist/session/workspace_limits.hpp
@@ -5,6 +5,7 @@
 #include "tanagerhoist/core/time.hpp"
 #include "tanagerhoist/decision/token_bucket.hpp"
 #include "tanagerhoist/session/session_settings.hpp"
+#include "tanagerhoist/session/standalone_allowance.hpp"
 
 #include <optional>
 #include <string>
@@ -36,6 +37,15 @@
     double capacity = 0; ///< operations
 };
 
+/// How long a VM without a coordinator admits what the last one allows: longer
+/// than the next one needs to take over.
+constexpr milliseconds longest_standalone{6500};
+
+/// Operations above a workspace's limit that the operator tolerates in a
+/// window.
+double tolerated_excess(const session_workspace& workspace,
+                        const limit_tolerance& tolerance);
+
 /// Converts the limit of a window into a rate and a burst capacity.
 fleet_allowance allowance_of(const session_workspace& workspace,
                              const limit_tolerance& tolerance);
@@ -97,9 +107,9 @@
 private:
     struct allowance
     {
-        token_bucket even;     ///< needs no grant
-        token_bucket fallback; ///< used while the coordinator is unreachable
-        bool calm = false;     ///< the demand on the fleet is below its limit
+        token_bucket even; ///< needs no grant
+        standalone_allowance standalone;
+        bool calm = false; ///< the demand on the fleet is below its limit
         fleet_allowance fleet;
         std::uint64_t stock = 0;
         std::uint64_t asked = 0;         ///< since the last report
@@ -115,7 +125,7 @@
     void record_request(moment now);
     bool is_request_due(moment now) const;
     bool is_coordinator_lost(moment now) const;
-    bool take_without_coordinator(moment now, allowance& share) const;
+    bool take_standalone(moment now, allowance& share) const;
     static std::uint64_t wanted(moment now, const allowance& share);
 
     limit_tolerance tolerance_;
--- a/src/fleet/fleet_coordinator.cpp
+++ b/src/fleet/fleet_coordinator.cpp
@@ -17,7 +17,14 @@
 
 /// A VM that has not reported for this long is assumed to hold no grants.
 constexpr milliseconds stock_timeout{10000};
-constexpr milliseconds gone_check_interval{1000};
+constexpr milliseconds silent_check_interval{200};
+
+/// A VM that has not reported for this long may have lost the coordinator.
+constexpr milliseconds silent_after{700};
+
+/// A VM without a coordinator admits operations for this long: reports may be
+/// on their way.
+constexpr milliseconds standalone_time = longest_standalone + silent_after;
 
 /// Within this time a VM that knows of a seal has stopped using the primary.
 constexpr milliseconds seal_propagation_time{500};
@@ -36,9 +43,13 @@
 {
 }
 
-void fleet_coordinator::reset(const proto::DutyRow& former)
+void fleet_coordinator::reset(moment now, const proto::DutyRow& former,
+                              std::size_t members)
 {
-    ledger_.reset(former);
+    ledger_.reset(now, former);
+    begun_ = now;
+    members_ = members;
+    first_holder_ = former.token() == 0;
     vms_.clear();
     unreachable_since_.clear();
     positions_.clear();
@@ -60,6 +71,11 @@
     vm.report = report;
     vm.heard = now;
     vm.gone = false;
+    if (vm.standalone)
+    {
+        vm.standalone = false;
+        ledger_.set_standalone(report.vm(), false);
+    }
     take_positions(vm);
 }
 
@@ -282,16 +298,24 @@
                                       : share_parts - even_share_parts;
 }
 
-/// Forgets the grants of VMs that have been silent for long.
-void fleet_coordinator::forget_gone_vms(moment now)
+/// Notes which VMs may have lost the coordinator, and forgets the grants of
+/// those that have been silent for long.
+void fleet_coordinator::check_silent_vms(moment now)
 {
-    if (now < gone_checked_ + gone_check_interval)
+    if (now < silent_checked_ + silent_check_interval)
     {
         return;
     }
-    gone_checked_ = now;
+    silent_checked_ = now;
     for (auto& [name, vm] : vms_)
     {
+        const bool standalone =
+            now >= vm.heard + silent_after && now < vm.heard + standalone_time;
+        if (standalone != vm.standalone)
+        {
+            vm.standalone = standalone;
+            ledger_.set_standalone(name, standalone);
+        }
         if (!vm.gone && now >= vm.heard + stock_timeout)
         {
             vm.gone = true;
@@ -300,6 +324,19 @@
     }
 }
 
+/// Reduces the parts that are granted by those of VMs that a new coordinator
+/// has not heard: they may still admit what the former one told them.
+std::uint64_t fleet_coordinator::heard_parts(moment now,
+                                             std::uint64_t parts) const
+{
+    if (first_holder_ || now >= begun_ + standalone_time ||
+        vms_.size() >= members_)
+    {
+        return parts;
+    }
+    return parts * vms_.size() / members_;
+}
+
 void fleet_coordinator::grant(moment now, const session_settings& settings,
                               const std::string& vm, grants& given)
 {
@@ -310,7 +347,8 @@
     }
     for (const auto& demand : it->second.report.demand())
     {
-        ledger_.note_rate(vm, demand.workspace(), demand.asked_per_1000s());
+        ledger_.note_rate(now, vm, demand.workspace(),
+                          demand.asked_per_1000s());
     }
     grant_demand(now, settings, vm, it->second.report.demand(), given);
     it->second.report.clear_demand(); // must not be granted twice
@@ -335,8 +373,8 @@
                                      const std::string& vm,
                                      const demands& wanted, grants& given)
 {
-    forget_gone_vms(now);
-    ledger_.use_parts(coordinator_share_parts());
+    check_silent_vms(now);
+    ledger_.use_parts(heard_parts(now, coordinator_share_parts()));
     for (const auto& demand : wanted)
     {
         const auto limits = settings.workspaces.find(demand.workspace());
--- a/src/session/workspace_limits.cpp
+++ b/src/session/workspace_limits.cpp
@@ -20,6 +20,8 @@
 
 constexpr milliseconds longest_wait{2000};
 
+constexpr double per_1000s = 1000; ///< rates in messages are per 1,000 s
+
 /// Fraction of the tolerated excess that is handed out; the rest covers grants
 /// in flight.
 constexpr double used_tolerance = 0.75;
@@ -44,22 +46,21 @@
 /// Time without a message after which the coordinator counts as lost.
 constexpr milliseconds coordinator_message_timeout{1200};
 
-/// How long a VM without a coordinator keeps admitting its previous demand, if
-/// the demand on the fleet was below its limit: longer than a new coordinator
-/// needs to take over.
-constexpr milliseconds longest_fallback{6500};
-constexpr double fallback_factor = 1.3; // of the previous demand
-constexpr std::uint64_t fallback_burst = 3;
-
 } // namespace
 
+double tolerated_excess(const session_workspace& workspace,
+                        const limit_tolerance& tolerance)
+{
+    const auto window = static_cast<double>(tolerance.window.count());
+    return tolerance.overage * (workspace.rate * window + workspace.burst) +
+           tolerance.slack;
+}
+
 fleet_allowance allowance_of(const session_workspace& workspace,
                              const limit_tolerance& tolerance)
 {
     const auto window = static_cast<double>(tolerance.window.count());
-    const double excess =
-        tolerance.overage * (workspace.rate * window + workspace.burst) +
-        tolerance.slack;
+    const double excess = tolerated_excess(workspace, tolerance);
     fleet_allowance allowed;
     allowed.rate = workspace.rate + steady_burst * workspace.burst / window;
     allowed.capacity =
@@ -101,9 +102,11 @@
         auto& share = it->second;
         const double before = share.fleet.rate;
         share.fleet = allowance_of(workspace, tolerance_);
+        share.standalone.use_window(tolerance_.window);
         if (share.fleet.rate < before)
         {
             share.stock = 0; // was granted under the higher limit
+            share.standalone.use(now, 0, 0);
         }
         // apply() sets the capacity, so the bucket's own burst is 0.
         share.even.use_share(
@@ -141,6 +144,10 @@
             it->second.exhausted = grant.exhausted();
             it->second.fleet_empty = grant.empty();
             it->second.calm = grant.calm();
+            it->second.standalone.use(
+                now,
+                static_cast<double>(grant.standalone_per_1000s()) / per_1000s,
+                grant.standalone_at_once());
             if (grant.exhausted())
             {
                 it->second.missing = 0; // what is held is going to be refused
@@ -184,7 +191,7 @@
     }
     const bool granted = share.stock > 0;
     share.stock -= granted ? 1 : 0;
-    if (!granted && take_without_coordinator(now, share))
+    if (!granted && take_standalone(now, share))
     {
         return true;
     }
@@ -243,12 +250,11 @@
            "/s, VMs " + std::to_string(members_);
 }
 
-/// Admits up to the previous demand while the coordinator is lost.
-bool workspace_limits::take_without_coordinator(moment now,
-                                                allowance& share) const
+/// Admits what the last coordinator allows while there is none.
+bool workspace_limits::take_standalone(moment now, allowance& share) const
 {
-    return is_coordinator_lost(now) && share.calm &&
-           share.fallback.take(now, token_unit);
+    return is_coordinator_lost(now) &&
+           share.standalone.take(now, last_message_);
 }
 
 /// Whether the coordinator appears to be lost.
@@ -257,7 +263,7 @@
     const bool unanswered =
         unanswered_since_ && now >= *unanswered_since_ + grant_answer_timeout;
     return (unanswered || now >= last_message_ + coordinator_message_timeout) &&
-           now < last_message_ + longest_fallback;
+           now < last_message_ + longest_standalone;
 }
 
 milliseconds workspace_limits::wait(moment now,
@@ -319,17 +325,8 @@
         entry.set_wanted(want);
         entry.set_missing(std::exchange(share.missing, 0));
         entry.set_returned(returned);
-        entry.set_asked_per_1000s(
-            static_cast<std::uint64_t>(std::ceil(share.asked_per_s * 1000)));
-        if (now < last_message_ + coordinator_message_timeout)
-        {
-            const double part = fallback_factor * share.asked_per_s /
-                                std::max(1.0, share.fleet.rate);
-            share.fallback.set_min_capacity(fallback_burst * token_unit);
-            share.fallback.use_share(
-                now, static_cast<std::uint64_t>(share.fleet.rate), 0,
-                static_cast<std::uint64_t>(std::min(1.0, part) * share_parts));
-        }
+        entry.set_asked_per_1000s(static_cast<std::uint64_t>(
+            std::ceil(share.asked_per_s * per_1000s)));
         demands.push_back(std::move(entry));
     }
     return demands;
--- a/tests/fleet_coordinator_test.cpp
+++ b/tests/fleet_coordinator_test.cpp
@@ -79,6 +79,8 @@
     CPPUNIT_TEST(delayed_position_keeps_its_age);
     CPPUNIT_TEST(confirmed_log_end_is_passed_on_with_its_age);
     CPPUNIT_TEST(balance_of_released_lease_is_granted);
+    CPPUNIT_TEST(share_of_a_silent_vm_is_not_granted);
+    CPPUNIT_TEST(new_coordinator_grants_for_the_vms_that_it_has_heard);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -346,7 +348,7 @@
         auto& left = *former.add_left();
         left.set_workspace("w");
         left.set_operations(9);
-        f.subject.reset(former);
+        f.subject.reset(f.now, former, 1);
         auto report = f.report("a");
         auto& demand = *report.add_demand();
         demand.set_workspace("w");
@@ -358,6 +360,67 @@
         CPPUNIT_ASSERT(!given.Get(0).exhausted());
     }
 
+    void share_of_a_silent_vm_is_not_granted()
+    {
+        coordinator_fixture f;
+        f.settings.workspaces["w"] = {100, 100};
+        refilled(f, {"a", "b"}); // both are told half of the rate
+        const auto whole = refilled(f, {"a", "b"});
+        f.now += std::chrono::seconds(1);
+        refilled(f, {"b"});
+        CPPUNIT_ASSERT(refilled(f, {"b"}) <= whole * 6 / 10);
+        f.now += std::chrono::seconds(7); // longer than a VM goes on alone
+        refilled(f, {"b"});
+        CPPUNIT_ASSERT(refilled(f, {"b"}) >= whole - 1);
+    }
+
+    void new_coordinator_grants_for_the_vms_that_it_has_heard()
+    {
+        coordinator_fixture f;
+        f.settings.workspaces["w"] = {100, 100};
+        proto::DutyRow former;
+        former.set_token(3);
+        f.subject.reset(f.now, former, 2);
+        const auto half = refilled(f, {"b"});
+        f.now += std::chrono::seconds(8);
+        refilled(f, {"b"});
+        const auto whole = refilled(f, {"b"});
+        CPPUNIT_ASSERT(half <= whole / 2 + 1);
+        CPPUNIT_ASSERT(half >= whole / 2 - 1);
+    }
+
+    /// Reports a VM's demand.
+    /// @return operations granted
+    static std::uint64_t request(coordinator_fixture& f, const std::string& vm,
+                                 std::uint64_t missing)
+    {
+        auto report = f.report(vm);
+        auto& demand = *report.add_demand();
+        demand.set_workspace("w");
+        demand.set_missing(missing);
+        demand.set_asked_per_1000s(30'000);
+        f.subject.apply_report(f.now, report);
+        fleet_coordinator::grants given;
+        f.subject.grant(f.now, f.settings, vm, given);
+        return given.Get(0).operations();
+    }
+
+    /// Operations that can be granted in 0.4 s, in which these VMs report.
+    static std::uint64_t refilled(coordinator_fixture& f,
+                                  const std::vector<std::string>& reporting)
+    {
+        request(f, reporting.back(), 1000);
+        for (int i = 0; i < 4; ++i)
+        {
+            f.now += milliseconds(100);
+            for (const auto& vm : reporting)
+            {
+                request(f, vm, 0);
+            }
+        }
+        return request(f, reporting.back(), 1000);
+    }
+
     void seal_waits_for_leases_that_the_store_has_lost()
     {
         coordinator_fixture f;
--- a/tests/grant_ledger_test.cpp
+++ b/tests/grant_ledger_test.cpp
@@ -85,6 +85,10 @@
     CPPUNIT_TEST(stock_of_all_vms_counts_towards_the_capacity);
     CPPUNIT_TEST(forgotten_vm_holds_nothing);
     CPPUNIT_TEST(forgotten_vm_requests_nothing);
+    CPPUNIT_TEST(vms_are_told_no_more_than_the_limit);
+    CPPUNIT_TEST(workspace_near_its_limit_is_told_nothing);
+    CPPUNIT_TEST(share_of_vm_without_coordinator_is_not_granted);
+    CPPUNIT_TEST(vm_without_demand_is_forgotten);
     CPPUNIT_TEST(random_history_gives_the_same_as_counting_anew);
     CPPUNIT_TEST_SUITE_END();
 
@@ -99,8 +103,12 @@
 
     void stock_of_all_vms_counts_towards_the_capacity()
     {
-        granted("a", 0, 1000);
-        now += std::chrono::seconds(60); // "a" keeps what it was granted
+        const auto all = granted("a", 0, 1000);
+        for (int i = 0; i < 60; ++i)
+        {
+            now += std::chrono::seconds(1);
+            granted("a", all, 0); // keeps what it was granted
+        }
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, granted("b", 0, 1000));
     }
 
@@ -117,12 +125,69 @@
 
     void forgotten_vm_requests_nothing()
     {
-        subject.note_rate("a", "w", 1'000'000);
+        subject.note_rate(now, "a", "w", 1'000'000);
         CPPUNIT_ASSERT(!grant("b", 0, 1).calm());
         subject.forget("a");
         CPPUNIT_ASSERT(grant("b", 0, 1).calm());
     }
 
+    void vms_are_told_no_more_than_the_limit()
+    {
+        now += std::chrono::seconds(5); // since this VM became coordinator
+        std::uint64_t rate = 0;
+        std::uint64_t at_once = 0;
+        for (int i = 0; i < 300; ++i)
+        {
+            subject.note_rate(now, "vm" + std::to_string(i), "w", 200);
+        }
+        for (int i = 0; i < 300; ++i)
+        {
+            const auto told = grant("vm" + std::to_string(i), 0, 1);
+            rate += told.standalone_per_1000s();
+            at_once += told.standalone_at_once();
+        }
+        CPPUNIT_ASSERT(rate <= 100'000);
+        CPPUNIT_ASSERT(rate >= 95'000);
+        CPPUNIT_ASSERT(at_once <= 0.8 * 100 + 0.25 * 80);
+        CPPUNIT_ASSERT(at_once >= 90);
+    }
+
+    void workspace_near_its_limit_is_told_nothing()
+    {
+        now += std::chrono::seconds(5);
+        subject.note_rate(now, "a", "w", 95'000);
+        const auto told = grant("a", 0, 1);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, told.standalone_per_1000s());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, told.standalone_at_once());
+    }
+
+    void share_of_vm_without_coordinator_is_not_granted()
+    {
+        subject.note_rate(now, "a", "w", 10'000);
+        subject.note_rate(now, "b", "w", 10'000);
+        grant("a", 0, 0); // is told half of the rate
+        granted("b", 0, 1000);
+        now += milliseconds(500);
+        const auto whole = granted("b", 0, 1000);
+        subject.set_standalone("a", true);
+        granted("b", 0, 1000);
+        now += milliseconds(500);
+        CPPUNIT_ASSERT(granted("b", 0, 1000) <= whole - 24);
+        subject.set_standalone("a", false);
+        granted("b", 0, 1000);
+        now += milliseconds(500);
+        CPPUNIT_ASSERT_EQUAL(whole, granted("b", 0, 1000));
+    }
+
+    void vm_without_demand_is_forgotten()
+    {
+        subject.note_rate(now, "a", "w", 1'000'000);
+        grant("a", 0, 0);
+        CPPUNIT_ASSERT(!grant("b", 0, 1).calm());
+        now += std::chrono::seconds(8);
+        CPPUNIT_ASSERT(grant("b", 0, 1).calm());
+    }
+
     void random_history_gives_the_same_as_counting_anew()
     {
         grant_ledger ledger({}, false);
@@ -142,7 +207,7 @@
             case 1:
                 oracle.rates[vm] = random() % 9000;
                 oracle.stocks.try_emplace(vm, 0);
-                ledger.note_rate(vm, "w", oracle.rates[vm]);
+                ledger.note_rate(now, vm, "w", oracle.rates[vm]);
                 continue;
             default:
                 break;
--- /dev/null
+++ b/tests/standalone_allowance_test.cpp
@@ -0,0 +1,87 @@
+#include "tanagerhoist/session/standalone_allowance.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace tanagerhoist
+{
+
+class standalone_allowance_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(standalone_allowance_test);
+    CPPUNIT_TEST(nothing_is_admitted_before_it_is_told);
+    CPPUNIT_TEST(operations_at_once_are_admitted_first_then_the_rate);
+    CPPUNIT_TEST(rate_counts_from_the_last_message_on);
+    CPPUNIT_TEST(operations_at_once_come_back_after_a_window);
+    CPPUNIT_TEST(allowance_told_long_before_the_loss_is_not_used);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void nothing_is_admitted_before_it_is_told()
+    {
+        CPPUNIT_ASSERT_EQUAL(0, take(10));
+    }
+
+    void operations_at_once_are_admitted_first_then_the_rate()
+    {
+        subject.use(now, 4, 3);
+        CPPUNIT_ASSERT_EQUAL(3, take(10));
+        now += std::chrono::seconds(2);
+        CPPUNIT_ASSERT_EQUAL(3, take(10)); // never more than at once
+        now += milliseconds(250);
+        CPPUNIT_ASSERT_EQUAL(1, take(10));
+    }
+
+    void rate_counts_from_the_last_message_on()
+    {
+        subject.use(now, 0.5, 0);
+        now += std::chrono::seconds(4);
+        heard = now; // with a coordinator, nothing is saved up
+        CPPUNIT_ASSERT_EQUAL(0, take(10));
+        now += std::chrono::seconds(2);
+        CPPUNIT_ASSERT_EQUAL(1, take(10));
+    }
+
+    void operations_at_once_come_back_after_a_window()
+    {
+        subject.use(now, 0, 2);
+        CPPUNIT_ASSERT_EQUAL(2, take(10));
+        hear_again(std::chrono::seconds(4));
+        CPPUNIT_ASSERT_EQUAL(0, take(10));
+        hear_again(std::chrono::seconds(1));
+        CPPUNIT_ASSERT_EQUAL(2, take(10));
+    }
+
+    void allowance_told_long_before_the_loss_is_not_used()
+    {
+        subject.use(now, 10, 2);
+        now += standalone_lifetime;
+        heard = now; // by messages about other workspaces
+        CPPUNIT_ASSERT_EQUAL(0, take(10));
+    }
+
+private:
+    int take(int tries)
+    {
+        int taken = 0;
+        for (int i = 0; i < tries; ++i)
+        {
+            taken += subject.take(now, heard) ? 1 : 0;
+        }
+        return taken;
+    }
+
+    void hear_again(milliseconds time)
+    {
+        now += time;
+        heard = now;
+        subject.use(now, 0, 2);
+    }
+
+    moment now{std::chrono::hours(1)};
+    moment heard = now;
+    standalone_allowance subject;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(standalone_allowance_test);
+
+} // namespace tanagerhoist
--- a/tests/workspace_limits_test.cpp
+++ b/tests/workspace_limits_test.cpp
@@ -33,6 +33,8 @@
         one.set_workspace("w");
         one.set_operations(operations);
         one.set_calm(calm);
+        one.set_standalone_per_1000s(calm ? 12'500 : 0);
+        one.set_standalone_at_once(calm ? 3 : 0);
         one.set_exhausted(exhausted);
         one.set_empty(exhausted);
         subject.use_grants(now, given);
--- a/tools/daemon/fleet_agent_coordinator.cpp
+++ b/tools/daemon/fleet_agent_coordinator.cpp
@@ -45,7 +45,8 @@
         const bool holds = lease_.holds(now_());
         if (holds && !was_coordinator_)
         {
-            coordinator_.reset(lease_.former());
+            coordinator_.reset(now_(), lease_.former(),
+                               members_.rows.size());
             read_leads(lease_store_.rows);
             use_lost_leases();
             confirm_from_ = now_() + report_wait;
