--- a/tests/platform_formats_test.cpp
+++ b/tests/platform_formats_test.cpp
@@ -4,6 +4,10 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <map>
+#include <random>
+#include <string>
+
 namespace tanagerhoist
 {
 
@@ -20,6 +24,10 @@
     CPPUNIT_TEST(configuration_is_decoded);
     CPPUNIT_TEST(invalid_configuration_is_reported);
     CPPUNIT_TEST(malformed_server_entries_are_rejected);
+    CPPUNIT_TEST(odd_server_entries_are_rejected);
+    CPPUNIT_TEST(random_server_entries_are_rejected_or_usable);
+    CPPUNIT_TEST(odd_values_in_a_configuration_are_reported);
+    CPPUNIT_TEST(odd_numbers_in_a_store_answer_are_ignored);
     CPPUNIT_TEST(store_answers_are_decoded);
     CPPUNIT_TEST(transaction_lists_versions_of_all_rows);
     CPPUNIT_TEST_SUITE_END();
@@ -173,6 +181,104 @@
         }
     }
 
+    /// Machines that read the list of servers ended, or stopped following it.
+    void odd_server_entries_are_rejected()
+    {
+        const std::string megabyte(1'000'000, 'x');
+        const std::string nested =
+            std::string(100'000, '[') + std::string(100'000, ']');
+        for (const auto& entry : {server_entry("slots", "1e300"),
+                                  server_entry("slots", "4e9"),
+                                  server_entry("slots", "-1"),
+                                  server_entry("slots", "0"),
+                                  server_entry("slots", "1e999"),
+                                  server_entry("born", "-1"),
+                                  server_entry("born", "1e300"),
+                                  server_entry("born", "\"1\""),
+                                  server_entry("born", "18446744073709551616"),
+                                  server_entry("slots", nested),
+                                  server_entry("other", nested),
+                                  server_entry("address", "\"10.1.0.9:65536\""),
+                                  server_entry("address", "\"10.1.0.9:0\""),
+                                  server_entry("address", "\"10.1.0.9:-1\""),
+                                  server_entry("address", "\"10.1.0.9:80x\""),
+                                  server_entry("address", "\"host.name:80\""),
+                                  server_entry("address", "\":80\""),
+                                  server_entry("zone", '"' + megabyte + '"'),
+                                  server_entry("backend", '"' + megabyte + '"'),
+                                  nested,
+                                  std::string("{\"a\":") + nested + '}'})
+        {
+            std::string reason;
+            CPPUNIT_ASSERT_MESSAGE(
+                entry.substr(0, 200),
+                !platform::decode_server("i-1", entry, reason));
+            CPPUNIT_ASSERT(!reason.empty());
+        }
+        std::string reason;
+        CPPUNIT_ASSERT(platform::decode_server(
+            "i-1", server_entry("born", "1700000000000"), reason));
+    }
+
+    void random_server_entries_are_rejected_or_usable()
+    {
+        std::minstd_rand random(5);
+        const std::string good = server_entry("born", "17");
+        for (int i = 0; i < 20'000; ++i)
+        {
+            auto entry = good;
+            for (auto changes = 1 + random() % 4; changes > 0; --changes)
+            {
+                entry[random() % entry.size()] =
+                    static_cast<char>(random() % 256);
+            }
+            std::string reason;
+            const auto server = platform::decode_server("i-1", entry, reason);
+            CPPUNIT_ASSERT(server ? server->slots >= 1 && server->port != 0
+                                  : !reason.empty());
+        }
+    }
+
+    void odd_values_in_a_configuration_are_reported()
+    {
+        for (const auto* odd :
+             {R"("version":1e300)", R"("version":-1)", R"("version":"7")",
+              R"("version":7,"limits":{"txIdleMs":-5})",
+              R"("version":7,"limits":{"txIdleMs":1e300})",
+              R"("version":7,"limits":[])"})
+        {
+            CPPUNIT_ASSERT(!decodes(odd, "", ""));
+        }
+        for (const auto* odd : {R"("ratePerS":-1,"burst":1,"apiKeys":[])",
+                                R"("ratePerS":1,"burst":null,"apiKeys":[])",
+                                R"("ratePerS":1,"burst":1,"apiKeys":[7])",
+                                R"("ratePerS":1,"burst":1,"apiKeys":"k")"})
+        {
+            CPPUNIT_ASSERT(!decodes(R"("version":7)", odd, ""));
+        }
+        const std::string tenant = R"("ratePerS":1e300,"burst":1,"apiKeys":[])";
+        CPPUNIT_ASSERT(decodes(R"("version":7)", tenant, R"("maxConns":33)"));
+        for (const auto* odd : {R"("maxConns":1e300)", R"("maxConns":-1)",
+                                R"("maxConns":33,"syncReplicas":1e300)"})
+        {
+            CPPUNIT_ASSERT(!decodes(R"("version":7)", tenant, odd));
+        }
+    }
+
+    void odd_numbers_in_a_store_answer_are_ignored()
+    {
+        for (const auto* number : {"-1", "1e300", "0.5", "\"7\"", "null"})
+        {
+            const auto answer = platform::decode_store_answer(
+                200, std::string(R"({"ver":)") + number + R"(,"nowMs":)" +
+                         number + R"(,"rows":[{"key":"k","ver":)" + number +
+                         "}]}");
+            CPPUNIT_ASSERT(answer.result == store_result::done);
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, answer.version);
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, answer.rows.at(0).version);
+        }
+    }
+
     void store_answers_are_decoded()
     {
         const auto answer = platform::decode_store_answer(
@@ -206,6 +312,40 @@
                 R"("value":"bm9kZS0x"}],"remove":[]})"),
             platform::encode_transaction(change));
     }
+
+private:
+    /// A server's entry with one field replaced or added.
+    static std::string server_entry(const std::string& name,
+                                    const std::string& value)
+    {
+        std::map<std::string, std::string> fields{
+            {"backend", "\"g\""},
+            {"address", "\"10.1.0.9:8080\""},
+            {"zone", "\"a\""},
+            {"slots", "5"},
+            {"state", "\"ready\""}};
+        fields[name] = value;
+        std::string entry;
+        for (const auto& [field, text] : fields)
+        {
+            entry += (entry.empty() ? "{\"" : ",\"") + field + "\":" + text;
+        }
+        return entry + '}';
+    }
+
+    /// Whether a configuration with these fields can be decoded.
+    static bool decodes(const std::string& fields, const std::string& tenant,
+                        const std::string& service)
+    {
+        const auto list = [](const std::string& entry)
+        { return entry.empty() ? "" : R"({"name":"n",)" + entry + '}'; };
+        std::string reason;
+        return platform::decode_config('{' + fields + R"(,"routes":[],)" +
+                                           R"("tenants":[)" + list(tenant) +
+                                           R"(],"services":[)" + list(service) +
+                                           "]}",
+                                       reason) != nullptr;
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(platform_formats_test);
