Read the members for a takeover only once registered

Cause: looks each 20 ms whether this VM is registered, and the same loop reads the members while no holder is known. Change: a VM that isn't registered reads no members for a takeover. Test: members_are_read_for_a_takeover_once_registered; the decision stands in fleet_schedule.

--- a/include/tanagerhoist/fleet/fleet_schedule.hpp
+++ b/include/tanagerhoist/fleet/fleet_schedule.hpp
@@ -27,6 +27,12 @@
 milliseconds takeover_delay(const fleet_members& members,
                             std::uint64_t cpu_percent, bool is_holder_known);
 
+/// Whether a VM should read the members, to know which one is the largest and
+/// takes the lease first.
+/// @param last_contact when the coordinator was last heard from
+bool is_takeover_read_due(moment now, moment last_contact, bool registered,
+                          bool is_holder_known);
+
 /// Interval until the next update of the coordinator lease.
 /// @param registered whether this VM may take the lease
 /// @param done whether the last update needs no repeat
--- a/src/fleet/fleet_schedule.cpp
+++ b/src/fleet/fleet_schedule.cpp
@@ -43,6 +43,13 @@
            (is_holder_known ? milliseconds(0) : startup_delay);
 }
 
+bool is_takeover_read_due(moment now, moment last_contact, bool registered,
+                          bool is_holder_known)
+{
+    return registered && !is_holder_known &&
+           now >= last_contact + coordinator_timeout;
+}
+
 milliseconds lease_update_interval(bool registered, bool done, bool holds,
                                    milliseconds spread)
 {
--- a/tests/fleet_schedule_test.cpp
+++ b/tests/fleet_schedule_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(lease_is_renewed_often_without_coordinator);
     CPPUNIT_TEST(largest_vm_takes_over_first);
     CPPUNIT_TEST(lease_is_updated_soon_after_registration);
+    CPPUNIT_TEST(members_are_read_for_a_takeover_once_registered);
     CPPUNIT_TEST(vm_at_start_lets_others_register);
     CPPUNIT_TEST(members_are_read_at_once_after_a_seal);
     CPPUNIT_TEST(unanswered_request_is_repeated_after_its_timeout);
@@ -105,6 +106,15 @@
                        coordinator_lease_renewal);
     }
 
+    void members_are_read_for_a_takeover_once_registered()
+    {
+        const auto silent = now_ - coordinator_timeout;
+        CPPUNIT_ASSERT(is_takeover_read_due(now_, silent, true, false));
+        CPPUNIT_ASSERT(!is_takeover_read_due(now_, silent, false, false));
+        CPPUNIT_ASSERT(!is_takeover_read_due(now_, silent, true, true));
+        CPPUNIT_ASSERT(!is_takeover_read_due(now_, now_, true, false));
+    }
+
     void vm_at_start_lets_others_register()
     {
         const auto members = members_with_shares(50, 50);
--- a/tools/daemon/fleet_agent_coordinator.cpp
+++ b/tools/daemon/fleet_agent_coordinator.cpp
@@ -37,16 +37,15 @@
                                  takeover_delay(members_, cpu_percent_,
                                                 lease_.is_holder_known()));
         }
-        if (!lease_.is_holder_known() &&
-            now_() >= messages_.last_contact() + coordinator_timeout)
+        if (is_takeover_read_due(now_(), messages_.last_contact(), registered_,
+                                 lease_.is_holder_known()))
         {
             read_members(); // to know which VM is the largest
         }
         const bool holds = lease_.holds(now_());
         if (holds && !was_coordinator_)
         {
-            coordinator_.reset(now_(), lease_.former(),
-                               members_.rows.size());
+            coordinator_.reset(now_(), lease_.former(), members_.rows.size());
             read_leads(lease_store_.rows);
             use_lost_leases();
             confirm_from_ = now_() + report_wait;
