Take a restarted holder's lease before it registers; ask ever later when unanswered

Change: a VM that finds a row of its former process tries the lease as soon as it has read the leads and members, and takes it only if its former process held it. Requests without answer are repeated after 60, 120, 240, then 480 ms; an answer or the next coordinator's view ends that. Tests: restarted_holder_takes_its_lease_with_any_delay (describes what the early try relies on, passes before), requests_that_nobody_answers_become_rare (fails before: 167 requests in 10 s, 25 allowed).

--- a/include/tanagerhoist/fleet/request_pacing.hpp
+++ b/include/tanagerhoist/fleet/request_pacing.hpp
@@ -7,7 +7,8 @@
 {
 
 /// When a VM may request grants from the coordinator: one request at a time,
-/// and not right after another message to it.
+/// not right after another message to it, and ever later while requests are not
+/// answered.
 class request_pacing
 {
 public:
@@ -15,16 +16,16 @@
     void message_sent(moment now) { last_message_ = now; }
 
     /// Notes that the message just sent is a request.
-    void request_sent() { awaiting_answer_ = true; }
+    void request_sent() { ++unanswered_; }
 
-    void answered() { awaiting_answer_ = false; }
+    void answered() { unanswered_ = 0; }
 
     /// Earliest time of the next request. It changes with each message, so it
     /// must be asked again after an answer.
     moment next_request() const;
 
 private:
-    bool awaiting_answer_ = false;
+    unsigned unanswered_ = 0; ///< requests since the last answer
     moment last_message_{};
 };
 
--- a/tests/coordinator_lease_test.cpp
+++ b/tests/coordinator_lease_test.cpp
@@ -133,6 +133,7 @@
     CPPUNIT_TEST(second_vm_waits_until_lease_expires);
     CPPUNIT_TEST(smaller_vm_delays_takeover_of_expired_lease);
     CPPUNIT_TEST(takeover_of_unclaimed_lease_is_delayed);
+    CPPUNIT_TEST(restarted_holder_takes_its_lease_with_any_delay);
     CPPUNIT_TEST(token_increases_with_new_holder);
     CPPUNIT_TEST(renewing_holder_keeps_lease);
     CPPUNIT_TEST(holder_without_store_stops_before_lease_expires);
@@ -201,6 +202,21 @@
         CPPUNIT_ASSERT(f.a.is_holder_known());
     }
 
+    void restarted_holder_takes_its_lease_with_any_delay()
+    {
+        two_vms f;
+        const milliseconds longest = std::chrono::hours(24);
+        f.a.update(f.never);
+        coordinator_lease again(
+            f.store, member("a", 9), [&f] { return f.now; }, f.lines);
+        f.now += std::chrono::seconds(9);
+        f.b.update(f.never, longest);
+        CPPUNIT_ASSERT(!f.b.holds(f.now));
+        again.update(f.never, longest);
+        CPPUNIT_ASSERT(again.holds(f.now));
+        CPPUNIT_ASSERT(again.row().token() > f.a.row().token());
+    }
+
     void token_increases_with_new_holder()
     {
         two_vms f;
--- a/tests/fleet_schedule_test.cpp
+++ b/tests/fleet_schedule_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(vm_at_start_lets_others_register);
     CPPUNIT_TEST(members_are_read_at_once_after_a_seal);
     CPPUNIT_TEST(unanswered_request_is_repeated_after_its_timeout);
+    CPPUNIT_TEST(requests_that_nobody_answers_become_rare);
     CPPUNIT_TEST(request_waits_after_a_report);
     CPPUNIT_TEST_SUITE_END();
 
@@ -142,6 +143,27 @@
         CPPUNIT_ASSERT(subject.next_request() == now_ + milliseconds(4));
     }
 
+    /// Load pattern: a coordinator that falls behind answers no VM in time.
+    void requests_that_nobody_answers_become_rare()
+    {
+        request_pacing subject;
+        int requests = 0;
+        for (auto now = now_; now < now_ + std::chrono::seconds(10);
+             now += milliseconds(1))
+        {
+            if (now >= subject.next_request())
+            {
+                subject.message_sent(now);
+                subject.request_sent();
+                ++requests;
+            }
+        }
+        CPPUNIT_ASSERT(requests <= 25);
+        subject.answered();
+        CPPUNIT_ASSERT(subject.next_request() <=
+                       now_ + std::chrono::seconds(10) + milliseconds(4));
+    }
+
     void request_waits_after_a_report()
     {
         request_pacing subject;
--- a/tools/daemon/fleet_agent.hpp
+++ b/tools/daemon/fleet_agent.hpp
@@ -163,6 +163,7 @@
 
     // Coordinator: fleet_agent_coordinator.cpp
     void maintain_coordinator_lease();
+    bool update_lease(milliseconds delay);
     void monitor_groups();
     void check_group(const std::string& group);
     void use_lost_leases();
@@ -223,6 +224,7 @@
     bool members_read_running_ = false;
     std::uint64_t own_version_ = 0; ///< of this VM's row; 0: there is none
     bool state_known_ = false;      ///< leads and members have been read
+    bool has_restarted_ = false;    ///< a former process has written its row
     bool registered_ = false;       ///< this process has written its row
     milliseconds store_clock_{0};   ///< in the newest answer to a renewal
     moment store_clock_at_{};       ///< when that renewal was sent
--- a/tools/daemon/fleet_agent_coordinator.cpp
+++ b/tools/daemon/fleet_agent_coordinator.cpp
@@ -19,6 +19,10 @@
 constexpr milliseconds check_interval{300};
 constexpr milliseconds control_timeout{350};
 
+/// Takeover delay of a VM that has restarted and is not registered yet: it
+/// takes the lease only if its former process held it.
+constexpr milliseconds only_own_lease = std::chrono::hours(24);
+
 /// Time after which a new coordinator has heard all VMs that run.
 constexpr milliseconds report_wait{600};
 
@@ -32,10 +36,12 @@
         bool done = true;
         if (registered_)
         {
-            lease_renewal_begun_ = now_();
-            done = lease_.update(messages_.last_contact(),
-                                 takeover_delay(members_, cpu_percent_,
-                                                lease_.is_holder_known()));
+            done = update_lease(takeover_delay(members_, cpu_percent_,
+                                               lease_.is_holder_known()));
+        }
+        else if (has_restarted_ && !lease_.is_holder_known())
+        {
+            done = update_lease(only_own_lease);
         }
         if (is_takeover_read_due(now_(), messages_.last_contact(), registered_,
                                  lease_.is_holder_known()))
@@ -60,6 +66,12 @@
     }
 }
 
+bool fleet_agent::update_lease(milliseconds delay)
+{
+    lease_renewal_begun_ = now_();
+    return lease_.update(messages_.last_contact(), delay);
+}
+
 /// Takes over from the lease row how long primary leases may be valid that the
 /// store, which has come back older, does not show.
 void fleet_agent::use_lost_leases()
--- a/tools/daemon/fleet_agent_members.cpp
+++ b/tools/daemon/fleet_agent_members.cpp
@@ -45,7 +45,8 @@
     store_clock_ = members.now;
     store_clock_at_ = members.sent;
     const auto own = members_.rows.find(settings_.vm().name());
-    own_version_ = own == members_.rows.end() ? 0 : own->second.version;
+    has_restarted_ = own != members_.rows.end();
+    own_version_ = has_restarted_ ? own->second.version : 0;
     state_known_ = true;
 }
 
--- a/tools/daemon/fleet_agent_messages.cpp
+++ b/tools/daemon/fleet_agent_messages.cpp
@@ -109,6 +109,10 @@
 void fleet_agent::handle_view(const proto::FleetView& view)
 {
     const auto now = now_();
+    if (view.token() > messages_.token())
+    {
+        pacing_.answered(); // the next coordinator knows of no request
+    }
     if (!messages_.accept_view(now, view.token(), view.sequence()))
     {
         return; // duplicate or out of date
--- a/tools/daemon/fleet_agent_reports.cpp
+++ b/tools/daemon/fleet_agent_reports.cpp
@@ -119,7 +119,7 @@
     else if (coordinator_endpoint_.port() != 0)
     {
         const auto bytes = datagram.SerializeAsString();
-        error_code ignored; // repeated after grant_timeout
+        error_code ignored; // repeated if not answered
         socket_.send_to(asio::buffer(bytes), coordinator_endpoint_, 0, ignored);
     }
 }
