Say truthfully why a limit refuses, and spread the callers' return

Change: three causes, each counted: over the rate; no operation granted in time; no coordinator grants operations. The time to come back follows from the cause (the rest of the coordinator's lease, a grant's usual delay, the rate) and is spread over a second, or two where the limit is used up, by a hash of the request's id. Tests, of functions that are new: refusal_tells_why, callers_come_back_when_a_coordinator_can_be_expected (replays the load: all callers refused at once), refused_clients_are_told_different_times (before: one text), refusal_without_a_coordinator_is_shown_as_written. refusal_for_the_rate_is_shown_as_written now has a coordinator that says the limit is used up, as that is what the text says; the check is the same.

--- a/include/tanagerhoist/session/workspace_limits.hpp
+++ b/include/tanagerhoist/session/workspace_limits.hpp
@@ -4,6 +4,7 @@
 #include "fleet.pb.h"
 #include "tanagerhoist/core/time.hpp"
 #include "tanagerhoist/decision/token_bucket.hpp"
+#include "tanagerhoist/session/limit_refusal.hpp"
 #include "tanagerhoist/session/session_settings.hpp"
 #include "tanagerhoist/session/standalone_allowance.hpp"
 
@@ -91,8 +92,11 @@
     /// up, only by the statement that asks for it next.
     bool may_receive_grant(moment now, const std::string& workspace) const;
 
-    /// Time until the even share admits one operation.
-    milliseconds wait(moment now, const std::string& workspace) const;
+    /// Why an operation was not admitted, and when its caller should come back.
+    /// Callers come back when operations can be expected, not all at once.
+    /// @param part of the time over which callers are spread, from 0 to 1
+    limit_refusal refusal(moment now, const std::string& workspace,
+                          double part) const;
 
     /// Reports stock and demand. Returns stock that is no longer needed.
     std::vector<proto::WorkspaceDemand> demand(moment now);
@@ -125,6 +129,8 @@
     void record_request(moment now);
     bool is_request_due(moment now) const;
     bool is_coordinator_lost(moment now) const;
+    limit_cause cause(moment now, const allowance& share) const;
+    milliseconds coordinator_wait(moment now) const;
     bool take_standalone(moment now, allowance& share) const;
     static std::uint64_t wanted(moment now, const allowance& share);
 
--- a/src/session/proxy_sessions.cpp
+++ b/src/session/proxy_sessions.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 // Session lifecycle, and statements that are answered without a server.
@@ -16,6 +17,24 @@
 /// Longest time that a statement waits for a grant.
 constexpr milliseconds max_grant_wait{300};
 
+/// What a refusal is counted as, and what its caller is told.
+struct refusal_word
+{
+    const char* counter;
+    const char* text;
+};
+constexpr std::array<refusal_word, 3> refusal_words{
+    {{"over_rate", "over the workspace's rate"},
+     {"no_grant", "no operation granted in time"},
+     {"no_coordinator", "no coordinator grants operations"}}};
+
+/// Part from 0 to 1 that a hash stands for.
+double part_of(std::uint64_t hash)
+{
+    constexpr std::uint64_t steps = 1024;
+    return static_cast<double>(hash % steps) / steps;
+}
+
 } // namespace
 
 std::string prepared_statement::shared_name() const
@@ -331,11 +350,16 @@
 
 void proxy::refuse_rate(moment now, session_id id, client_session& session)
 {
-    const auto wait = limits_.wait(now, session.workspace);
-    ++figures_.refusals["over_rate"];
+    const auto& request = session.request.id;
+    const auto refusal =
+        limits_.refusal(now, session.workspace,
+                        part_of(XXH64(request.data(), request.size(), 0)));
+    const auto& words =
+        refusal_words.at(static_cast<std::size_t>(refusal.cause));
+    ++figures_.refusals[words.counter];
     answer_error(now, id, session, session_error::busy,
-                 "over the workspace's rate, not run, retry in " +
-                     std::to_string(wait.count()) + " ms",
+                 std::string(words.text) + ", not run, retry in " +
+                     std::to_string(refusal.retry.count()) + " ms",
                  limits_.describe(now, session.workspace));
 }
 
--- a/src/session/workspace_limits.cpp
+++ b/src/session/workspace_limits.cpp
@@ -18,8 +18,17 @@
 /// take.
 constexpr double stock_s = 2.5;
 
+// When refused callers are told to come back.
+constexpr milliseconds shortest_wait{200};
 constexpr milliseconds longest_wait{2000};
 
+/// Time over which callers come back when grants are made again.
+constexpr milliseconds return_time{1000};
+
+/// Usual time from the last message of a coordinator to the first grants of the
+/// next one: its lease has to end.
+constexpr milliseconds coordinator_change_time{3500};
+
 constexpr double per_1000s = 1000; ///< rates in messages are per 1,000 s
 
 /// Fraction of the tolerated excess that is handed out; the rest covers grants
@@ -254,6 +263,7 @@
 bool workspace_limits::take_standalone(moment now, allowance& share) const
 {
     return is_coordinator_lost(now) &&
+           now < last_message_ + longest_standalone &&
            share.standalone.take(now, last_message_);
 }
 
@@ -262,17 +272,57 @@
 {
     const bool unanswered =
         unanswered_since_ && now >= *unanswered_since_ + grant_answer_timeout;
-    return (unanswered || now >= last_message_ + coordinator_message_timeout) &&
-           now < last_message_ + longest_standalone;
+    return unanswered || now >= last_message_ + coordinator_message_timeout;
 }
 
-milliseconds workspace_limits::wait(moment now,
-                                    const std::string& workspace) const
+limit_cause workspace_limits::cause(moment now, const allowance& share) const
+{
+    if (now >= last_message_ + coordinator_message_timeout)
+    {
+        return limit_cause::no_coordinator;
+    }
+    return share.exhausted ? limit_cause::over_rate : limit_cause::no_grant;
+}
+
+/// Time until a coordinator can be expected to grant operations.
+milliseconds workspace_limits::coordinator_wait(moment now) const
+{
+    if (last_message_ == moment{})
+    {
+        return shortest_wait; // this VM has just started
+    }
+    const auto expected = last_message_ + coordinator_change_time;
+    return std::max(shortest_wait,
+                    milliseconds(to_ms(expected - std::min(now, expected))));
+}
+
+limit_refusal workspace_limits::refusal(moment now,
+                                        const std::string& workspace,
+                                        double part) const
 {
     const auto it = shares_.find(workspace);
-    return it == shares_.end() ? longest_wait
-                               : it->second.even.time_until_available(
-                                     now, token_unit, longest_wait);
+    if (it == shares_.end())
+    {
+        return {limit_cause::over_rate, longest_wait};
+    }
+    limit_refusal found;
+    found.cause = cause(now, it->second);
+    const auto base = found.cause == limit_cause::no_coordinator
+                          ? coordinator_wait(now)
+                      : found.cause == limit_cause::no_grant ? shortest_wait
+                                                             : longest_wait / 2;
+    const auto spread =
+        found.cause == limit_cause::over_rate ? longest_wait : return_time;
+    found.retry =
+        base + std::chrono::duration_cast<milliseconds>(part * spread);
+    // The even share needs no coordinator.
+    const auto even =
+        it->second.even.time_until_available(now, token_unit, longest_wait);
+    if (even < longest_wait)
+    {
+        found.retry = std::min(found.retry, even);
+    }
+    return found;
 }
 
 std::uint64_t workspace_limits::wanted(moment now, const allowance& share)
--- a/tests/operations_page_test.cpp
+++ b/tests/operations_page_test.cpp
@@ -89,6 +89,7 @@
 {
     CPPUNIT_TEST_SUITE(operations_page_test);
     CPPUNIT_TEST(refusal_for_the_rate_is_shown_as_written);
+    CPPUNIT_TEST(refusal_without_a_coordinator_is_shown_as_written);
     CPPUNIT_TEST(unknown_outcome_is_shown_as_written);
     CPPUNIT_TEST(refusal_without_a_server_is_shown_as_written);
     CPPUNIT_TEST_SUITE_END();
@@ -101,10 +102,29 @@
         f.settings.workspaces["w"] = {1, 1};
         f.use_settings();
         f.seal(); // operations stay queued and use up the limit
+        workspace_limits::grants given;
+        auto& one = *given.Add();
+        one.set_workspace("w");
+        one.set_exhausted(true);
+        one.set_empty(true);
+        f.subject.use_grants(f.now, given);
         for (int i = 0; i < 60; ++i)
         {
             f.ask(f.start("primary"), f.make(statement_kind::write, "1"));
         }
+        f.advance(milliseconds(400)); // longer than statements wait for a grant
+        f.subject.tick(f.now);
+        check_page_shows(f);
+    }
+
+    void refusal_without_a_coordinator_is_shown_as_written()
+    {
+        proxy_fixture f;
+        f.subject.use_members(f.now, 195);
+        for (int i = 0; i < 40; ++i)
+        {
+            f.ask(f.start("primary"), f.make(statement_kind::begin));
+        }
         check_page_shows(f);
     }
 
--- a/tests/proxy_sessions_test.cpp
+++ b/tests/proxy_sessions_test.cpp
@@ -2,6 +2,9 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <set>
+#include <string>
+
 namespace tanagerhoist
 {
 
@@ -23,6 +26,7 @@
     CPPUNIT_TEST(empty_transaction_commits_at_a_server);
     CPPUNIT_TEST(client_gone_in_transaction_rolls_back);
     CPPUNIT_TEST(statement_over_rate_is_refused_at_once);
+    CPPUNIT_TEST(refused_clients_are_told_different_times);
     CPPUNIT_TEST(draining_ends_idle_sessions_only_after_the_balancer);
     CPPUNIT_TEST_SUITE_END();
 
@@ -244,6 +248,28 @@
                        transaction_state::none);
     }
 
+    void refused_clients_are_told_different_times()
+    {
+        proxy_fixture f;
+        f.subject.use_members(f.now, 195); // no even share, no coordinator
+        std::set<std::string> texts;
+        for (int i = 0; i < 40; ++i)
+        {
+            const auto id = f.start("primary");
+            f.ask(id, f.make(statement_kind::begin));
+            const auto& answer = f.transport.last_answer(id);
+            if (answer.error)
+            {
+                CPPUNIT_ASSERT(*answer.error == session_error::busy);
+                CPPUNIT_ASSERT_EQUAL(
+                    std::string("no coordinator grants operations, not run"),
+                    answer.text.substr(0, answer.text.rfind(',')));
+                texts.insert(answer.text);
+            }
+        }
+        CPPUNIT_ASSERT(texts.size() >= 20);
+    }
+
     void draining_ends_idle_sessions_only_after_the_balancer()
     {
         proxy_fixture f;
--- a/tests/workspace_limits_test.cpp
+++ b/tests/workspace_limits_test.cpp
@@ -61,6 +61,8 @@
         workspace_below_its_limit_is_admitted_when_a_request_is_not_answered);
     CPPUNIT_TEST(vm_of_a_large_fleet_has_no_even_share);
     CPPUNIT_TEST(busy_workspace_is_not_admitted_when_the_coordinator_is_lost);
+    CPPUNIT_TEST(refusal_tells_why);
+    CPPUNIT_TEST(callers_come_back_when_a_coordinator_can_be_expected);
     CPPUNIT_TEST(lower_limit_drops_what_was_granted);
     CPPUNIT_TEST(split_of_a_window_stays_inside_the_operator_s_bound);
     CPPUNIT_TEST_SUITE_END();
@@ -193,6 +195,41 @@
         CPPUNIT_ASSERT(taken_without_coordinator(f) <= 6);
     }
 
+    void refusal_tells_why()
+    {
+        limits_fixture f;
+        f.subject.use_members(f.now, 195);
+        const auto cause = [&f]
+        { return f.subject.refusal(f.now, "w", 0).cause; };
+        CPPUNIT_ASSERT(cause() == limit_cause::no_coordinator); // none yet
+        f.grant(0, false, true);
+        CPPUNIT_ASSERT(cause() == limit_cause::over_rate);
+        f.grant(0, false, false);
+        CPPUNIT_ASSERT(cause() == limit_cause::no_grant);
+        f.now += std::chrono::seconds(2);
+        CPPUNIT_ASSERT(cause() == limit_cause::no_coordinator);
+    }
+
+    /// Load pattern: all callers of a large fleet are refused while it has no
+    /// coordinator. Target: they come back over a second, after it has one.
+    void callers_come_back_when_a_coordinator_can_be_expected()
+    {
+        limits_fixture f;
+        f.subject.use_members(f.now, 195);
+        f.grant(0, false, false);
+        const auto at = [&f](milliseconds silence, double part)
+        { return f.subject.refusal(f.now + silence, "w", part).retry; };
+        for (const double part : {0.0, 0.5, 0.99})
+        {
+            const milliseconds silence(1300);
+            const auto back = silence + at(silence, part);
+            CPPUNIT_ASSERT(back >= milliseconds(3500));
+            CPPUNIT_ASSERT(back <= milliseconds(4500));
+        }
+        CPPUNIT_ASSERT(at(milliseconds(9000), 0) <= milliseconds(200));
+        CPPUNIT_ASSERT(at(milliseconds(9000), 0.9) >= milliseconds(1000));
+    }
+
     void lower_limit_drops_what_was_granted()
     {
         limits_fixture f;
