Take isolated VMs of a large fleet out of rotation and move their idle sessions

Cause: readiness asked for settings, leads and the primary lease (13 s), not whether the VM may admit anything. Change: a VM of a large fleet that has not heard a coordinator for 4.5 s, longer than a change of it takes, is not ready. Once the balancer has noticed that (2.3 s), its idle sessions are ended, a 32nd in each 50 ms; a closed idle session is no failure for its client, and the next connection goes to a VM that serves. Small fleets have even shares and stay ready. Tests, failing before: isolated_vm_is_not_ready, isolated_vm_moves_its_idle_sessions; vm_of_a_small_fleet_stays_ready_without_coordinator guards the rest.

--- a/include/tanagerhoist/session/proxy.hpp
+++ b/include/tanagerhoist/session/proxy.hpp
@@ -17,6 +17,7 @@
 #include "tanagerhoist/session/workspace_limits.hpp"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -24,6 +25,10 @@
 namespace tanagerhoist
 {
 
+/// Time within which the load balancer takes a VM out that is not ready: two
+/// failed probes, one second apart.
+constexpr milliseconds balancer_detection_time{2300};
+
 /// Session and statement handling of one VM: authentication, admission,
 /// queueing, routing and answers. It uses no sockets or clocks: callers pass
 /// the current time, and all I/O goes through a `proxy_transport`.
@@ -88,6 +93,11 @@
     void begin_drain(moment close_idle, moment end_transactions);
 
     bool is_ready(moment now) const;
+
+    /// Whether this VM of a large fleet has lost the coordinator for longer
+    /// than a change of it takes, so that it admits little or nothing, while
+    /// other VMs probably serve.
+    bool is_isolated(moment now) const;
     std::size_t members() const { return members_; }
     std::size_t sessions() const { return sessions_.size(); }
     /// Statements that wait for a grant.
@@ -223,6 +233,7 @@
     void abort_running_at(moment now, const std::string& server, bool writes);
     void abort_running(moment now, connection_id id);
     void drain(moment now);
+    void move_idle_sessions(moment now);
 
     server_state* find_server(const std::string& id);
     const proto::GroupLead* lead_of(const std::string& group) const;
@@ -242,6 +253,7 @@
     proxy_counters figures_;
     std::size_t members_ = 1;
     moment coordinator_heard_{};
+    std::optional<moment> isolated_since_;
     connection_id next_connection_ = 1;
     bool draining_ = false;
     moment close_idle_{};
--- a/include/tanagerhoist/session/workspace_limits.hpp
+++ b/include/tanagerhoist/session/workspace_limits.hpp
@@ -21,6 +21,10 @@
 /// keeps serving. The coordinator grants the rest on demand.
 constexpr std::uint64_t even_share_parts = share_parts / 5;
 
+/// Largest number of VMs with which each has an even share, of at least one
+/// operation per workspace.
+constexpr std::size_t small_fleet = 12;
+
 /// How far the operator lets the fleet exceed a workspace's limits in a window.
 /// The excess is used for bursts, so that a VM with few callers can admit them
 /// from its own stock.
--- a/src/session/proxy.cpp
+++ b/src/session/proxy.cpp
@@ -7,6 +7,13 @@
 // Construction, look-ups and state of a proxy.
 namespace tanagerhoist
 {
+namespace
+{
+
+/// Longer than a change of the coordinator takes.
+constexpr milliseconds isolated_after{4500};
+
+} // namespace
 
 proxy::proxy(std::string data_centre, workspace_limits limits,
              proxy_transport& transport, structured_log& log)
@@ -51,9 +58,16 @@
                        { return !entry.second.is_idle(); });
 }
 
+bool proxy::is_isolated(moment now) const
+{
+    return members_ > small_fleet && coordinator_heard_ != moment{} &&
+           now >= coordinator_heard_ + isolated_after;
+}
+
 bool proxy::is_ready(moment now) const
 {
-    if (!settings_ || draining_ || !primary_lease_.is_valid(now))
+    if (!settings_ || draining_ || !primary_lease_.is_valid(now) ||
+        is_isolated(now))
     {
         return false;
     }
--- a/src/session/proxy_time.cpp
+++ b/src/session/proxy_time.cpp
@@ -16,6 +16,9 @@
 
 constexpr milliseconds open_timeout{450};
 
+/// Part of an isolated VM's sessions that is ended in a tick.
+constexpr std::size_t idle_sessions_part = 32;
+
 /// How long a server must be failing before its reads move to other servers.
 constexpr milliseconds failing_before_reads_move{200};
 
@@ -37,6 +40,41 @@
     {
         drain(now);
     }
+    else
+    {
+        move_idle_sessions(now);
+    }
+}
+
+/// Ends idle sessions of an isolated VM a few at a time, so that their clients
+/// connect to VMs that can serve them. It begins once the balancer has noticed
+/// that this VM is not ready.
+void proxy::move_idle_sessions(moment now)
+{
+    if (!is_isolated(now))
+    {
+        isolated_since_.reset();
+        return;
+    }
+    isolated_since_ = isolated_since_.value_or(now);
+    if (now < *isolated_since_ + balancer_detection_time)
+    {
+        return;
+    }
+    std::vector<session_id> ending;
+    const auto most = 1 + sessions_.size() / idle_sessions_part;
+    for (auto it = sessions_.begin();
+         it != sessions_.end() && ending.size() < most; ++it)
+    {
+        if (it->second.is_idle())
+        {
+            ending.push_back(it->first);
+        }
+    }
+    for (const auto id : ending)
+    {
+        end_session(now, id, std::nullopt);
+    }
 }
 
 /// Takes a statement out of the queue, or from the connection that is being
--- a/src/session/workspace_limits.cpp
+++ b/src/session/workspace_limits.cpp
@@ -38,10 +38,6 @@
 /// Fraction of the burst that is admitted at a steady rate over a window.
 constexpr double steady_burst = 0.8;
 
-/// Largest number of VMs with which each has an even share, of at least one
-/// operation per workspace.
-constexpr std::size_t small_fleet = 12;
-
 /// Pause between requests while the fleet-wide limit is used up, per VM of the
 /// fleet: the coordinator gets at most 1000 requests/s.
 constexpr milliseconds exhausted_pause_per_vm{1};
--- a/tests/proxy_sessions_test.cpp
+++ b/tests/proxy_sessions_test.cpp
@@ -25,6 +25,9 @@
     CPPUNIT_TEST(commit_of_failed_transaction_says_rolled_back);
     CPPUNIT_TEST(empty_transaction_commits_at_a_server);
     CPPUNIT_TEST(client_gone_in_transaction_rolls_back);
+    CPPUNIT_TEST(isolated_vm_is_not_ready);
+    CPPUNIT_TEST(isolated_vm_moves_its_idle_sessions);
+    CPPUNIT_TEST(vm_of_a_small_fleet_stays_ready_without_coordinator);
     CPPUNIT_TEST(statement_over_rate_is_refused_at_once);
     CPPUNIT_TEST(refused_clients_are_told_different_times);
     CPPUNIT_TEST(draining_ends_idle_sessions_only_after_the_balancer);
@@ -229,6 +232,58 @@
                        statement_kind::rollback);
     }
 
+    /// VMs that were cut off refused nearly all, and the balancer went on
+    /// sending them clients.
+    void isolated_vm_is_not_ready()
+    {
+        proxy_fixture f;
+        f.subject.use_members(f.now, 195);
+        CPPUNIT_ASSERT(f.subject.is_ready(f.now)); // has just started
+        f.subject.use_coordinator_contact(f.now);
+        f.advance(milliseconds(4400)); // a change of the coordinator
+        CPPUNIT_ASSERT(f.subject.is_ready(f.now));
+        f.advance(milliseconds(200));
+        CPPUNIT_ASSERT(!f.subject.is_ready(f.now));
+        f.subject.use_coordinator_contact(f.now);
+        CPPUNIT_ASSERT(f.subject.is_ready(f.now));
+    }
+
+    void isolated_vm_moves_its_idle_sessions()
+    {
+        proxy_fixture f;
+        f.subject.use_members(f.now, 195);
+        f.subject.use_coordinator_contact(f.now);
+        for (int i = 0; i < 60; ++i)
+        {
+            f.start("primary");
+        }
+        const auto run = [&f](milliseconds time)
+        {
+            for (milliseconds passed{0}; passed < time;
+                 passed += proxy::tick_interval)
+            {
+                f.advance(proxy::tick_interval);
+                f.subject.tick(f.now);
+            }
+        };
+        run(milliseconds(6700)); // the balancer still sends clients
+        CPPUNIT_ASSERT(f.transport.ended.empty());
+        run(milliseconds(300));
+        CPPUNIT_ASSERT(!f.transport.ended.empty());
+        CPPUNIT_ASSERT(f.transport.ended.size() < 20); // not all at once
+        run(std::chrono::seconds(3));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{60}, f.transport.ended.size());
+    }
+
+    void vm_of_a_small_fleet_stays_ready_without_coordinator()
+    {
+        proxy_fixture f;
+        f.subject.use_members(f.now, 7);
+        f.subject.use_coordinator_contact(f.now);
+        f.advance(std::chrono::seconds(9));
+        CPPUNIT_ASSERT(f.subject.is_ready(f.now));
+    }
+
     void statement_over_rate_is_refused_at_once()
     {
         proxy_fixture f;
--- a/tools/daemon/session_daemon.cpp
+++ b/tools/daemon/session_daemon.cpp
@@ -22,9 +22,6 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-/// The load balancer removes a VM after two failed probes, one second apart.
-constexpr milliseconds balancer_detection_time{2300};
-
 /// Part of the grace period reserved for shutdown, when the drain stops waiting
 /// for sessions.
 constexpr milliseconds shutdown_reserve{900};
