--- a/include/tanagerhoist/session/proxy.hpp
+++ b/include/tanagerhoist/session/proxy.hpp
@@ -140,10 +140,6 @@
     void begin(moment now, session_id id, client_session& session);
     void open_transaction(moment now, session_id id, client_session& session);
     void roll_back_locally(moment now, session_id id, client_session& session);
-    bool admit(moment now, session_id id, client_session& session);
-    void refund(client_session& session);
-    void refuse_rate(moment now, session_id id, client_session& session);
-    void admit_held(moment now);
     void submit_to_server(moment now, session_id id, client_session& session);
     void answer_done(moment now, session_id id, client_session& session);
     void answer_error(moment now, session_id id, client_session& session,
@@ -154,6 +150,12 @@
                      std::optional<session_error> error);
     void roll_back_at_server(moment now, client_session& session);
 
+    // Limits of workspaces: proxy_admission.cpp (with use_grants)
+    bool admit(moment now, session_id id, client_session& session);
+    void refund(client_session& session);
+    void refuse_rate(moment now, session_id id, client_session& session);
+    void admit_held(moment now);
+
     // Queueing and routing: proxy_dispatch.cpp
     void dispatch(moment now, const std::string& group);
     void dispatch_group_of(moment now, const std::string& server);
--- /dev/null
+++ b/src/session/proxy_admission.cpp
@@ -0,0 +1,138 @@
+#include "tanagerhoist/session/proxy.hpp"
+
+#include <xxhash.h>
+
+#include <array>
+#include <string>
+#include <utility>
+
+// Admission of statements by the limits of their workspaces.
+namespace tanagerhoist
+{
+namespace
+{
+
+/// Longest time that a statement waits for a grant.
+constexpr milliseconds max_grant_wait{300};
+
+/// What a refusal is counted as, and what its caller is told.
+struct refusal_word
+{
+    const char* counter;
+    const char* text;
+};
+constexpr std::array<refusal_word, 3> refusal_words{
+    {{"over_rate", "over the workspace's rate"},
+     {"no_grant", "no operation granted in time"},
+     {"no_coordinator", "no coordinator grants operations"}}};
+
+/// Part from 0 to 1 that a hash stands for.
+double part_of(std::uint64_t hash)
+{
+    constexpr std::uint64_t steps = 1024;
+    return static_cast<double>(hash % steps) / steps;
+}
+
+} // namespace
+
+/// Takes an operation from the workspace's limit. If none is left, the
+/// statement is held for a short time if a grant can be expected, and refused
+/// otherwise.
+bool proxy::admit(moment now, session_id id, client_session& session)
+{
+    const bool again = session.request.stage == request_stage::held;
+    session.refundable_operation = false;
+    if (session.workspace.empty() ||
+        limits_.take(now, session.workspace, again))
+    {
+        session.refundable_operation = !session.workspace.empty();
+        session.request.stage = request_stage::waiting;
+        return true;
+    }
+    if (again)
+    {
+        return false;
+    }
+    if (limits_.may_receive_grant(now, session.workspace))
+    {
+        session.request.stage = request_stage::held;
+        held_.push_back(id);
+        limits_.note_held(session.workspace);
+        transport_.request_grant();
+        return false;
+    }
+    refuse_rate(now, id, session);
+    return false;
+}
+
+/// Refunds an operation of which no server has run any part: the limit counts
+/// operations that run, and the client will retry.
+void proxy::refund(client_session& session)
+{
+    if (std::exchange(session.refundable_operation, false))
+    {
+        limits_.refund(session.workspace);
+    }
+}
+
+void proxy::refuse_rate(moment now, session_id id, client_session& session)
+{
+    const auto& request = session.request.id;
+    const auto refusal =
+        limits_.refusal(now, session.workspace,
+                        part_of(XXH64(request.data(), request.size(), 0)));
+    const auto& words =
+        refusal_words.at(static_cast<std::size_t>(refusal.cause));
+    ++figures_.refusals[words.counter];
+    answer_error(now, id, session, session_error::busy,
+                 std::string(words.text) + ", not run, retry in " +
+                     std::to_string(refusal.retry.count()) + " ms",
+                 limits_.describe(now, session.workspace));
+}
+
+/// Admits or refuses held statements.
+void proxy::admit_held(moment now)
+{
+    const auto order = std::exchange(held_, {});
+    for (const auto id : order)
+    {
+        const auto it = sessions_.find(id);
+        if (it == sessions_.end() ||
+            it->second.request.stage != request_stage::held)
+        {
+            continue;
+        }
+        auto& session = it->second;
+        const bool over = now >= session.request.arrived + max_grant_wait;
+        if (admit(now, id, session))
+        {
+            const auto kind = session.request.what.kind;
+            const bool begins = kind == statement_kind::begin ||
+                                kind == statement_kind::begin_read;
+            if (begins)
+            {
+                open_transaction(now, id, session);
+            }
+            else
+            {
+                submit_to_server(now, id, session);
+            }
+        }
+        else if (over || !limits_.may_receive_grant(now, session.workspace))
+        {
+            refuse_rate(now, id, session);
+        }
+        else
+        {
+            held_.push_back(id);
+        }
+    }
+}
+
+void proxy::use_grants(moment now, const workspace_limits::grants& given)
+{
+    limits_.use_grants(now, given);
+    admit_held(now);
+}
+
+} // namespace tanagerhoist
--- a/tests/fiber_loop_test.cpp
+++ b/tests/fiber_loop_test.cpp
@@ -74,7 +74,8 @@
         run(
             [this]
             {
-                asio::steady_timer timer(context, std::chrono::microseconds(1));
+                asio::steady_timer timer(context_,
+                                         std::chrono::microseconds(1));
                 await([&timer](auto handler)
                       { timer.async_wait(std::move(handler)); });
             });
@@ -86,7 +87,7 @@
     /// Runs `body` in a fiber beside callbacks; it must end before they do.
     void run(std::function<void()> body)
     {
-        following_callbacks callbacks(context, most_callbacks);
+        following_callbacks callbacks(context_, most_callbacks);
         std::thread thread(
             [&]
             {
@@ -96,16 +97,16 @@
                                      {
                                          body();
                                          callbacks.stopped = true;
-                                         context.stop();
+                                         context_.stop();
                                      })
                     .detach();
-                run_fiber_loop(context);
+                run_fiber_loop(context_);
             });
         thread.join();
         CPPUNIT_ASSERT(callbacks.run < most_callbacks);
     }
 
-    asio::io_context context;
+    asio::io_context context_;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(fiber_loop_test);
--- a/tests/grant_ledger_test.cpp
+++ b/tests/grant_ledger_test.cpp
@@ -40,22 +40,22 @@
         }
         const auto capacity =
             static_cast<std::uint64_t>(allowed.capacity * token_unit);
-        available.set_min_capacity(capacity - std::min(capacity, held));
-        available.use_share(now, static_cast<std::uint64_t>(allowed.rate), 0,
-                            share_parts);
-        if (!known)
+        available_.set_min_capacity(capacity - std::min(capacity, held));
+        available_.use_share(now, static_cast<std::uint64_t>(allowed.rate), 0,
+                             share_parts);
+        if (!known_)
         {
-            known = true;
-            available.clear();
+            known_ = true;
+            available_.clear();
         }
-        available.add(now, demand.returned() * token_unit);
+        available_.add(now, demand.returned() * token_unit);
         const auto most = capacity * 3 / 4 / token_unit / stocks.size();
         const auto target = std::min(demand.wanted(), most) + demand.missing();
-        const auto left = available.tokens(now) / token_unit;
+        const auto left = available_.tokens(now) / token_unit;
         proto::WorkspaceGrant given;
         given.set_operations(
             std::min(left, target - std::min(target, demand.stock())));
-        available.take(now, given.operations() * token_unit);
+        available_.take(now, given.operations() * token_unit);
         stocks[vm] += given.operations();
         double requested = 0;
         for (const auto& entry : rates)
@@ -72,8 +72,8 @@
     std::map<std::string, std::uint64_t> rates;
 
 private:
-    token_bucket available;
-    bool known = false;
+    token_bucket available_;
+    bool known_ = false;
 };
 
 } // namespace
@@ -96,7 +96,7 @@
     void first_start_grants_the_whole_capacity()
     {
         const auto capacity =
-            static_cast<std::uint64_t>(allowance_of(limits, {}).capacity);
+            static_cast<std::uint64_t>(allowance_of(limits_, {}).capacity);
         CPPUNIT_ASSERT_EQUAL(capacity, granted("a", 0, 1000));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, granted("b", 0, 1000));
     }
@@ -106,7 +106,7 @@
         const auto all = granted("a", 0, 1000);
         for (int i = 0; i < 60; ++i)
         {
-            now += std::chrono::seconds(1);
+            now_ += std::chrono::seconds(1);
             granted("a", all, 0); // keeps what it was granted
         }
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, granted("b", 0, 1000));
@@ -116,29 +116,29 @@
     {
         const auto all = granted("a", 0, 1000);
         granted("b", 0, 0);
-        subject.forget("a");
-        now += std::chrono::seconds(60);
+        subject_.forget("a");
+        now_ += std::chrono::seconds(60);
         granted("b", 0, 0); // from here on, up to the whole capacity
-        now += std::chrono::seconds(60);
+        now_ += std::chrono::seconds(60);
         CPPUNIT_ASSERT_EQUAL(all, granted("b", 0, 1000));
     }
 
     void forgotten_vm_requests_nothing()
     {
-        subject.note_rate(now, "a", "w", 1'000'000);
+        subject_.note_rate(now_, "a", "w", 1'000'000);
         CPPUNIT_ASSERT(!grant("b", 0, 1).calm());
-        subject.forget("a");
+        subject_.forget("a");
         CPPUNIT_ASSERT(grant("b", 0, 1).calm());
     }
 
     void vms_are_told_no_more_than_the_limit()
     {
-        now += std::chrono::seconds(5); // since this VM became coordinator
+        now_ += std::chrono::seconds(5); // since this VM became coordinator
         std::uint64_t rate = 0;
         std::uint64_t at_once = 0;
         for (int i = 0; i < 300; ++i)
         {
-            subject.note_rate(now, "vm" + std::to_string(i), "w", 200);
+            subject_.note_rate(now_, "vm" + std::to_string(i), "w", 200);
         }
         for (int i = 0; i < 300; ++i)
         {
@@ -154,8 +154,8 @@
 
     void workspace_near_its_limit_is_told_nothing()
     {
-        now += std::chrono::seconds(5);
-        subject.note_rate(now, "a", "w", 95'000);
+        now_ += std::chrono::seconds(5);
+        subject_.note_rate(now_, "a", "w", 95'000);
         const auto told = grant("a", 0, 1);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, told.standalone_per_1000s());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, told.standalone_at_once());
@@ -163,28 +163,28 @@
 
     void share_of_vm_without_coordinator_is_not_granted()
     {
-        subject.note_rate(now, "a", "w", 10'000);
-        subject.note_rate(now, "b", "w", 10'000);
+        subject_.note_rate(now_, "a", "w", 10'000);
+        subject_.note_rate(now_, "b", "w", 10'000);
         grant("a", 0, 0); // is told half of the rate
         granted("b", 0, 1000);
-        now += milliseconds(500);
+        now_ += milliseconds(500);
         const auto whole = granted("b", 0, 1000);
-        subject.set_standalone("a", true);
+        subject_.set_standalone("a", true);
         granted("b", 0, 1000);
-        now += milliseconds(500);
+        now_ += milliseconds(500);
         CPPUNIT_ASSERT(granted("b", 0, 1000) <= whole - 24);
-        subject.set_standalone("a", false);
+        subject_.set_standalone("a", false);
         granted("b", 0, 1000);
-        now += milliseconds(500);
+        now_ += milliseconds(500);
         CPPUNIT_ASSERT_EQUAL(whole, granted("b", 0, 1000));
     }
 
     void vm_without_demand_is_forgotten()
     {
-        subject.note_rate(now, "a", "w", 1'000'000);
+        subject_.note_rate(now_, "a", "w", 1'000'000);
         grant("a", 0, 0);
         CPPUNIT_ASSERT(!grant("b", 0, 1).calm());
-        now += std::chrono::seconds(8);
+        now_ += std::chrono::seconds(8);
         CPPUNIT_ASSERT(grant("b", 0, 1).calm());
     }
 
@@ -195,7 +195,7 @@
         std::minstd_rand random(11);
         for (int i = 0; i < 20000; ++i)
         {
-            now += milliseconds(random() % 20);
+            now_ += milliseconds(random() % 20);
             const auto vm = "vm" + std::to_string(random() % 40);
             switch (random() % 8)
             {
@@ -207,7 +207,7 @@
             case 1:
                 oracle.rates[vm] = random() % 9000;
                 oracle.stocks.try_emplace(vm, 0);
-                ledger.note_rate(now, vm, "w", oracle.rates[vm]);
+                ledger.note_rate(now_, vm, "w", oracle.rates[vm]);
                 continue;
             default:
                 break;
@@ -215,8 +215,8 @@
             auto demand = make_demand("w", random() % 3, random() % 4);
             demand.set_wanted(random() % 20);
             demand.set_returned(random() % 2);
-            const auto expected = oracle.grant(now, limits, vm, demand);
-            const auto given = ledger.grant(now, limits, vm, demand);
+            const auto expected = oracle.grant(now_, limits_, vm, demand);
+            const auto given = ledger.grant(now_, limits_, vm, demand);
             CPPUNIT_ASSERT_EQUAL(expected.operations(), given.operations());
             CPPUNIT_ASSERT_EQUAL(expected.calm(), given.calm());
             CPPUNIT_ASSERT_EQUAL(expected.exhausted(), given.exhausted());
@@ -227,7 +227,8 @@
     proto::WorkspaceGrant grant(const std::string& vm, std::uint64_t stock,
                                 std::uint64_t missing)
     {
-        return subject.grant(now, limits, vm, make_demand("w", stock, missing));
+        return subject_.grant(now_, limits_, vm,
+                              make_demand("w", stock, missing));
     }
 
     std::uint64_t granted(const std::string& vm, std::uint64_t stock,
@@ -236,9 +237,9 @@
         return grant(vm, stock, missing).operations();
     }
 
-    moment now{std::chrono::hours(1)};
-    session_workspace limits{100, 100};
-    grant_ledger subject{{}, true};
+    moment now_{std::chrono::hours(1)};
+    session_workspace limits_{100, 100};
+    grant_ledger subject_{{}, true};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(grant_ledger_test);
--- a/tests/loop_monitor_test.cpp
+++ b/tests/loop_monitor_test.cpp
@@ -21,20 +21,23 @@
 public:
     void run_in_time_writes_no_line()
     {
-        monitor.fiber_runs(now - milliseconds(20));
-        monitor.timer_runs(now);
-        CPPUNIT_ASSERT(log.lines.empty());
+        monitor_.fiber_runs(now_ - milliseconds(20));
+        monitor_.timer_runs(now_);
+        CPPUNIT_ASSERT(log_.lines.empty());
     }
 
     void late_fiber_is_logged_with_its_cause()
     {
-        monitor.watch([] { return loop_queues{3, 4, 50, milliseconds(1700)}; });
+        monitor_.watch(
+            [] {
+                return loop_queues{3, 4, 50, milliseconds(1700)};
+            });
         work(loop_work::report, milliseconds(2));
         work(loop_work::report, milliseconds(4));
         work(loop_work::client, milliseconds(1));
-        monitor.fiber_runs(now - milliseconds(800));
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, log.lines.size());
-        const auto& line = log.lines.front();
+        monitor_.fiber_runs(now_ - milliseconds(800));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, log_.lines.size());
+        const auto& line = log_.lines.front();
         CPPUNIT_ASSERT_EQUAL(std::string("loop_late"), line.at("event"));
         CPPUNIT_ASSERT_EQUAL(std::string("fiber"), line.at("what"));
         CPPUNIT_ASSERT_EQUAL(std::string("800"), line.at("late_ms"));
@@ -51,29 +54,29 @@
     {
         for (int i = 0; i < 30; ++i)
         {
-            monitor.timer_runs(now - milliseconds(300));
-            now += milliseconds(100);
+            monitor_.timer_runs(now_ - milliseconds(300));
+            now_ += milliseconds(100);
         }
-        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, log.lines.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, log_.lines.size());
     }
 
     void line_tells_only_recent_work()
     {
         work(loop_work::view, milliseconds(9));
-        now += std::chrono::seconds(5);
+        now_ += std::chrono::seconds(5);
         work(loop_work::tick, milliseconds(1));
-        monitor.fiber_runs(now - milliseconds(800));
+        monitor_.fiber_runs(now_ - milliseconds(800));
         CPPUNIT_ASSERT_EQUAL(std::string("tick 1 in 1000 us"),
-                             log.lines.front().at("work"));
+                             log_.lines.front().at("work"));
     }
 
     void metrics_count_work_and_late_runs()
     {
         work(loop_work::view, milliseconds(9));
         work(loop_work::view, milliseconds(1));
-        monitor.fiber_runs(now - milliseconds(800));
+        monitor_.fiber_runs(now_ - milliseconds(800));
         std::ostringstream out;
-        monitor.print(out);
+        monitor_.print(out);
         for (const auto* text :
              {"tanagerhoist_loop_work_seconds_sum{kind=\"view\"} 0.01\n",
               "tanagerhoist_loop_work_seconds_count{kind=\"view\"} 2\n",
@@ -87,13 +90,13 @@
 private:
     void work(loop_work kind, microseconds took)
     {
-        const loop_monitor::measurement measured(monitor, kind);
-        now += took;
+        const loop_monitor::measurement measured(monitor_, kind);
+        now_ += took;
     }
 
-    moment now{std::chrono::hours(1)};
-    recording_log log;
-    loop_monitor monitor{log, [this] { return now; }};
+    moment now_{std::chrono::hours(1)};
+    recording_log log_;
+    loop_monitor monitor_{log_, [this] { return now_; }};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(loop_monitor_test);
--- a/tests/platform_formats_test.cpp
+++ b/tests/platform_formats_test.cpp
@@ -328,7 +328,10 @@
         std::string entry;
         for (const auto& [field, text] : fields)
         {
-            entry += (entry.empty() ? "{\"" : ",\"") + field + "\":" + text;
+            entry += entry.empty() ? "{\"" : ",\"";
+            entry += field;
+            entry += "\":";
+            entry += text;
         }
         return entry + '}';
     }
--- a/tests/standalone_allowance_test.cpp
+++ b/tests/standalone_allowance_test.cpp
@@ -23,27 +23,27 @@
 
     void operations_at_once_are_admitted_first_then_the_rate()
     {
-        subject.use(now, 4, 3);
+        subject_.use(now_, 4, 3);
         CPPUNIT_ASSERT_EQUAL(3, take(10));
-        now += std::chrono::seconds(2);
+        now_ += std::chrono::seconds(2);
         CPPUNIT_ASSERT_EQUAL(3, take(10)); // never more than at once
-        now += milliseconds(250);
+        now_ += milliseconds(250);
         CPPUNIT_ASSERT_EQUAL(1, take(10));
     }
 
     void rate_counts_from_the_last_message_on()
     {
-        subject.use(now, 0.5, 0);
-        now += std::chrono::seconds(4);
-        heard = now; // with a coordinator, nothing is saved up
+        subject_.use(now_, 0.5, 0);
+        now_ += std::chrono::seconds(4);
+        heard_ = now_; // with a coordinator, nothing is saved up
         CPPUNIT_ASSERT_EQUAL(0, take(10));
-        now += std::chrono::seconds(2);
+        now_ += std::chrono::seconds(2);
         CPPUNIT_ASSERT_EQUAL(1, take(10));
     }
 
     void operations_at_once_come_back_after_a_window()
     {
-        subject.use(now, 0, 2);
+        subject_.use(now_, 0, 2);
         CPPUNIT_ASSERT_EQUAL(2, take(10));
         hear_again(std::chrono::seconds(4));
         CPPUNIT_ASSERT_EQUAL(0, take(10));
@@ -53,9 +53,9 @@
 
     void allowance_told_long_before_the_loss_is_not_used()
     {
-        subject.use(now, 10, 2);
-        now += standalone_lifetime;
-        heard = now; // by messages about other workspaces
+        subject_.use(now_, 10, 2);
+        now_ += standalone_lifetime;
+        heard_ = now_; // by messages about other workspaces
         CPPUNIT_ASSERT_EQUAL(0, take(10));
     }
 
@@ -65,21 +65,21 @@
         int taken = 0;
         for (int i = 0; i < tries; ++i)
         {
-            taken += subject.take(now, heard) ? 1 : 0;
+            taken += subject_.take(now_, heard_) ? 1 : 0;
         }
         return taken;
     }
 
     void hear_again(milliseconds time)
     {
-        now += time;
-        heard = now;
-        subject.use(now, 0, 2);
+        now_ += time;
+        heard_ = now_;
+        subject_.use(now_, 0, 2);
     }
 
-    moment now{std::chrono::hours(1)};
-    moment heard = now;
-    standalone_allowance subject;
+    moment now_{std::chrono::hours(1)};
+    moment heard_ = now_;
+    standalone_allowance subject_;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(standalone_allowance_test);
