Move each session of an isolated VM once

What callers could see: when no VM is ready, as in an outage of the store for all, the balancer uses them all, and an isolated VM would end the sessions that have just come to it again and again. Change: only sessions from before the balancer noticed are ended. Test: isolated_vm_moves_its_idle_sessions, extended by a session that comes later (61 ended before, 60 now).

--- a/include/tanagerhoist/session/client_session.hpp
+++ b/include/tanagerhoist/session/client_session.hpp
@@ -60,6 +60,7 @@
 /// transaction and outstanding statement.
 struct client_session
 {
+    moment started{};
     std::string database;
     std::string key;
     std::string workspace;
--- a/src/session/proxy_sessions.cpp
+++ b/src/session/proxy_sessions.cpp
@@ -42,6 +42,7 @@
         return;
     }
     auto& session = sessions_[id];
+    session.started = now;
     session.database = database;
     session.key = key;
     refresh_route(session);
--- a/src/session/proxy_time.cpp
+++ b/src/session/proxy_time.cpp
@@ -48,7 +48,8 @@
 
 /// Ends idle sessions of an isolated VM a few at a time, so that their clients
 /// connect to VMs that can serve them. It begins once the balancer has noticed
-/// that this VM is not ready.
+/// that this VM is not ready. Sessions that come after that stay: the balancer
+/// has no VM that is ready.
 void proxy::move_idle_sessions(moment now)
 {
     if (!is_isolated(now))
@@ -57,7 +58,8 @@
         return;
     }
     isolated_since_ = isolated_since_.value_or(now);
-    if (now < *isolated_since_ + balancer_detection_time)
+    const auto noticed = *isolated_since_ + balancer_detection_time;
+    if (now < noticed)
     {
         return;
     }
@@ -66,7 +68,7 @@
     for (auto it = sessions_.begin();
          it != sessions_.end() && ending.size() < most; ++it)
     {
-        if (it->second.is_idle())
+        if (it->second.is_idle() && it->second.started < noticed)
         {
             ending.push_back(it->first);
         }
--- a/tests/proxy_sessions_test.cpp
+++ b/tests/proxy_sessions_test.cpp
@@ -271,8 +271,10 @@
         run(milliseconds(300));
         CPPUNIT_ASSERT(!f.transport.ended.empty());
         CPPUNIT_ASSERT(f.transport.ended.size() < 20); // not all at once
+        const auto late = f.start("primary"); // the balancer has nobody better
         run(std::chrono::seconds(3));
         CPPUNIT_ASSERT_EQUAL(std::size_t{60}, f.transport.ended.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, f.transport.ended.count(late));
     }
 
     void vm_of_a_small_fleet_stays_ready_without_coordinator()
