Report to a new coordinator at once, with what is held

Cause: a new coordinator answers no request before it has the VM's report, which comes up to 0.4 s after its first view; and what held statements need had been asked of the former one and was not asked again. Change: the first view of a new coordinator makes a VM report within 0.1 s, spread over the VMs, with the needs of all statements that are held. Tests: held_statements_are_asked_of_the_next_coordinator (use_new_coordinator is new; without it nothing is asked again, which the test shows), is_new_coordinator in coordinator_messages_test.

--- a/include/tanagerhoist/fleet/coordinator_messages.hpp
+++ b/include/tanagerhoist/fleet/coordinator_messages.hpp
@@ -27,6 +27,13 @@
     /// Whether a message comes from a former coordinator.
     bool is_outdated(std::uint64_t token) const { return token < token_; }
 
+    /// Whether a message comes from a coordinator that this VM has not heard
+    /// yet. It answers no request before it has a report of this VM.
+    bool is_new_coordinator(std::uint64_t token) const
+    {
+        return token > token_;
+    }
+
     /// Notes that a report is sent, and returns its sequence number.
     std::uint64_t record_report(moment now);
 
--- a/include/tanagerhoist/session/proxy.hpp
+++ b/include/tanagerhoist/session/proxy.hpp
@@ -57,6 +57,9 @@
     void use_position(moment sent, const proto::PositionSample& sample);
     /// Notes a message from the coordinator.
     void use_coordinator_contact(moment now) { coordinator_heard_ = now; }
+    /// Asks the next coordinator for what the held statements need, with the
+    /// next report.
+    void use_new_coordinator();
     /// Notes how long a failover is going to wait for silent VMs.
     void use_seal_wait(moment now, const proto::SealWait& wait);
     void renew_primary_lease(moment sent) { primary_lease_.renew(sent); }
--- a/include/tanagerhoist/session/workspace_limits.hpp
+++ b/include/tanagerhoist/session/workspace_limits.hpp
@@ -86,6 +86,10 @@
     /// for.
     void note_held(const std::string& workspace);
 
+    /// Forgets which statements are held: what was asked of a former
+    /// coordinator is not going to be answered.
+    void forget_held();
+
     /// Returns an operation that was not run to the stock.
     void refund(const std::string& workspace);
 
--- a/src/session/proxy_admission.cpp
+++ b/src/session/proxy_admission.cpp
@@ -129,6 +129,20 @@
     }
 }
 
+void proxy::use_new_coordinator()
+{
+    limits_.forget_held();
+    for (const auto id : held_)
+    {
+        const auto it = sessions_.find(id);
+        if (it != sessions_.end() &&
+            it->second.request.stage == request_stage::held)
+        {
+            limits_.note_held(it->second.workspace);
+        }
+    }
+}
+
 void proxy::use_grants(moment now, const workspace_limits::grants& given)
 {
     limits_.use_grants(now, given);
--- a/src/session/workspace_limits.cpp
+++ b/src/session/workspace_limits.cpp
@@ -225,6 +225,14 @@
     }
 }
 
+void workspace_limits::forget_held()
+{
+    for (auto& [name, share] : shares_)
+    {
+        share.missing = 0;
+    }
+}
+
 void workspace_limits::refund(const std::string& workspace)
 {
     const auto it = shares_.find(workspace);
--- a/tests/coordinator_messages_test.cpp
+++ b/tests/coordinator_messages_test.cpp
@@ -31,7 +31,10 @@
     void view_of_a_former_coordinator_is_dropped()
     {
         coordinator_messages subject;
+        CPPUNIT_ASSERT(subject.is_new_coordinator(1));
         CPPUNIT_ASSERT(subject.accept_view(now_, 1, 500));
+        CPPUNIT_ASSERT(!subject.is_new_coordinator(1));
+        CPPUNIT_ASSERT(subject.is_new_coordinator(2));
         CPPUNIT_ASSERT(subject.accept_view(now_, 2, 1)); // its first
         CPPUNIT_ASSERT(subject.is_outdated(1));
         CPPUNIT_ASSERT(!subject.accept_view(now_, 1, 501));
--- a/tests/proxy_sessions_test.cpp
+++ b/tests/proxy_sessions_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(isolated_vm_is_not_ready);
     CPPUNIT_TEST(isolated_vm_moves_its_idle_sessions);
     CPPUNIT_TEST(vm_of_a_small_fleet_stays_ready_without_coordinator);
+    CPPUNIT_TEST(held_statements_are_asked_of_the_next_coordinator);
     CPPUNIT_TEST(statement_over_rate_is_refused_at_once);
     CPPUNIT_TEST(refused_clients_are_told_different_times);
     CPPUNIT_TEST(draining_ends_idle_sessions_only_after_the_balancer);
@@ -286,6 +287,36 @@
         CPPUNIT_ASSERT(f.subject.is_ready(f.now));
     }
 
+    /// What was asked of a coordinator that has been killed was not asked
+    /// again: statements waited in vain and were refused.
+    void held_statements_are_asked_of_the_next_coordinator()
+    {
+        proxy_fixture f;
+        f.subject.use_members(f.now, 195);
+        f.subject.use_grants(f.now, {}); // there is a coordinator
+        for (int i = 0; i < 3; ++i)
+        {
+            f.ask(f.start("primary"), f.make(statement_kind::begin));
+        }
+        const auto asked = [&f]
+        {
+            proto::VmReport report;
+            f.subject.describe(f.now, report);
+            std::uint64_t missing = 0;
+            for (const auto& demand : report.demand())
+            {
+                missing += demand.missing();
+            }
+            return missing;
+        };
+        const auto held = f.subject.held();
+        CPPUNIT_ASSERT(held >= 2);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{held}, asked());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, asked());
+        f.subject.use_new_coordinator();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{held}, asked());
+    }
+
     void statement_over_rate_is_refused_at_once()
     {
         proxy_fixture f;
--- a/tools/daemon/fleet_agent_messages.cpp
+++ b/tools/daemon/fleet_agent_messages.cpp
@@ -9,6 +9,9 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
+/// Time over which the VMs spread their first reports to a new coordinator.
+constexpr milliseconds first_report_spread{100};
+
 } // namespace
 
 void fleet_agent::receive()
@@ -109,10 +112,7 @@
 void fleet_agent::handle_view(const proto::FleetView& view)
 {
     const auto now = now_();
-    if (view.token() > messages_.token())
-    {
-        pacing_.answered(); // the next coordinator knows of no request
-    }
+    const bool new_coordinator = messages_.is_new_coordinator(view.token());
     if (!messages_.accept_view(now, view.token(), view.sequence()))
     {
         return; // duplicate or out of date
@@ -138,7 +138,13 @@
             proxy_.use_position(*answered, sample);
         }
     }
-    if (changed)
+    if (new_coordinator)
+    {
+        pacing_.answered(); // it knows of no request
+        proxy_.use_new_coordinator();
+        schedule_report(milliseconds(life_ % first_report_spread.count()));
+    }
+    else if (changed)
     {
         report_soon();
     }
