Review case 2: removing a route during a failover aborts all daemons

Disrupts: one of six VMs is frozen for 4 s while a primary drains; reads wait for loaded replicas, and the operator removes their route. At fault: proxy::use_settings looks up sessions that ending another session has erased.

--- a/review/standin/database_group.cpp
+++ b/review/standin/database_group.cpp
@@ -227,13 +227,29 @@
            " 0 0 0 1\r\nCOMPLETE -\r\n" + ready(at, session{});
 }
 
+/// Takes a slot for the time of a statement.
+void database_group::work(server& at)
+{
+    std::unique_lock lock(mutex_);
+    at.ended.wait(lock, [&] { return at.running < times_.slots; });
+    ++at.running;
+    lock.unlock();
+    std::this_thread::sleep_for(times_.statement);
+    lock.lock();
+    --at.running;
+    at.ended.notify_one();
+}
+
 std::string database_group::run_statement(server& at, session& state,
                                           const std::string& id,
                                           const std::string& text)
 {
     const auto word = text.substr(0, text.find(' '));
     const bool works = word == "READ" || word == "WRITE" || word == "COMMIT";
-    std::this_thread::sleep_for(works ? times_.statement : milliseconds(0));
+    if (works)
+    {
+        work(at);
+    }
     const std::lock_guard lock(mutex_);
     const bool needs_primary =
         word == "WRITE" || text == "BEGIN" || (word == "COMMIT" && state.wrote);
--- a/review/standin/database_group.hpp
+++ b/review/standin/database_group.hpp
@@ -9,6 +9,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <condition_variable>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -20,9 +21,10 @@
 namespace tanagerhoist::review
 {
 
-/// Times of a group's servers.
+/// Times of a group's servers, and their capacity.
 struct server_times
 {
+    unsigned slots = 100; ///< statements of one server at a time
     std::chrono::milliseconds statement{22}; ///< a read, write or commit
     std::chrono::milliseconds control{5};    ///< STATUS and DEMOTE
     std::chrono::milliseconds promote{1000};
@@ -61,6 +63,8 @@
         bool draining = false;
         std::uint64_t term = 1;
         std::uint64_t sequence = 0;
+        unsigned running = 0;
+        std::condition_variable ended; ///< notified when a slot is free
     };
 
     /// State of one connection.
@@ -76,6 +80,7 @@
     std::string run_control(server& at, const std::string& text);
     std::string run_statement(server& at, session& state, const std::string& id,
                               const std::string& text);
+    void work(server& at);
     std::string ready(const server& at, const session& state) const;
     std::string entry_of(server& of) const;
     void write_entries();
--- a/review/standin/fleet.cpp
+++ b/review/standin/fleet.cpp
@@ -22,6 +22,11 @@
 constexpr milliseconds poll_interval{20};
 constexpr milliseconds client_pause{200};
 
+constexpr std::size_t tenants = 8;
+constexpr std::size_t idle_routes = 8;
+
+constexpr std::size_t first_name = 101; // names of equal length
+
 // Last parts of the addresses of this run.
 constexpr std::size_t first_vm = 10;
 constexpr std::size_t first_server = 100;
@@ -36,10 +41,32 @@
            std::to_string(1 + id % low) + '.' + std::to_string(host);
 }
 
-std::vector<std::string> server_addresses()
+std::vector<std::string> server_addresses(std::size_t group)
+{
+    constexpr std::size_t servers = 3;
+    std::vector<std::string> found;
+    for (std::size_t i = 0; i < servers; ++i)
+    {
+        found.push_back(address(first_server + group * servers + i));
+    }
+    return found;
+}
+
+std::string group_name(std::size_t group)
 {
-    return {address(first_server), address(first_server + 1),
-            address(first_server + 2)};
+    return "ledger-" + std::to_string(group + 1);
+}
+
+std::vector<std::unique_ptr<database_group>>
+make_groups(const server_times& times, store& platform, record& lines)
+{
+    std::vector<std::unique_ptr<database_group>> groups;
+    for (std::size_t i = 0; i < fleet::group_count; ++i)
+    {
+        groups.push_back(std::make_unique<database_group>(
+            group_name(i), server_addresses(i), times, platform, lines));
+    }
+    return groups;
 }
 
 std::string temporary_folder()
@@ -53,19 +80,110 @@
     return text;
 }
 
-json::object route(const char* database, const char* type)
+json::object route(const std::string& database, const char* type,
+                   std::size_t group)
 {
-    return {{"name", std::string("r-") + database},
-            {"database", database},
-            {"type", type},
-            {"timeoutMs", 800},
-            {"targetLatencyMs", 200},
-            {"priority", 1},
-            {"backend", fleet::group_name},
-            {"maxStalenessMs", 2500},
+    return {{"name", "r-" + database}, {"database", database},
+            {"pathPrefix", "/"},       {"type", type},
+            {"timeoutMs", 800},        {"targetLatencyMs", 200},
+            {"priority", 1},           {"backend", group_name(group)},
+            {"attempts", 2},           {"maxStalenessMs", 2500},
             {"public", false}};
 }
 
+json::array routes(const std::string& removed)
+{
+    json::array list;
+    const auto add =
+        [&](const std::string& database, const char* type, std::size_t group)
+    {
+        if (database != removed)
+        {
+            list.emplace_back(route(database, type, group));
+        }
+    };
+    for (std::size_t i = 0; i < fleet::group_count; ++i)
+    {
+        const auto number = std::to_string(i + 1);
+        add("orders-" + number, "primary", i);
+        add("notes-" + number, "read_your_writes", i);
+        add("lists-" + number, "bounded_staleness", i);
+    }
+    for (std::size_t i = 0; i < idle_routes; ++i)
+    {
+        add("idle-" + std::to_string(i), "primary", 0);
+    }
+    return list;
+}
+
+json::array services()
+{
+    json::array list;
+    for (std::size_t i = 0; i < fleet::group_count; ++i)
+    {
+        list.emplace_back(json::object{
+            {"name", group_name(i)}, {"maxConns", 30}, {"syncReplicas", 0}});
+    }
+    return list;
+}
+
+json::array tenant_list()
+{
+    json::array list;
+    for (std::size_t i = 0; i < tenants; ++i)
+    {
+        list.emplace_back(json::object{{"name", "tenant-" + std::to_string(i)},
+                                       {"apiKeys", json::array{key_of(i)}},
+                                       {"priority", 1},
+                                       {"ratePerS", 119},
+                                       {"burst", 119}});
+    }
+    return list;
+}
+
+/// Operations of the clients, in turn.
+enum class operation_kind
+{
+    write,
+    read,
+    transaction,
+    unknown_database, ///< as sessions do that only test the configuration
+    count
+};
+
+void run_operation(client& session, operation_kind kind,
+                   const std::string& group, const std::string& tenant,
+                   const std::string& id)
+{
+    switch (kind)
+    {
+    case operation_kind::write:
+        if (session.open("notes-" + group, tenant))
+        {
+            session.query(id, "WRITE row " + id);
+        }
+        return;
+    case operation_kind::read:
+        if (session.open("lists-" + group, tenant))
+        {
+            session.query(id, "READ row");
+        }
+        return;
+    case operation_kind::transaction:
+        if (session.open("orders-" + group, tenant))
+        {
+            session.query(id + 'a', "BEGIN");
+            session.query(id + 'b', "READ row");
+            session.query(id + 'c', "WRITE row " + id);
+            session.query(id + 'd', "COMMIT");
+        }
+        return;
+    default:
+        session.open("gone-" + group, tenant);
+        return;
+    }
+}
+
 } // namespace
 
 case_options options_of(int count, char** values)
@@ -85,8 +203,8 @@
     : options(of),
       lines(options.folder + "/record.txt"),
       platform(address(platform_host), std::move(watch)),
-      group(group_name, server_addresses(), times, platform, lines),
-      promotions(address(platform_host), {&group}, lines),
+      groups(make_groups(times, platform, lines)),
+      promotions(address(platform_host), group_pointers(), lines),
       folder_(temporary_folder())
 {
     const auto peer_port = free_port(address(first_vm));
@@ -96,7 +214,7 @@
         frontends.push_back({ip, free_port(ip)});
         readiness_.push_back({ip, free_port(ip)});
         const placeholders values{
-            {"nodeName", "vm-" + std::to_string(i + 1)},
+            {"nodeName", "edge-zone-a-" + std::to_string(first_name + i)},
             {"zone", "zone-a"},
             {"region", "region-a"},
             {"listen.frontend", ip + ':' + frontends.back().port},
@@ -133,7 +251,10 @@
 bool fleet::start()
 {
     write_config();
-    group.start_heartbeats();
+    for (const auto& group : groups)
+    {
+        group->start_heartbeats();
+    }
     for (const auto& vm : daemons)
     {
         vm->start();
@@ -150,46 +271,56 @@
     return true;
 }
 
-void fleet::write_config()
-{
-    const json::object tenant{{"name", "tenant-one"},
-                              {"apiKeys", json::array{key}},
-                              {"priority", 1},
-                              {"ratePerS", 500},
-                              {"burst", 500}};
-    const json::object service{
-        {"name", group_name}, {"maxConns", 30}, {"syncReplicas", 0}};
-    const json::object config{
-        {"version", ++version_},
-        {"routes", json::array{route("notes", "read_your_writes")}},
-        {"services", json::array{service}},
-        {"limits", json::object{{"txIdleMs", 3000}}},
-        {"tenants", json::array{tenant}}};
+void fleet::write_config(const std::string& removed)
+{
+    const json::object limits{{"maxHeaderBytes", 16384},
+                              {"maxBodyBytes", 262144},
+                              {"headerTimeoutMs", 3000},
+                              {"idleTimeoutMs", 15000},
+                              {"txIdleMs", 3000}};
+    const json::object config{{"version", ++version_},
+                              {"routes", routes(removed)},
+                              {"services", services()},
+                              {"limits", limits},
+                              {"tenants", tenant_list()}};
     platform.put({"op", "config"}, json::serialize(config));
     lines.write("the operator's version " + std::to_string(version_) +
                 " is acknowledged");
 }
 
-void fleet::start_clients()
+void fleet::start_clients(std::size_t count)
 {
-    for (std::size_t i = 0; i < daemons.size(); ++i)
+    for (std::size_t i = 0; i < daemons.size() * count; ++i)
     {
-        std::thread([this, i] { run_client(i); }).detach();
+        std::thread([this, i, count] { run_client(i / count, i); }).detach();
     }
 }
 
-void fleet::run_client(std::size_t vm)
+void fleet::run_client(std::size_t vm, std::size_t number)
 {
-    const auto name = "client-" + std::to_string(vm + 1);
-    client session(name, frontends[vm], lines);
-    bool open = false;
-    for (std::size_t number = 1;; ++number)
+    constexpr std::size_t first_number = 1000000;
+    const auto name = "client-" + std::to_string(first_number + number);
+    const auto tenant = key_of(number % tenants);
+    const auto group = std::to_string(number % group_count + 1);
+    for (std::size_t operation = 1;; ++operation)
     {
         std::this_thread::sleep_for(client_pause);
-        open = open || session.open("notes", key);
-        const auto id = name + '.' + std::to_string(number);
-        open = open && !session.query(id, "WRITE row " + id).empty();
+        client session(name, frontends[vm], lines);
+        const auto id = name + '.' + std::to_string(operation);
+        const auto kind = static_cast<operation_kind>(
+            operation % static_cast<std::size_t>(operation_kind::count));
+        run_operation(session, kind, group, tenant, id);
+    }
+}
+
+std::vector<database_group*> fleet::group_pointers() const
+{
+    std::vector<database_group*> found;
+    for (const auto& group : groups)
+    {
+        found.push_back(group.get());
     }
+    return found;
 }
 
 daemon* fleet::coordinator()
@@ -211,6 +342,11 @@
     return nullptr;
 }
 
+std::string key_of(std::size_t tenant)
+{
+    return "key-of-tenant-" + std::to_string(tenant);
+}
+
 bool wait_until(std::chrono::milliseconds limit,
                 const std::function<bool()>& holds)
 {
--- a/review/standin/fleet.hpp
+++ b/review/standin/fleet.hpp
@@ -39,13 +39,12 @@
 case_options options_of(int count, char** values);
 
 /// A small deployment on loopback addresses of its own: stand-ins of the store,
-/// of the duty calls and of one group of three servers, and the project's
+/// of the duty calls and of three groups of three servers, and the project's
 /// daemons.
 class fleet
 {
 public:
-    static constexpr const char* group_name = "ledger";
-    static constexpr const char* key = "key-one";
+    static constexpr std::size_t group_count = 3;
 
     fleet(const case_options& options, std::size_t vms, server_times times,
           store::observer watch);
@@ -57,10 +56,13 @@
     bool start();
 
     /// Writes the next version of the configuration, as the operator does.
-    void write_config();
+    /// @param removed database whose route is left out; empty: none
+    void write_config(const std::string& removed = {});
 
-    /// Starts a client at each daemon that writes a row five times a second.
-    void start_clients();
+    /// Starts clients that write a row five times a second, on a session of
+    /// its own each time.
+    /// @param count clients of each daemon
+    void start_clients(std::size_t count);
 
     /// Ends everything that it started, and this process with the exit code.
     /// The stand-ins' threads still run then, so nothing is destroyed.
@@ -72,19 +74,24 @@
     const case_options options;
     record lines;
     store platform;
-    database_group group;
+    std::vector<std::unique_ptr<database_group>> groups;
     promotion_service promotions;
     std::vector<std::unique_ptr<daemon>> daemons;
     std::vector<listen_point> frontends;
 
 private:
-    void run_client(std::size_t vm);
+    void run_client(std::size_t vm, std::size_t number);
+
+    std::vector<database_group*> group_pointers() const;
 
     std::string folder_; ///< temporary
     std::vector<listen_point> readiness_;
     std::uint64_t version_ = 0;
 };
 
+/// Key of a tenant, numbered from 0.
+std::string key_of(std::size_t tenant);
+
 /// Waits until the condition holds, at most this long.
 bool wait_until(std::chrono::milliseconds limit,
                 const std::function<bool()>& holds);
--- a/review/standin/store.cpp
+++ b/review/standin/store.cpp
@@ -15,7 +15,9 @@
 namespace base64 = boost::beast::detail::base64;
 using std::chrono::milliseconds;
 
-constexpr milliseconds transaction_time{8}; // txMs of the site file
+// Of the site files: partWritesS, txMs, and the time of other answers.
+constexpr std::chrono::microseconds turn_time{1000000 / 150};
+constexpr milliseconds transaction_time{8};
 constexpr milliseconds answer_time{4};
 
 constexpr unsigned status_conflict = 412;
@@ -137,11 +139,15 @@
     return {status_unknown, "{}"};
 }
 
-/// Takes the time of a transaction, while no other one runs.
+/// Takes the time of a transaction. A part begins one after another.
 void store::wait_for_turn()
 {
-    const std::lock_guard turn(turn_);
-    std::this_thread::sleep_for(transaction_time * slowness_.load());
+    {
+        const std::lock_guard turn(turn_);
+        std::this_thread::sleep_for(turn_time);
+    }
+    std::this_thread::sleep_for(transaction_time * slowness_.load() -
+                                turn_time);
 }
 
 void store::wait_for_answer() const
@@ -221,7 +227,6 @@
     {
         watch_.written(key, row);
     }
-    wait_for_answer();
     reply.body = json::serialize(answer);
     return reply;
 }
