--- a/review/standin/client.cpp
+++ b/review/standin/client.cpp
@@ -54,7 +54,9 @@
     {
         if (next.rfind("READY ", 0) == 0)
         {
-            record_.write(name_ + " gets " + id + ' ' + last);
+            auto received = name_ + " gets " + id;
+            received += ' ' + last;
+            record_.write(received);
             return last;
         }
         last = next;
--- a/review/standin/fleet.cpp
+++ b/review/standin/fleet.cpp
@@ -248,19 +248,20 @@
     std::_Exit(static_cast<int>(result));
 }
 
-bool fleet::start()
+bool fleet::start(std::size_t count)
 {
     write_config();
     for (const auto& group : groups)
     {
         group->start_heartbeats();
     }
-    for (const auto& vm : daemons)
+    for (std::size_t i = 0; i < count; ++i)
     {
-        vm->start();
+        daemons[i]->start();
     }
-    for (const auto& where : readiness_)
+    for (std::size_t i = 0; i < count; ++i)
     {
+        const auto& where = readiness_[i];
         if (!wait_until(start_limit, [&where] { return is_ready(where); }))
         {
             lines.write(where.address + " does not become ready");
--- a/review/standin/fleet.hpp
+++ b/review/standin/fleet.hpp
@@ -51,9 +51,10 @@
     fleet(const fleet&) = delete;
     fleet& operator=(const fleet&) = delete;
 
-    /// Writes the first configuration and starts everything.
-    /// @return whether all daemons are ready in time
-    bool start();
+    /// Writes the first configuration and starts everything, but only the
+    /// first `count` daemons.
+    /// @return whether these are ready in time
+    bool start(std::size_t count);
 
     /// Writes the next version of the configuration, as the operator does.
     /// @param removed database whose route is left out; empty: none
