--- a/review/standin/database_group.cpp
+++ b/review/standin/database_group.cpp
@@ -36,7 +36,7 @@
     for (const auto& address : addresses)
     {
         auto& added = *servers_.emplace_back(std::make_unique<server>());
-        added.id = name_ + "-s" + std::to_string(servers_.size());
+        added.id = name_ + "s" + std::to_string(servers_.size());
         added.primary = servers_.size() == 1;
         added.acceptor = std::make_unique<tcp::acceptor>(
             context_, tcp::endpoint(boost::asio::ip::make_address(address), 0));
--- a/review/standin/fleet.cpp
+++ b/review/standin/fleet.cpp
@@ -54,7 +54,7 @@
 
 std::string group_name(std::size_t group)
 {
-    return "ledger-" + std::to_string(group + 1);
+    return "g" + std::to_string(group + 1);
 }
 
 std::vector<std::unique_ptr<database_group>>
@@ -105,9 +105,9 @@
     for (std::size_t i = 0; i < fleet::group_count; ++i)
     {
         const auto number = std::to_string(i + 1);
-        add("orders-" + number, "primary", i);
-        add("notes-" + number, "read_your_writes", i);
-        add("lists-" + number, "bounded_staleness", i);
+        add("o" + number, "primary", i);
+        add("n" + number, "read_your_writes", i);
+        add("l" + number, "bounded_staleness", i);
     }
     for (std::size_t i = 0; i < idle_routes; ++i)
     {
@@ -132,7 +132,7 @@
     json::array list;
     for (std::size_t i = 0; i < tenants; ++i)
     {
-        list.emplace_back(json::object{{"name", "tenant-" + std::to_string(i)},
+        list.emplace_back(json::object{{"name", "t" + std::to_string(i)},
                                        {"apiKeys", json::array{key_of(i)}},
                                        {"priority", 1},
                                        {"ratePerS", 119},
@@ -158,19 +158,19 @@
     switch (kind)
     {
     case operation_kind::write:
-        if (session.open("notes-" + group, tenant))
+        if (session.open("n" + group, tenant))
         {
             session.query(id, "WRITE row " + id);
         }
         return;
     case operation_kind::read:
-        if (session.open("lists-" + group, tenant))
+        if (session.open("l" + group, tenant))
         {
             session.query(id, "READ row");
         }
         return;
     case operation_kind::transaction:
-        if (session.open("orders-" + group, tenant))
+        if (session.open("o" + group, tenant))
         {
             session.query(id + 'a', "BEGIN");
             session.query(id + 'b', "READ row");
@@ -214,7 +214,7 @@
         frontends.push_back({ip, free_port(ip)});
         readiness_.push_back({ip, free_port(ip)});
         const placeholders values{
-            {"nodeName", "edge-zone-a-" + std::to_string(first_name + i)},
+            {"nodeName", "v" + std::to_string(first_name + i)},
             {"zone", "zone-a"},
             {"region", "region-a"},
             {"listen.frontend", ip + ':' + frontends.back().port},
@@ -299,8 +299,8 @@
 
 void fleet::run_client(std::size_t vm, std::size_t number)
 {
-    constexpr std::size_t first_number = 1000000;
-    const auto name = "client-" + std::to_string(first_number + number);
+    constexpr std::size_t first_number = 100;
+    const auto name = "c" + std::to_string(first_number + number);
     const auto tenant = key_of(number % tenants);
     const auto group = std::to_string(number % group_count + 1);
     for (std::size_t operation = 1;; ++operation)
