Log under which token a promotion is sent, and rows of other holders

New: promotion_sent right before the call, with the token, the VM whose row it is from and the time left of the lease; duty_seen when the store shows another holder's row; token, token_now and holds in lead_change_ended; dropped_changes beside dropped, which now also counts lines that the queue gave up. No decision has changed.

--- a/include/tanagerhoist/adapter/json_log.hpp
+++ b/include/tanagerhoist/adapter/json_log.hpp
@@ -38,12 +38,14 @@
     /// Writes out the queue. Nothing may be written afterwards.
     void close();
 
-    /// Number of lines dropped by the rate limit.
-    std::uint64_t dropped() const { return dropped_; }
+    /// Number of lines dropped by the rate limit or by the queue.
+    std::uint64_t dropped() const;
 
 private:
     static constexpr std::size_t level_count = 3;
 
+    std::uint64_t dropped_by_queue() const;
+
     std::string vm_;
     std::uint64_t budget_;
     clock now_;
@@ -51,8 +53,10 @@
     std::shared_ptr<spdlog::logger> logger_;
     std::array<std::uint64_t, level_count> lines_in_window_{};
     moment window_start_{};
-    std::uint64_t dropped_ = 0;
+    std::uint64_t dropped_ = 0;         ///< by the rate limit
+    std::uint64_t dropped_changes_ = 0; ///< those of them that tell of changes
     std::uint64_t reported_dropped_ = 0;
+    std::uint64_t reported_dropped_changes_ = 0;
 };
 
 } // namespace tanagerhoist
--- a/include/tanagerhoist/fleet/coordinator_lease.hpp
+++ b/include/tanagerhoist/fleet/coordinator_lease.hpp
@@ -53,6 +53,10 @@
 
     bool holds(moment now) const { return now < held_until_; }
 
+    /// Time until this VM must stop acting as holder; negative if it has to
+    /// have stopped.
+    milliseconds time_left() const;
+
     /// Whether the current or last holder of the lease is known.
     bool is_holder_known() const { return !row_.holder().empty(); }
 
@@ -74,6 +78,7 @@
 
 private:
     bool renew();
+    void note_row(const proto::DutyRow& found);
     void read_lease(milliseconds takeover_delay);
     void resolve_conflict(const store_answer& answer);
     void acquire(const store_answer& read, const proto::DutyRow& former);
--- a/src/adapter/json_log.cpp
+++ b/src/adapter/json_log.cpp
@@ -44,6 +44,18 @@
     spdlog::shutdown(); // flushes the queue
 }
 
+/// Lines that the queue has dropped for newer ones, of any level.
+std::uint64_t json_log::dropped_by_queue() const
+{
+    const auto pool = spdlog::thread_pool();
+    return pool ? pool->overrun_counter() : 0;
+}
+
+std::uint64_t json_log::dropped() const
+{
+    return dropped_ + dropped_by_queue();
+}
+
 bool json_log::should_log(log_level level)
 {
     const auto now = now_();
@@ -57,6 +69,7 @@
     if (lines_in_window_.at(static_cast<std::size_t>(level)) >= limit)
     {
         ++dropped_;
+        dropped_changes_ += level == log_level::change ? 1 : 0;
         return false;
     }
     return true;
@@ -79,10 +92,12 @@
     {
         line[field.name] = field.value;
     }
-    if (dropped_ != reported_dropped_)
+    if (const auto total = dropped(); total != reported_dropped_)
     {
-        line["dropped"] = dropped_ - reported_dropped_;
-        reported_dropped_ = dropped_;
+        line["dropped"] = total - reported_dropped_;
+        line["dropped_changes"] = dropped_changes_ - reported_dropped_changes_;
+        reported_dropped_ = total;
+        reported_dropped_changes_ = dropped_changes_;
     }
     logger_->info(boost::json::serialize(line));
 }
--- a/src/fleet/coordinator_lease.cpp
+++ b/src/fleet/coordinator_lease.cpp
@@ -69,6 +69,25 @@
     return true;
 }
 
+milliseconds coordinator_lease::time_left() const
+{
+    return std::chrono::duration_cast<milliseconds>(
+        claim_end_ - coordinator_lease_margin - now_());
+}
+
+/// Notes the lease row that the store shows.
+void coordinator_lease::note_row(const proto::DutyRow& found)
+{
+    if (found.token() != row_.token() && !is_own(found))
+    {
+        lines_.write(log_level::change, "duty_seen",
+                     {{"holder", found.holder()},
+                      {"token", std::to_string(found.token())},
+                      {"before", std::to_string(row_.token())}});
+    }
+    row_ = found;
+}
+
 void coordinator_lease::mark_lost(const char* cause)
 {
     holding_ = false;
@@ -187,7 +206,7 @@
     }
     if (found)
     {
-        row_ = *found;
+        note_row(*found);
     }
     if (!found || !is_own(*found))
     {
@@ -221,7 +240,7 @@
         }
         return;
     }
-    row_ = *found;
+    note_row(*found);
     const auto until = milliseconds(row_.renewed_ms() + row_.lease_ms());
     const bool own_name = row_.holder() == self_.vm();
     const bool released = row_.lease_ms() == 0 && takeover_delay.count() == 0;
@@ -268,7 +287,7 @@
     const auto answer = write(taken, version_);
     if (answer.result == store_result::conflict)
     {
-        row_ = find_row(answer).value_or(row_);
+        note_row(find_row(answer).value_or(row_));
         return;
     }
     if (answer.result != store_result::done || answer.era != read.era)
--- a/tools/daemon/fleet_agent_coordinator.cpp
+++ b/tools/daemon/fleet_agent_coordinator.cpp
@@ -150,12 +150,16 @@
         {
             failover_executor executor(*this, lines_);
             const auto begun = now_();
+            const auto token = lease_.row().token();
             const auto done =
                 executor.change_primary(*leads_.find(group), planned);
             lines_.write(log_level::change, "lead_change_ended",
                          {{"group", group},
                           {"ms", std::to_string(to_ms(now_() - begun))},
-                          {"primary", done ? done->lead.primary() : "-"}});
+                          {"primary", done ? done->lead.primary() : "-"},
+                          {"token", std::to_string(token)},
+                          {"token_now", std::to_string(lease_.row().token())},
+                          {"holds", is_coordinator() ? "yes" : "no"}});
             end_operation(group);
         });
 }
@@ -244,9 +248,16 @@
                                                 const std::string& server)
 {
     http_client_stream stream(context_);
+    const auto& row = lease_.row();
+    lines_.write(log_level::change, "promotion_sent",
+                 {{"group", group},
+                  {"server", server},
+                  {"token", std::to_string(row.token())},
+                  {"token_of", row.holder()},
+                  {"lease_ms", std::to_string(lease_.time_left().count())}});
     return platform::request_promotion(
         stream, promotion_address_.address, promotion_address_.port,
-        {group, server, settings_.vm().name(), lease_.row().token()});
+        {group, server, settings_.vm().name(), row.token()});
 }
 
 } // namespace tanagerhoist
