Failing tests: promotion after the lease, and claims longer than the row's

- failover_executor: the lease ends while the old primary is demoted, or while the choice waits for a replica; the promotion is ordered all the same.
- coordinator_lease: the time in the lease row is taken before the write is sent.
A holder that is frozen between the two counts its claim from the sending, all others from the row: both hold the lease, with different tokens.

--- a/tests/coordinator_lease_test.cpp
+++ b/tests/coordinator_lease_test.cpp
@@ -138,6 +138,8 @@
     CPPUNIT_TEST(renewing_holder_keeps_lease);
     CPPUNIT_TEST(holder_without_store_stops_before_lease_expires);
     CPPUNIT_TEST(frozen_holder_has_lost_lease_when_it_resumes);
+    CPPUNIT_TEST(holder_frozen_before_its_write_has_no_longer_claim);
+    CPPUNIT_TEST(holder_frozen_before_its_renewal_has_no_longer_claim);
     CPPUNIT_TEST(lost_answer_of_renewal_is_resolved_by_row);
     CPPUNIT_TEST(lost_answer_of_acquisition_is_resolved_by_row);
     CPPUNIT_TEST(released_lease_is_acquired_at_once_with_balance);
@@ -263,6 +265,34 @@
         CPPUNIT_ASSERT(!f.a.holds(f.now));
     }
 
+    void holder_frozen_before_its_write_has_no_longer_claim()
+    {
+        two_vms f;
+        f.plain.on_write = [&f] { f.now += std::chrono::seconds(2); };
+        const auto row_dated = f.now;
+        f.a.update(f.never);
+        f.plain.on_write = nullptr;
+        f.now = row_dated + coordinator_lease_duration + milliseconds(1);
+        f.b.update(f.never);
+        CPPUNIT_ASSERT(f.b.holds(f.now));
+        CPPUNIT_ASSERT(!f.a.holds(f.now));
+    }
+
+    void holder_frozen_before_its_renewal_has_no_longer_claim()
+    {
+        two_vms f;
+        f.a.update(f.never);
+        f.now += coordinator_lease_renewal;
+        f.plain.on_write = [&f] { f.now += std::chrono::seconds(1); };
+        const auto row_dated = f.now;
+        f.a.update(f.never);
+        f.plain.on_write = nullptr;
+        f.now = row_dated + coordinator_lease_duration + milliseconds(1);
+        f.b.update(f.never);
+        CPPUNIT_ASSERT(f.b.holds(f.now));
+        CPPUNIT_ASSERT(!f.a.holds(f.now));
+    }
+
     void lost_answer_of_renewal_is_resolved_by_row()
     {
         two_vms f;
--- a/tests/failover_executor_test.cpp
+++ b/tests/failover_executor_test.cpp
@@ -84,12 +84,14 @@
     }
     std::optional<server_role> role(const backend_server& server) override
     {
+        time += control_time;
         const auto& entry = members.at(server.id);
         return entry.answers ? std::optional(entry.role) : std::nullopt;
     }
     std::optional<server_role> demote(const backend_server& server,
                                       std::uint64_t) override
     {
+        time += control_time;
         auto& entry = members.at(server.id);
         if (!entry.answers)
         {
@@ -135,6 +137,7 @@
     group_lead_row row;
     moment time{std::chrono::hours(1)};
     moment lease_end = time + std::chrono::seconds(30);
+    milliseconds control_time{0}; ///< that each call of a server takes
     std::function<void()> on_pause;
     bool coordinator = true;
     bool all_acknowledged = true;
@@ -156,6 +159,8 @@
     CPPUNIT_TEST(old_primary_is_demoted_early_while_a_vm_is_silent);
     CPPUNIT_TEST(old_primary_that_returns_as_primary_is_demoted_again);
     CPPUNIT_TEST(losing_lease_aborts_failover);
+    CPPUNIT_TEST(promotion_is_not_ordered_when_lease_ends_during_demotion);
+    CPPUNIT_TEST(promotion_is_not_ordered_when_lease_ends_during_choice);
     CPPUNIT_TEST(row_conflict_aborts_failover);
     CPPUNIT_TEST(planned_failover_waits_for_log_end);
     CPPUNIT_TEST(ineligible_server_is_skipped);
@@ -255,6 +260,26 @@
         CPPUNIT_ASSERT(f.row.lead.sealed()); // the next coordinator resumes
     }
 
+    void promotion_is_not_ordered_when_lease_ends_during_demotion()
+    {
+        fake_group f;
+        f.members["p"].answers = false;
+        f.control_time = milliseconds(350);
+        f.lease_end = f.time + milliseconds(300);
+        CPPUNIT_ASSERT(!f.change_primary(false));
+        CPPUNIT_ASSERT(f.promotions.empty());
+    }
+
+    /// The replicas lag behind the demoted primary, so that the choice waits.
+    void promotion_is_not_ordered_when_lease_ends_during_choice()
+    {
+        fake_group f;
+        f.control_time = milliseconds(350);
+        f.lease_end = f.time + milliseconds(1900);
+        CPPUNIT_ASSERT(!f.change_primary(true));
+        CPPUNIT_ASSERT(f.promotions.empty());
+    }
+
     void row_conflict_aborts_failover()
     {
         fake_group f;
--- a/tests/fake_row_store.hpp
+++ b/tests/fake_row_store.hpp
@@ -32,6 +32,10 @@
 
     store_answer write(const store_transaction& transaction) override
     {
+        if (on_write)
+        {
+            on_write();
+        }
         auto answer = finish(down ? refused() : table_.write(transaction));
         if (answer.result == store_result::done &&
             std::exchange(lose_next_answer, false))
@@ -54,8 +58,9 @@
     bool down = false;
     std::size_t page_rows = 500;
     int reads = 0;
-    int reads_until_down = -1;     ///< -1: unlimited
-    std::function<void()> on_read; ///< called before each read
+    int reads_until_down = -1;      ///< -1: unlimited
+    std::function<void()> on_read;  ///< called before each read
+    std::function<void()> on_write; ///< called before each write
     bool lose_next_answer = false;
 
 private:
