Count the coordinator's claim from the time in its row

The claim now runs from the moment at which the row's time is taken, and an acquisition dates its row by the store's clock at the write. A write that is sent late shortens the claim and can't lengthen it.

--- a/include/tanagerhoist/fleet/coordinator_lease.hpp
+++ b/include/tanagerhoist/fleet/coordinator_lease.hpp
@@ -89,7 +89,7 @@
     bool is_from_copy(const proto::DutyRow& row) const;
     bool is_restored() const;
     moment former_claims_end() const;
-    void extend_claim(moment sent);
+    void extend_claim(moment dated);
     void note_answer(const store_answer& answer);
     store_answer write(const proto::DutyRow& row, std::uint64_t version);
     milliseconds store_now() const;
--- a/src/fleet/coordinator_lease.cpp
+++ b/src/fleet/coordinator_lease.cpp
@@ -42,13 +42,16 @@
 /// Upper bound of the store's clock at this moment.
 milliseconds coordinator_lease::store_now() const
 {
-    return store_clock_ + milliseconds(to_ms(now_() - store_clock_at_) + 1);
+    return store_clock_ +
+           std::chrono::ceil<milliseconds>(now_() - store_clock_at_);
 }
 
-/// Notes that the row was written by a call sent at this moment.
-void coordinator_lease::extend_claim(moment sent)
+/// Notes that the row was written.
+/// @param dated when the row's time of renewal was taken; the call may have
+///   been sent much later
+void coordinator_lease::extend_claim(moment dated)
 {
-    claim_end_ = sent + coordinator_lease_duration;
+    claim_end_ = dated + coordinator_lease_duration;
     held_until_ = claim_end_ - coordinator_lease_margin;
 }
 
@@ -166,13 +169,14 @@
 
 bool coordinator_lease::renew()
 {
+    const auto dated = now_();
     const auto renewed = renewed_row();
     const auto answer = write(renewed, version_);
     if (answer.result == store_result::done && !is_from_copy(renewed))
     {
         row_ = renewed;
         version_ = answer.version;
-        extend_claim(answer.sent);
+        extend_claim(dated);
         return true;
     }
     lines_.write(log_level::change, "duty_not_renewed",
@@ -273,13 +277,14 @@
 void coordinator_lease::acquire(const store_answer& read,
                                 const proto::DutyRow& former)
 {
+    const auto dated = now_();
     proto::DutyRow taken;
     taken.set_holder(self_.vm());
     taken.set_life(self_.life());
     taken.set_token(is_own(former) ? former.token()
                                    : next_number(former.token(), era_));
     taken.set_era_since_ms(former.era_since_ms());
-    taken.set_renewed_ms(static_cast<std::uint64_t>(read.now.count()));
+    taken.set_renewed_ms(static_cast<std::uint64_t>(store_now().count()));
     taken.set_lease_ms(
         static_cast<std::uint64_t>(coordinator_lease_duration.count()));
     taken.set_address(self_.address());
@@ -298,7 +303,7 @@
     row_ = taken;
     version_ = answer.version;
     holding_ = true;
-    extend_claim(answer.sent);
+    extend_claim(dated);
     lines_.write(log_level::change, "duty_taken",
                  {{"token", std::to_string(row_.token())},
                   {"version", std::to_string(version_)},
