Act as coordinator only in the term in which the work was begun

Cause: a failover asked whether its VM was coordinator, then waited for servers, candidates, a connection or out a freeze, and went on. The token came from the lease row as last read, which a conflict or a read had replaced by the successor's. The same held for seals, publications, removals of VMs, views and grants: each was checked before a wait, if at all, and named what the last read row named. A VM that lost the lease and took it again went on with what it had known in between, with the same token.

Change: a term is a value (token, version of a fence row) that work gets when it begins. Each acquisition has a token of its own and writes the fence row; what the coordinator writes to the store is conditional on it, so that the store refuses late writes of a former term. A promotion is sent if its term runs once the connection is open, with the term's token, and what the platform has not received when the term ends is discarded (user timeout, reset). Views and replies take the token from the term. The coordinator changes leads only after it has read them in its term. A stop releases the lease when no promotion is on its way and no call of the lease runs; both used one connection before. Control connections belong to one operation.

--- a/include/tanagerhoist/adapter/http_stream.hpp
+++ b/include/tanagerhoist/adapter/http_stream.hpp
@@ -119,6 +119,11 @@
                                     const std::string& body,
                                     milliseconds timeout, bool& sent);
 
+    /// Discards what the peer has not acknowledged within `time` after it was
+    /// sent, or when the connection is closed, instead of delivering it late.
+    /// For the open connection only.
+    void limit_delivery(milliseconds time);
+
     bool is_open() const;
     void close();
 
--- a/include/tanagerhoist/fleet/coordinator_lease.hpp
+++ b/include/tanagerhoist/fleet/coordinator_lease.hpp
@@ -29,12 +29,24 @@
 /// row.
 constexpr milliseconds coordinator_timeout{1200};
 
+/// One uninterrupted holding of the coordinator lease. Work of the coordinator
+/// belongs to the term in which it was begun, and ends with it.
+struct coordinator_term
+{
+    std::uint64_t token = 0; ///< fencing token, of this term only
+    /// Version of the fence row, which only the next term's begin changes.
+    std::uint64_t fence_version = 0;
+};
+
 /// One VM's client for the coordinator lease, which at most one VM holds at a
 /// time. The row in the store (table "duty") contains the holder, its fencing
-/// token and the store's time of the last renewal. If a write is not answered,
-/// its outcome is found by reading the row. If the store comes back from an
-/// older copy, the holder goes on with a new token; other VMs leave the lease
-/// alone until the claims of holders that the copy does not name are over.
+/// token and the store's time of the last renewal. A second row, the fence, is
+/// written when a term begins; what the holder writes is conditional on it, so
+/// that the store refuses late writes of a former holder. If a write is not
+/// answered, its outcome is found by reading the row. If the store comes back
+/// from an older copy, the holder goes on with a new token; other VMs leave the
+/// lease alone until the claims of holders that the copy does not name are
+/// over.
 class coordinator_lease
 {
 public:
@@ -51,22 +63,36 @@
     bool update(moment last_contact,
                 milliseconds takeover_delay = milliseconds(0));
 
-    bool holds(moment now) const { return now < held_until_; }
+    bool holds(moment now) const { return holding_ && now < held_until_; }
+
+    /// The present term; nothing if this VM doesn't hold the lease.
+    std::optional<coordinator_term> term() const;
 
-    /// Time until this VM must stop acting as holder; negative if it has to
-    /// have stopped.
-    milliseconds time_left() const;
+    /// Whether the term still runs. Must be asked again after each wait.
+    bool is_current(const coordinator_term& term) const;
+
+    /// Time until this VM must stop acting in the term; zero if it has ended.
+    milliseconds time_left(const coordinator_term& term) const;
+
+    /// Condition that the store adds no term after the given one: for each
+    /// write of the holder.
+    static store_row fence(const coordinator_term& term);
 
     /// Whether the current or last holder of the lease is known.
     bool is_holder_known() const { return !row_.holder().empty(); }
 
-    /// The lease row as last read or written.
+    /// The lease row as last read or written, perhaps by another VM; tells
+    /// where the holder is. What this VM holds is told by term().
     const proto::DutyRow& row() const { return row_; }
 
     /// Row of the previous holder, with its remaining balances if it released
     /// the lease.
     const proto::DutyRow& former() const { return former_; }
 
+    /// When the holder first saw the store's era, on the store's clock; zero if
+    /// the store has not come back older.
+    milliseconds era_since() const { return milliseconds(own_.era_since_ms()); }
+
     /// The store's clock in the newest answer, a lower bound of its present
     /// time.
     milliseconds store_clock() const { return store_clock_; }
@@ -91,7 +117,7 @@
     moment former_claims_end() const;
     void extend_claim(moment dated);
     void note_answer(const store_answer& answer);
-    store_answer write(const proto::DutyRow& row, std::uint64_t version);
+    store_answer write(const proto::DutyRow& row, bool begins_term);
     milliseconds store_now() const;
     void mark_lost(const char* cause);
 
@@ -99,9 +125,11 @@
     proto::MemberRow self_;
     clock now_;
     structured_log& lines_;
-    proto::DutyRow row_;
+    proto::DutyRow row_; ///< as last read or written
+    proto::DutyRow own_; ///< as last written by this VM
     proto::DutyRow former_;
-    std::uint64_t version_ = 0;
+    std::uint64_t version_ = 0;       ///< of the lease row
+    std::uint64_t fence_version_ = 0; ///< of the fence row in this VM's term
     moment held_until_{};
     moment claim_end_{}; ///< others may take the lease from then on
     bool holding_ = false;
--- a/include/tanagerhoist/fleet/failover_executor.hpp
+++ b/include/tanagerhoist/fleet/failover_executor.hpp
@@ -27,8 +27,9 @@
     log_position received;  ///< end of its log
 };
 
-/// Operations that a failover needs from its environment. Calls may suspend the
-/// calling fiber.
+/// Operations that a failover needs from its environment, in the name of the
+/// coordinator's term in which it was begun. Calls may suspend the calling
+/// fiber; those that change something do nothing once the term is over.
 class failover_port
 {
 public:
@@ -37,8 +38,7 @@
     virtual moment now() = 0;
     virtual void pause(milliseconds time) = 0;
 
-    /// Whether this VM still holds the coordinator lease, with time left for a
-    /// call.
+    /// Whether the term still runs, with time left for a call.
     virtual bool is_coordinator() = 0;
 
     /// Present era of the store.
@@ -68,6 +68,8 @@
     /// this position until the successor is published.
     virtual void confirm_log_end(const proto::GroupLead& lead,
                                  const log_position& end, moment confirmed) = 0;
+
+    /// Requests a promotion, unless the term is over when it can be sent.
     virtual promotion_result request_promotion(const std::string& group,
                                                const std::string& server) = 0;
 };
@@ -107,6 +109,9 @@
     std::optional<std::string>
     choose_candidate(const proto::GroupLead& lead,
                      const std::set<std::string>& ineligible);
+    std::optional<server_role> promote(const backend_server& server,
+                                       const proto::GroupLead& lead,
+                                       std::set<std::string>& ineligible);
     std::optional<std::string>
     reachable_old_primary(const proto::GroupLead& lead);
     std::optional<server_role> wait_for_primary(const backend_server& server,
--- a/include/tanagerhoist/fleet/promotion_request.hpp
+++ b/include/tanagerhoist/fleet/promotion_request.hpp
@@ -21,9 +21,26 @@
 {
     accepted,
     not_eligible, ///< not running, or another request is in progress
-    unanswered    ///< the promotion may still happen
+    unanswered,   ///< the promotion may still happen
+    term_over     ///< not sent: the sender is no longer the coordinator
 };
 
+/// Text of a result in log lines.
+inline const char* promotion_result_name(promotion_result result)
+{
+    switch (result)
+    {
+    case promotion_result::accepted:
+        return "accepted";
+    case promotion_result::not_eligible:
+        return "unfit";
+    case promotion_result::unanswered:
+        return "none";
+    default:
+        return "not sent, term over";
+    }
+}
+
 } // namespace tanagerhoist
 
 #endif
--- a/src/adapter/http_stream.cpp
+++ b/src/adapter/http_stream.cpp
@@ -7,6 +7,8 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <netinet/tcp.h>
+
 #include <utility>
 
 namespace tanagerhoist
@@ -274,6 +276,24 @@
     return std::move(answer->body);
 }
 
+void http_client_stream::limit_delivery(milliseconds time)
+{
+    using user_timeout =
+        asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    auto& socket = state_->stream.socket();
+    error_code error;
+    socket.set_option(user_timeout(static_cast<int>(time.count())), error);
+    if (!error)
+    {
+        // Closing resets the connection.
+        socket.set_option(asio::socket_base::linger(true, 0), error);
+    }
+    if (error)
+    {
+        close(); // the next call fails and sends nothing
+    }
+}
+
 bool http_client_stream::is_open() const
 {
     return state_->stream.socket().is_open();
--- a/src/fleet/coordinator_lease.cpp
+++ b/src/fleet/coordinator_lease.cpp
@@ -12,6 +12,7 @@
 
 constexpr const char* lease_table = "duty";
 constexpr const char* lease_key = "failover";
+constexpr const char* fence_key = "fence";
 
 } // namespace
 
@@ -72,10 +73,32 @@
     return true;
 }
 
-milliseconds coordinator_lease::time_left() const
+std::optional<coordinator_term> coordinator_lease::term() const
 {
-    return std::chrono::duration_cast<milliseconds>(
-        claim_end_ - coordinator_lease_margin - now_());
+    if (!holds(now_()))
+    {
+        return std::nullopt;
+    }
+    return coordinator_term{own_.token(), fence_version_};
+}
+
+bool coordinator_lease::is_current(const coordinator_term& term) const
+{
+    return holds(now_()) && term.token == own_.token();
+}
+
+milliseconds coordinator_lease::time_left(const coordinator_term& term) const
+{
+    if (!is_current(term))
+    {
+        return milliseconds(0);
+    }
+    return std::chrono::duration_cast<milliseconds>(held_until_ - now_());
+}
+
+store_row coordinator_lease::fence(const coordinator_term& term)
+{
+    return {lease_table, fence_key, "", term.fence_version, false};
 }
 
 /// Notes the lease row that the store shows.
@@ -96,16 +119,21 @@
     holding_ = false;
     held_until_ = moment{};
     lines_.write(log_level::change, "duty_lost",
-                 {{"token", std::to_string(row_.token())}, {"cause", cause}});
+                 {{"token", std::to_string(own_.token())}, {"cause", cause}});
 }
 
+/// Writes the lease row, and the fence if a term begins with it.
 store_answer coordinator_lease::write(const proto::DutyRow& row,
-                                      std::uint64_t version)
+                                      bool begins_term)
 {
+    const auto text = row.SerializeAsString();
     store_transaction change;
-    change.expected.push_back({lease_table, lease_key, "", version, false});
-    change.puts.push_back(
-        {lease_table, lease_key, row.SerializeAsString(), 0, false});
+    change.expected.push_back({lease_table, lease_key, "", version_, false});
+    change.puts.push_back({lease_table, lease_key, text, 0, false});
+    if (begins_term)
+    {
+        change.puts.push_back({lease_table, fence_key, text, 0, false});
+    }
     auto answer = store_.write(change);
     if (answer.result == store_result::done ||
         answer.result == store_result::conflict ||
@@ -157,7 +185,7 @@
 /// token, as those of the copy are given out again.
 proto::DutyRow coordinator_lease::renewed_row() const
 {
-    auto renewed = row_;
+    auto renewed = own_;
     renewed.set_renewed_ms(static_cast<std::uint64_t>(store_now().count()));
     if (is_from_copy(renewed))
     {
@@ -171,16 +199,19 @@
 {
     const auto dated = now_();
     const auto renewed = renewed_row();
-    const auto answer = write(renewed, version_);
+    const bool begins_term = renewed.token() != own_.token();
+    const auto answer = write(renewed, begins_term);
     if (answer.result == store_result::done && !is_from_copy(renewed))
     {
+        own_ = renewed;
         row_ = renewed;
         version_ = answer.version;
+        fence_version_ = begins_term ? answer.version : fence_version_;
         extend_claim(dated);
         return true;
     }
     lines_.write(log_level::change, "duty_not_renewed",
-                 {{"token", std::to_string(row_.token())},
+                 {{"token", std::to_string(own_.token())},
                   {"cause", store_result_name(answer.result)},
                   {"took_ms", std::to_string(to_ms(now_() - answer.sent))}});
     if (answer.result == store_result::conflict)
@@ -202,7 +233,7 @@
 {
     const auto found = find_row(answer);
     const bool lost_by_restore =
-        is_from_copy(row_) &&
+        is_from_copy(own_) &&
         (version_ == 0 || (found && is_from_copy(*found)));
     if (lost_by_restore)
     {
@@ -281,15 +312,14 @@
     proto::DutyRow taken;
     taken.set_holder(self_.vm());
     taken.set_life(self_.life());
-    taken.set_token(is_own(former) ? former.token()
-                                   : next_number(former.token(), era_));
+    taken.set_token(next_number(std::max(former.token(), own_.token()), era_));
     taken.set_era_since_ms(former.era_since_ms());
     taken.set_renewed_ms(static_cast<std::uint64_t>(store_now().count()));
     taken.set_lease_ms(
         static_cast<std::uint64_t>(coordinator_lease_duration.count()));
     taken.set_address(self_.address());
     taken.set_peer_port(self_.peer_port());
-    const auto answer = write(taken, version_);
+    const auto answer = write(taken, true);
     if (answer.result == store_result::conflict)
     {
         note_row(find_row(answer).value_or(row_));
@@ -300,12 +330,14 @@
         return; // the next update reads the outcome
     }
     former_ = former;
+    own_ = taken;
     row_ = taken;
     version_ = answer.version;
+    fence_version_ = answer.version;
     holding_ = true;
     extend_claim(dated);
     lines_.write(log_level::change, "duty_taken",
-                 {{"token", std::to_string(row_.token())},
+                 {{"token", std::to_string(own_.token())},
                   {"version", std::to_string(version_)},
                   {"era", std::to_string(answer.era)}});
 }
@@ -317,7 +349,7 @@
     {
         return;
     }
-    auto ended = row_;
+    auto ended = own_;
     ended.set_lease_ms(0);
     ended.set_renewed_ms(static_cast<std::uint64_t>(store_now().count()));
     for (const auto& balance : left)
@@ -326,10 +358,10 @@
     }
     held_until_ = moment{}; // stops acting before the row is released
     holding_ = false;
-    const auto answer = write(ended, version_);
+    const auto answer = write(ended, false);
     lines_.write(
         log_level::change, "duty_resigned",
-        {{"token", std::to_string(row_.token())},
+        {{"token", std::to_string(own_.token())},
          {"stored", answer.result == store_result::done ? "yes" : "no"}});
 }
 
--- a/src/fleet/failover_executor.cpp
+++ b/src/fleet/failover_executor.cpp
@@ -169,23 +169,7 @@
             port_.pause(role_poll_interval * 2);
             continue;
         }
-        const auto answer = port_.request_promotion(row.lead.group(), *id);
-        lines_.write(
-            log_level::change, "promotion_ordered",
-            {{"group", row.lead.group()},
-             {"server", *id},
-             {"answer", answer == promotion_result::accepted       ? "accepted"
-                        : answer == promotion_result::not_eligible ? "unfit"
-                                                                   : "none"}});
-        if (answer == promotion_result::not_eligible)
-        {
-            ineligible.insert(*id);
-            continue;
-        }
-        const auto role = wait_for_primary(*server, row.lead,
-                                           answer == promotion_result::accepted
-                                               ? promotion_timeout
-                                               : unanswered_promotion_timeout);
+        const auto role = promote(*server, row.lead, ineligible);
         if (role)
         {
             return publish_primary(std::move(row), *server, *role);
@@ -194,6 +178,36 @@
     return std::nullopt;
 }
 
+/// Requests the promotion of a server and waits until it leads.
+/// @param ineligible gets the server if the platform doesn't promote it
+std::optional<server_role>
+failover_executor::promote(const backend_server& server,
+                           const proto::GroupLead& lead,
+                           std::set<std::string>& ineligible)
+{
+    if (!port_.is_coordinator())
+    {
+        return std::nullopt; // the choice of the server has taken its time
+    }
+    const auto answer = port_.request_promotion(lead.group(), server.id);
+    lines_.write(log_level::change, "promotion_ordered",
+                 {{"group", lead.group()},
+                  {"server", server.id},
+                  {"answer", promotion_result_name(answer)}});
+    switch (answer)
+    {
+    case promotion_result::accepted:
+        return wait_for_primary(server, lead, promotion_timeout);
+    case promotion_result::unanswered:
+        return wait_for_primary(server, lead, unanswered_promotion_timeout);
+    case promotion_result::not_eligible:
+        ineligible.insert(server.id);
+        return std::nullopt;
+    default:
+        return std::nullopt;
+    }
+}
+
 /// Returns a server that is already primary, else the most up-to-date one,
 /// preferring servers that are not draining. With synchronous replicas all
 /// eligible servers must answer, since any of them may hold the last commit.
@@ -271,7 +285,7 @@
                                     milliseconds limit)
 {
     const auto until = port_.now() + limit;
-    while (port_.now() < until)
+    while (port_.now() < until && port_.is_coordinator())
     {
         const auto role = port_.role(server);
         // A primary of the same term is either the old primary itself or a
--- a/tests/coordinator_lease_test.cpp
+++ b/tests/coordinator_lease_test.cpp
@@ -34,6 +34,16 @@
     coordinator_lease a{store, member("a", 1), [this] { return now; }, lines};
     coordinator_lease b{store, member("b", 2), [this] { return now; }, lines};
     const moment never{};
+
+    /// Writes a row as the holder does in a term.
+    store_result write_in(const coordinator_term& term)
+    {
+        return store
+            .write({{coordinator_lease::fence(term)},
+                    {{"fleet", "db.g", "", 0, false}},
+                    {}})
+            .result;
+    }
 };
 
 /// Four VMs that renew or take the lease at random intervals.
@@ -140,6 +150,10 @@
     CPPUNIT_TEST(frozen_holder_has_lost_lease_when_it_resumes);
     CPPUNIT_TEST(holder_frozen_before_its_write_has_no_longer_claim);
     CPPUNIT_TEST(holder_frozen_before_its_renewal_has_no_longer_claim);
+    CPPUNIT_TEST(late_write_of_former_holder_is_refused);
+    CPPUNIT_TEST(late_write_of_former_term_is_refused);
+    CPPUNIT_TEST(renewal_leaves_writes_of_the_term_valid);
+    CPPUNIT_TEST(term_ends_when_token_rises_with_the_era);
     CPPUNIT_TEST(lost_answer_of_renewal_is_resolved_by_row);
     CPPUNIT_TEST(lost_answer_of_acquisition_is_resolved_by_row);
     CPPUNIT_TEST(released_lease_is_acquired_at_once_with_balance);
@@ -293,6 +307,54 @@
         CPPUNIT_ASSERT(!f.a.holds(f.now));
     }
 
+    void late_write_of_former_holder_is_refused()
+    {
+        two_vms f;
+        f.a.update(f.never);
+        const auto term = *f.a.term();
+        f.now += coordinator_lease_duration;
+        f.b.update(f.never);
+        CPPUNIT_ASSERT(f.write_in(term) == store_result::conflict);
+        CPPUNIT_ASSERT(f.write_in(*f.b.term()) == store_result::done);
+    }
+
+    void late_write_of_former_term_is_refused()
+    {
+        two_vms f;
+        f.a.update(f.never);
+        const auto term = *f.a.term();
+        f.now += coordinator_lease_duration;
+        f.a.update(f.never);
+        CPPUNIT_ASSERT(f.a.holds(f.now));
+        CPPUNIT_ASSERT(!f.a.is_current(term));
+        CPPUNIT_ASSERT(f.write_in(term) == store_result::conflict);
+    }
+
+    void renewal_leaves_writes_of_the_term_valid()
+    {
+        two_vms f;
+        f.a.update(f.never);
+        const auto term = *f.a.term();
+        f.now += coordinator_lease_renewal;
+        f.a.update(f.never);
+        CPPUNIT_ASSERT(f.a.is_current(term));
+        CPPUNIT_ASSERT(f.write_in(term) == store_result::done);
+    }
+
+    void term_ends_when_token_rises_with_the_era()
+    {
+        two_vms f;
+        f.a.update(f.never);
+        const auto term = *f.a.term();
+        f.plain.take_copy();
+        f.plain.restore();
+        f.a.update(f.never);
+        f.a.update(f.never);
+        CPPUNIT_ASSERT(f.a.holds(f.now));
+        CPPUNIT_ASSERT(!f.a.is_current(term));
+        CPPUNIT_ASSERT(f.write_in(*f.a.term()) == store_result::done);
+    }
+
     void lost_answer_of_renewal_is_resolved_by_row()
     {
         two_vms f;
--- a/tests/failover_executor_test.cpp
+++ b/tests/failover_executor_test.cpp
@@ -112,6 +112,7 @@
     {
         CPPUNIT_ASSERT(row.lead.sealed());
         CPPUNIT_ASSERT(all_acknowledged);
+        CPPUNIT_ASSERT(is_coordinator());
         promotions.push_back(server);
         if (!members.at(server).answers)
         {
--- /dev/null
+++ b/tests/promotion_order_test.cpp
@@ -0,0 +1,141 @@
+#include "fake_row_store.hpp"
+#include "proxy_fixture.hpp"
+#include "tanagerhoist/fleet/era_row_store.hpp"
+#include "tanagerhoist/fleet/promotion_order.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <vector>
+
+namespace tanagerhoist
+{
+namespace
+{
+
+proto::MemberRow member(const std::string& vm, std::uint64_t life)
+{
+    proto::MemberRow row;
+    row.set_vm(vm);
+    row.set_life(life);
+    return row;
+}
+
+/// Two VMs, of which the first is the coordinator and orders a promotion over a
+/// connection that takes some time to open.
+struct ordering_vm : promotion_connection
+{
+    ordering_vm()
+    {
+        a.update(never);
+        term = *a.term();
+    }
+
+    bool open() override
+    {
+        now += opening_time;
+        return opens;
+    }
+
+    promotion_result send(const promotion_request& request,
+                          milliseconds limit) override
+    {
+        sent.push_back(request);
+        latest_arrival = now + limit;
+        return promotion_result::accepted;
+    }
+
+    promotion_result order()
+    {
+        return order_promotion(*this, a, term, {"g", "r", "a", 0}, lines);
+    }
+
+    moment now{std::chrono::hours(1)};
+    fake_row_store plain{now};
+    era_row_store store{plain};
+    null_log lines;
+    coordinator_lease a{store, member("a", 1), [this] { return now; }, lines};
+    coordinator_lease b{store, member("b", 2), [this] { return now; }, lines};
+    const moment never{};
+    coordinator_term term;
+    milliseconds opening_time{0};
+    bool opens = true;
+    std::vector<promotion_request> sent;
+    moment latest_arrival{};
+};
+
+} // namespace
+
+class promotion_order_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(promotion_order_test);
+    CPPUNIT_TEST(order_in_term_carries_its_token);
+    CPPUNIT_TEST(order_is_not_sent_when_lease_ends_while_connecting);
+    CPPUNIT_TEST(order_is_not_sent_with_the_successors_token);
+    CPPUNIT_TEST(order_is_not_sent_in_a_later_term_of_the_same_vm);
+    CPPUNIT_TEST(order_arrives_before_another_vm_can_take_the_lease);
+    CPPUNIT_TEST(order_without_connection_is_unanswered);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void order_in_term_carries_its_token()
+    {
+        ordering_vm f;
+        CPPUNIT_ASSERT(f.order() == promotion_result::accepted);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.sent.size());
+        CPPUNIT_ASSERT_EQUAL(f.a.row().token(), f.sent.front().token);
+    }
+
+    void order_is_not_sent_when_lease_ends_while_connecting()
+    {
+        ordering_vm f;
+        f.opening_time = coordinator_lease_duration - coordinator_lease_margin;
+        CPPUNIT_ASSERT(f.order() == promotion_result::term_over);
+        CPPUNIT_ASSERT(f.sent.empty());
+    }
+
+    void order_is_not_sent_with_the_successors_token()
+    {
+        ordering_vm f;
+        f.now += std::chrono::seconds(4); // a is frozen
+        f.b.update(f.never);
+        CPPUNIT_ASSERT(f.b.holds(f.now));
+        f.a.update(f.never); // reads the successor's row
+        CPPUNIT_ASSERT_EQUAL(f.b.row().token(), f.a.row().token());
+        CPPUNIT_ASSERT(f.order() == promotion_result::term_over);
+        CPPUNIT_ASSERT(f.sent.empty());
+    }
+
+    void order_is_not_sent_in_a_later_term_of_the_same_vm()
+    {
+        ordering_vm f;
+        f.now += std::chrono::seconds(4);
+        f.a.update(f.never);
+        CPPUNIT_ASSERT(f.a.holds(f.now));
+        CPPUNIT_ASSERT(f.a.term()->token > f.term.token);
+        CPPUNIT_ASSERT(f.order() == promotion_result::term_over);
+        CPPUNIT_ASSERT(f.sent.empty());
+    }
+
+    void order_arrives_before_another_vm_can_take_the_lease()
+    {
+        ordering_vm f;
+        f.opening_time = milliseconds(500);
+        f.order();
+        CPPUNIT_ASSERT(f.latest_arrival < f.now + coordinator_lease_duration);
+        f.now = f.latest_arrival + coordinator_lease_margin - milliseconds(1);
+        f.b.update(f.never);
+        CPPUNIT_ASSERT(!f.b.holds(f.now));
+    }
+
+    void order_without_connection_is_unanswered()
+    {
+        ordering_vm f;
+        f.opens = false;
+        CPPUNIT_ASSERT(f.order() == promotion_result::unanswered);
+        CPPUNIT_ASSERT(f.sent.empty());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(promotion_order_test);
+
+} // namespace tanagerhoist
--- a/tools/daemon/fleet_agent.cpp
+++ b/tools/daemon/fleet_agent.cpp
@@ -127,7 +127,7 @@
 microseconds fleet_agent::since_renewal() const
 {
     return now_() -
-           (was_coordinator_ ? lease_renewal_begun_ : primary_renewal_begun_);
+           (is_coordinator() ? lease_renewal_begun_ : primary_renewal_begun_);
 }
 
 void fleet_agent::start()
@@ -144,11 +144,12 @@
 void fleet_agent::leave()
 {
     leaving_ = true;
-    lease_.release(coordinator_.balances(now_()));
+    release_lease();
     store_transaction change;
     change.removals.push_back(
         {member_table, settings_.vm().name(), "", 0, false});
-    const auto answer = lead_store_.rows.write(change);
+    auto store = make_store();
+    const auto answer = store.rows.write(change);
     lines_.write(
         log_level::change, "left",
         {{"row_removed", answer.result == store_result::done ? "yes" : "no"}});
--- a/tools/daemon/fleet_agent.hpp
+++ b/tools/daemon/fleet_agent.hpp
@@ -3,7 +3,6 @@
 
 #include "settings.pb.h"
 
-#include "platform/server_control.hpp"
 #include "platform/store_client.hpp"
 #include "tanagerhoist/adapter/loop_monitor.hpp"
 #include "tanagerhoist/core/structured_log.hpp"
@@ -58,7 +57,7 @@
 /// A VM's membership in the fleet: follows the store's tables, reports to the
 /// coordinator, and acts as coordinator while it holds the lease. Runs as
 /// fibers on one thread.
-class fleet_agent : private failover_port
+class fleet_agent
 {
 public:
     using clock = std::function<moment()>;
@@ -93,6 +92,10 @@
     using row_handler =
         std::function<void(const std::vector<store_row>&, bool)>;
 
+    /// What a change of a group's lead does in the outside world: defined in
+    /// group_operation.hpp.
+    class group_operation;
+
     // Following the store's tables: fleet_agent_tables.cpp
     struct table_watch
     {
@@ -122,14 +125,19 @@
     void add_server_changes(const std::string& vm, proto::FleetView& view);
     void apply_server_changes(const proto::FleetView& view);
 
-    // Leads: fleet_agent_leads.cpp (with write_lead)
+    // Leads: fleet_agent_leads.cpp
     bool read_leads(row_store& store);
     void apply_lead_row(const store_row& row);
     bool use_leads(const proto::FleetView& view);
     void use_reported_leads(const proto::VmReport& report);
-    void confirm_leads();
-    void start_confirmation(const std::string& group);
-    void create_group_lead(const std::string& group);
+    void confirm_leads(const coordinator_term& term);
+    void start_confirmation(const coordinator_term& term,
+                            const std::string& group);
+    void create_group_lead(const coordinator_term& term,
+                           const std::string& group);
+    store_answer write_lead(const coordinator_term& term,
+                            const proto::GroupLead& lead,
+                            std::uint64_t version);
 
     // Registration and members: fleet_agent_members.cpp
     void register_self();
@@ -144,58 +152,52 @@
     void read_members();
     void apply_members(const store_answer& answer);
     std::uint64_t store_time() const;
-    void remove_expired_vms();
+    void remove_expired_vms(const coordinator_term& term);
 
     // Datagrams: fleet_agent_messages.cpp, fleet_agent_reports.cpp
     void receive();
     void handle_datagram(std::size_t size);
-    void handle_report(const proto::VmReport& report);
+    void handle_report(const coordinator_term& term,
+                       const proto::VmReport& report);
     void handle_view(const proto::FleetView& view);
-    void handle_grant_request(const proto::GrantRequest& request);
+    void handle_grant_request(const coordinator_term& term,
+                              const proto::GrantRequest& request);
     void handle_grant_reply(const proto::GrantReply& reply);
     void request_grants();
     void send_report();
-    void send_view(const std::string& vm);
+    void send_view(const coordinator_term& term, const std::string& vm);
     void send_views();
-    proto::FleetView view_for(const std::string& vm);
+    proto::FleetView view_for(const coordinator_term& term,
+                              const std::string& vm);
     void report_regularly();
     void schedule_report(milliseconds wait);
 
     // Coordinator: fleet_agent_coordinator.cpp
     void maintain_coordinator_lease();
     bool update_lease(milliseconds delay);
+    bool update_lease_if_due();
+    std::optional<coordinator_term> term() const;
+    bool is_current(const coordinator_term& term) const;
+    bool is_coordinator() const { return term().has_value(); }
+    void begin_term(const coordinator_term& term);
+    bool prepare_term(const coordinator_term& term);
     void monitor_groups();
-    void check_group(const std::string& group);
+    void check_groups();
+    void check_group(const coordinator_term& term, const std::string& group);
     void use_lost_leases();
-    void start_failover(const std::string& group, bool planned);
-    void end_operation(const std::string& group);
-
-    // failover_port
-    moment now() override { return now_(); }
-    void pause(milliseconds time) override;
-    bool is_coordinator() override;
-    store_era era() override { return era_; }
-    store_answer write_lead(const proto::GroupLead& lead,
-                            std::uint64_t version) override;
+    void start_failover(const coordinator_term& term, const std::string& group,
+                        bool planned);
     bool is_primary_unused(const proto::GroupLead& lead,
-                           std::uint64_t seal_version, moment sealed) override;
-    std::vector<backend_server> servers(const std::string& group) override;
-    unsigned synchronous_replicas(const std::string& group) override;
-    std::optional<server_role> role(const backend_server& server) override;
-    std::optional<server_role> demote(const backend_server& server,
-                                      std::uint64_t term) override;
-    void confirm_log_end(const proto::GroupLead& lead, const log_position& end,
-                         moment confirmed) override;
-    promotion_result request_promotion(const std::string& group,
-                                       const std::string& server) override;
-    std::optional<server_role> query_server(const backend_server& server,
-                                            const std::string& line);
+                           std::uint64_t seal_version, moment sealed);
+    std::vector<backend_server> servers(const std::string& group) const;
+    void release_lease();
 
     store_link make_store(
         milliseconds write_timeout = platform::short_write_timeout) const;
     proto::MemberRow self_row() const;
     static backoff store_backoff();
     void run_fiber(std::function<void()> body);
+    void pause(milliseconds time);
 
     boost::asio::io_context& context_;
     proto::SessionDaemonSettings settings_;
@@ -234,13 +236,15 @@
     std::set<std::string> left_servers_; ///< ids
     held_rows held_servers_;
     group_monitor groups_;
-    std::map<std::string, std::unique_ptr<platform::server_control>> controls_;
     std::map<std::string, boost::asio::ip::udp::endpoint> peers_;
     std::string config_text_;
     std::uint64_t config_version_ = 0;
-    bool was_coordinator_ = false;
-    moment lease_renewal_begun_{};   ///< of the coordinator lease
-    moment primary_renewal_begun_{}; ///< of the primary lease
+    std::uint64_t begun_token_ = 0; ///< of the term that was begun last
+    std::uint64_t leads_token_ = 0; ///< of the term that the leads were read in
+    bool lease_in_use_ = false;     ///< a call of `lease_` is running
+    unsigned promotion_requests_ = 0; ///< that are running
+    moment lease_renewal_begun_{};    ///< of the coordinator lease
+    moment primary_renewal_begun_{};  ///< of the primary lease
     moment confirm_from_{}; ///< reports of all VMs have arrived by then
     bool fetching_config_ = false;
     moment report_at_{};               ///< when the report timer fires
--- a/tools/daemon/fleet_agent_leads.cpp
+++ b/tools/daemon/fleet_agent_leads.cpp
@@ -1,5 +1,6 @@
 #include "fleet_agent.hpp"
 #include "fleet_tables.hpp"
+#include "group_operation.hpp"
 
 #include "tanagerhoist/fleet/table_read.hpp"
 
@@ -102,7 +103,7 @@
 
 /// Writes leads anew that are from before the store came back older. VMs are
 /// heard first: one of them may know a lead that is lost.
-void fleet_agent::confirm_leads()
+void fleet_agent::confirm_leads(const coordinator_term& term)
 {
     if (now_() < confirm_from_)
     {
@@ -112,27 +113,30 @@
     {
         if (!leads_.is_confirmed(group, era_) && !groups_.is_running(group))
         {
-            start_confirmation(group);
+            start_confirmation(term, group);
         }
     }
 }
 
-void fleet_agent::start_confirmation(const std::string& group)
+void fleet_agent::start_confirmation(const coordinator_term& term,
+                                     const std::string& group)
 {
     groups_.operation_begun(group);
     run_fiber(
-        [this, group]
+        [this, term, group]
         {
-            failover_executor executor(*this, lines_);
+            group_operation operation(*this, term);
+            failover_executor executor(operation, lines_);
             if (!executor.confirm_lead(*leads_.find(group)))
             {
                 pause(failed_write_pause);
             }
-            end_operation(group);
+            groups_.operation_ended(group);
         });
 }
 
-void fleet_agent::create_group_lead(const std::string& group)
+void fleet_agent::create_group_lead(const coordinator_term& term,
+                                    const std::string& group)
 {
     if (servers(group).empty())
     {
@@ -140,22 +144,26 @@
     }
     groups_.operation_begun(group);
     run_fiber(
-        [this, group]
+        [this, term, group]
         {
-            failover_executor executor(*this, lines_);
+            group_operation operation(*this, term);
+            failover_executor executor(operation, lines_);
             if (!executor.create_lead(group))
             {
                 pause(failed_write_pause);
             }
-            end_operation(group);
+            groups_.operation_ended(group);
         });
 }
 
-store_answer fleet_agent::write_lead(const proto::GroupLead& lead,
+/// Writes a group's row if it still has `version` and the term still runs.
+store_answer fleet_agent::write_lead(const coordinator_term& term,
+                                     const proto::GroupLead& lead,
                                      std::uint64_t version)
 {
     const auto key = group_prefix + lead.group();
     store_transaction change;
+    change.expected.push_back(coordinator_lease::fence(term));
     change.expected.push_back({fleet_table, key, "", version, false});
     change.puts.push_back(
         {fleet_table, key, lead.SerializeAsString(), 0, false});
--- a/tools/daemon/fleet_agent_members.cpp
+++ b/tools/daemon/fleet_agent_members.cpp
@@ -248,11 +248,12 @@
 
 /// Removes the row of a VM whose lease has expired, so that seals no longer
 /// wait for it.
-void fleet_agent::remove_expired_vms()
+void fleet_agent::remove_expired_vms(const coordinator_term& term)
 {
     for (const auto& vm : coordinator_.expired_vms(now_(), members_))
     {
         store_transaction change;
+        change.expected.push_back(coordinator_lease::fence(term));
         change.expected.push_back(
             {member_table, vm, "", members_.rows.at(vm).version, false});
         change.removals.push_back({member_table, vm, "", 0, false});
--- a/tools/daemon/fleet_agent_messages.cpp
+++ b/tools/daemon/fleet_agent_messages.cpp
@@ -38,15 +38,16 @@
     {
         return; // not from a peer
     }
-    if (datagram.has_report() && lease_.holds(now_()))
+    const auto current = term();
+    if (datagram.has_report() && current)
     {
-        handle_report(datagram.report());
+        handle_report(*current, datagram.report());
     }
-    else if (datagram.has_request() && lease_.holds(now_()))
+    else if (datagram.has_request() && current)
     {
         const loop_monitor::measurement measured(monitor_,
                                                  loop_work::grant_request);
-        handle_grant_request(datagram.request());
+        handle_grant_request(*current, datagram.request());
     }
     else if (datagram.has_reply())
     {
@@ -66,7 +67,8 @@
     }
 }
 
-void fleet_agent::handle_report(const proto::VmReport& report)
+void fleet_agent::handle_report(const coordinator_term& term,
+                                const proto::VmReport& report)
 {
     {
         const loop_monitor::measurement measured(monitor_, loop_work::report);
@@ -74,10 +76,11 @@
         coordinator_.apply_report(now_(), report);
         use_reported_leads(report);
     }
-    send_view(report.vm());
+    send_view(term, report.vm());
 }
 
-void fleet_agent::handle_grant_request(const proto::GrantRequest& request)
+void fleet_agent::handle_grant_request(const coordinator_term& term,
+                                       const proto::GrantRequest& request)
 {
     const auto* settings = proxy_.settings();
     proto::FleetDatagram datagram;
@@ -87,7 +90,7 @@
     {
         return;
     }
-    reply.set_token(lease_.row().token());
+    reply.set_token(term.token);
     reply.set_sequence(++view_sequence_);
     if (request.vm() == settings_.vm().name())
     {
@@ -154,11 +157,12 @@
     }
 }
 
-proto::FleetView fleet_agent::view_for(const std::string& vm)
+proto::FleetView fleet_agent::view_for(const coordinator_term& term,
+                                       const std::string& vm)
 {
     proto::FleetView view;
     view.set_holder(settings_.vm().name());
-    view.set_token(lease_.row().token());
+    view.set_token(term.token);
     view.set_sequence(++view_sequence_);
     view.set_settings_version(config_version_);
     view.set_servers_version(server_watch_.rows.newest_seen_version());
@@ -179,12 +183,12 @@
     return view;
 }
 
-void fleet_agent::send_view(const std::string& vm)
+void fleet_agent::send_view(const coordinator_term& term, const std::string& vm)
 {
     const loop_monitor::measurement measured(monitor_, loop_work::view_sent);
     if (vm == settings_.vm().name())
     {
-        handle_view(view_for(vm));
+        handle_view(view_for(term, vm));
         return;
     }
     const auto it = peers_.find(vm);
@@ -193,17 +197,23 @@
         return;
     }
     proto::FleetDatagram datagram;
-    *datagram.mutable_view() = view_for(vm);
+    *datagram.mutable_view() = view_for(term, vm);
     const auto bytes = datagram.SerializeAsString();
     error_code ignored; // the next view replaces a lost one
     socket_.send_to(asio::buffer(bytes), it->second, 0, ignored);
 }
 
+/// Sends a view to each VM, if this VM is the coordinator.
 void fleet_agent::send_views()
 {
+    const auto current = term();
+    if (!current)
+    {
+        return;
+    }
     for (const auto& [vm, member] : members_.rows)
     {
-        send_view(vm);
+        send_view(*current, vm);
     }
 }
 
--- a/tools/daemon/fleet_agent_reports.cpp
+++ b/tools/daemon/fleet_agent_reports.cpp
@@ -40,10 +40,10 @@
         }
     }
     proxy_.describe(now_(), report);
-    if (lease_.holds(now_()))
+    if (const auto current = term())
     {
         coordinator_.apply_report(now_(), report);
-        send_view(settings_.vm().name());
+        send_view(*current, settings_.vm().name());
         return;
     }
     const auto& row = lease_.row();
@@ -112,9 +112,9 @@
     request.set_vm(settings_.vm().name());
     request.set_life(life_);
     request.set_sequence(messages_.next_sequence());
-    if (lease_.holds(now_()))
+    if (const auto current = term())
     {
-        handle_grant_request(request);
+        handle_grant_request(*current, request);
     }
     else if (coordinator_endpoint_.port() != 0)
     {
