One copy of the store's clock, and this VM's row in a class of its own

No change of behaviour, but for ages rounded up instead of cut off and raised by 1 ms in the members' rows. The store's clock was kept by the coordinator lease and by the agent; store_clock now gives a moment on both clocks at once, so that a row and the claim that it makes can't count from two moments. member_registration writes this VM's row, to be tested without sockets; fleet_tables.hpp is gone into fleet_members.hpp.

--- a/include/tanagerhoist/fleet/coordinator_lease.hpp
+++ b/include/tanagerhoist/fleet/coordinator_lease.hpp
@@ -5,6 +5,7 @@
 #include "tanagerhoist/core/structured_log.hpp"
 #include "tanagerhoist/core/time.hpp"
 #include "tanagerhoist/fleet/row_store.hpp"
+#include "tanagerhoist/fleet/store_clock.hpp"
 #include "tanagerhoist/fleet/store_era.hpp"
 
 #include <cstdint>
@@ -93,9 +94,8 @@
     /// the store has not come back older.
     milliseconds era_since() const { return milliseconds(own_.era_since_ms()); }
 
-    /// The store's clock in the newest answer, a lower bound of its present
-    /// time.
-    milliseconds store_clock() const { return store_clock_; }
+    /// Lower bound of the store's present time.
+    milliseconds store_time() const { return store_clock_.told(); }
 
     /// Releases the lease, so that the next holder need not wait for it to
     /// expire.
@@ -109,16 +109,15 @@
     void resolve_conflict(const store_answer& answer);
     void acquire(const store_answer& read, const proto::DutyRow& former);
     std::optional<proto::DutyRow> find_row(const store_answer& answer);
-    proto::DutyRow renewed_row() const;
+    proto::DutyRow renewed_row(const store_date& date) const;
     proto::DutyRow lost_row() const;
     bool is_own(const proto::DutyRow& row) const;
     bool is_from_copy(const proto::DutyRow& row) const;
     bool is_restored() const;
     moment former_claims_end() const;
-    void extend_claim(moment dated);
+    void extend_claim(const store_date& date);
     void note_answer(const store_answer& answer);
     store_answer write(const proto::DutyRow& row, bool begins_term);
-    milliseconds store_now() const;
     void mark_lost(const char* cause);
 
     row_store& store_;
@@ -135,8 +134,7 @@
     bool holding_ = false;
     /// When the row was first missing.
     std::optional<moment> row_missing_since_;
-    milliseconds store_clock_{0};   ///< in the newest answer
-    moment store_clock_at_{};       ///< when that call was sent
+    store_clock store_clock_;
     store_era era_ = 0;             ///< of the newest answer
     moment era_seen_{};             ///< when the first answer of that era came
     std::uint64_t era_seen_ms_ = 0; ///< the same on the store's clock
--- a/include/tanagerhoist/fleet/fleet_members.hpp
+++ b/include/tanagerhoist/fleet/fleet_members.hpp
@@ -11,6 +11,9 @@
 namespace tanagerhoist
 {
 
+/// Table of the registered VMs; the key is the VM's name.
+constexpr const char* member_table = "members";
+
 /// A VM's row as the store has it.
 struct fleet_member
 {
--- a/src/fleet/coordinator_lease.cpp
+++ b/src/fleet/coordinator_lease.cpp
@@ -40,19 +40,11 @@
     return era_ > first_store_era;
 }
 
-/// Upper bound of the store's clock at this moment.
-milliseconds coordinator_lease::store_now() const
-{
-    return store_clock_ +
-           std::chrono::ceil<milliseconds>(now_() - store_clock_at_);
-}
-
 /// Notes that the row was written.
-/// @param dated when the row's time of renewal was taken; the call may have
-///   been sent much later
-void coordinator_lease::extend_claim(moment dated)
+/// @param date that of the row; the call may have been sent much later
+void coordinator_lease::extend_claim(const store_date& date)
 {
-    claim_end_ = dated + coordinator_lease_duration;
+    claim_end_ = date.own + coordinator_lease_duration;
     held_until_ = claim_end_ - coordinator_lease_margin;
 }
 
@@ -147,8 +139,7 @@
 /// Notes the store's clock and era.
 void coordinator_lease::note_answer(const store_answer& answer)
 {
-    store_clock_ = answer.now;
-    store_clock_at_ = answer.sent;
+    store_clock_.note(answer);
     if (answer.era > era_)
     {
         era_ = answer.era;
@@ -183,10 +174,10 @@
 
 /// The row with which this VM goes on as holder. In a new era it gets a new
 /// token, as those of the copy are given out again.
-proto::DutyRow coordinator_lease::renewed_row() const
+proto::DutyRow coordinator_lease::renewed_row(const store_date& date) const
 {
     auto renewed = own_;
-    renewed.set_renewed_ms(static_cast<std::uint64_t>(store_now().count()));
+    renewed.set_renewed_ms(static_cast<std::uint64_t>(date.store.count()));
     if (is_from_copy(renewed))
     {
         renewed.set_token(next_number(renewed.token(), era_));
@@ -197,8 +188,8 @@
 
 bool coordinator_lease::renew()
 {
-    const auto dated = now_();
-    const auto renewed = renewed_row();
+    const auto date = store_clock_.date(now_());
+    const auto renewed = renewed_row(date);
     const bool begins_term = renewed.token() != own_.token();
     const auto answer = write(renewed, begins_term);
     if (answer.result == store_result::done && !is_from_copy(renewed))
@@ -207,7 +198,7 @@
         row_ = renewed;
         version_ = answer.version;
         fence_version_ = begins_term ? answer.version : fence_version_;
-        extend_claim(dated);
+        extend_claim(date);
         return true;
     }
     lines_.write(log_level::change, "duty_not_renewed",
@@ -308,13 +299,13 @@
 void coordinator_lease::acquire(const store_answer& read,
                                 const proto::DutyRow& former)
 {
-    const auto dated = now_();
+    const auto date = store_clock_.date(now_());
     proto::DutyRow taken;
     taken.set_holder(self_.vm());
     taken.set_life(self_.life());
     taken.set_token(next_number(std::max(former.token(), own_.token()), era_));
     taken.set_era_since_ms(former.era_since_ms());
-    taken.set_renewed_ms(static_cast<std::uint64_t>(store_now().count()));
+    taken.set_renewed_ms(static_cast<std::uint64_t>(date.store.count()));
     taken.set_lease_ms(
         static_cast<std::uint64_t>(coordinator_lease_duration.count()));
     taken.set_address(self_.address());
@@ -335,7 +326,7 @@
     version_ = answer.version;
     fence_version_ = answer.version;
     holding_ = true;
-    extend_claim(dated);
+    extend_claim(date);
     lines_.write(log_level::change, "duty_taken",
                  {{"token", std::to_string(own_.token())},
                   {"version", std::to_string(version_)},
@@ -351,7 +342,8 @@
     }
     auto ended = own_;
     ended.set_lease_ms(0);
-    ended.set_renewed_ms(static_cast<std::uint64_t>(store_now().count()));
+    const auto date = store_clock_.date(now_());
+    ended.set_renewed_ms(static_cast<std::uint64_t>(date.store.count()));
     for (const auto& balance : left)
     {
         *ended.add_left() = balance;
--- a/tools/daemon/fleet_agent.cpp
+++ b/tools/daemon/fleet_agent.cpp
@@ -1,5 +1,4 @@
 #include "fleet_agent.hpp"
-#include "fleet_tables.hpp"
 
 #include "platform/operator_config.hpp"
 #include "tanagerhoist/adapter/fiber_await.hpp"
@@ -78,6 +77,7 @@
       lease_store_(make_store()),
       lead_store_(make_store()),
       member_store_(make_store(platform::patient_write_timeout)),
+      registration_(member_store_.rows, self_row(), now_),
       lease_(lease_store_.rows, self_row(), now_, lines),
       coordinator_(tolerance, settings.sessions().first_start() == "true")
 {
@@ -145,14 +145,11 @@
 {
     leaving_ = true;
     release_lease();
-    store_transaction change;
-    change.removals.push_back(
-        {member_table, settings_.vm().name(), "", 0, false});
     auto store = make_store();
-    const auto answer = store.rows.write(change);
+    const auto removed = registration_.remove(store.rows);
     lines_.write(
         log_level::change, "left",
-        {{"row_removed", answer.result == store_result::done ? "yes" : "no"}});
+        {{"row_removed", removed == store_result::done ? "yes" : "no"}});
 }
 
 } // namespace tanagerhoist
--- a/tools/daemon/fleet_agent.hpp
+++ b/tools/daemon/fleet_agent.hpp
@@ -16,6 +16,7 @@
 #include "tanagerhoist/fleet/held_rows.hpp"
 #include "tanagerhoist/fleet/lasting_condition.hpp"
 #include "tanagerhoist/fleet/lead_table.hpp"
+#include "tanagerhoist/fleet/member_registration.hpp"
 #include "tanagerhoist/fleet/request_pacing.hpp"
 #include "tanagerhoist/fleet/table_cache.hpp"
 #include "tanagerhoist/session/proxy.hpp"
@@ -143,15 +144,12 @@
     void register_self();
     void maintain_primary_lease();
     bool write_member_row();
-    void apply_conflict(const store_transaction& change,
-                        const store_answer& answer);
     bool may_renew() const;
     void note_era(store_era era);
     void log_conflicts(const store_transaction& change,
                        const store_answer& answer);
     void read_members();
     void apply_members(const store_answer& answer);
-    std::uint64_t store_time() const;
     void remove_expired_vms(const coordinator_term& term);
 
     // Datagrams: fleet_agent_messages.cpp, fleet_agent_reports.cpp
@@ -219,17 +217,15 @@
     store_link lease_store_;
     store_link lead_store_;
     store_link member_store_;
+    member_registration registration_;
     coordinator_lease lease_;
     fleet_coordinator coordinator_;
     fleet_members members_;
     moment members_requested_at_{};
     bool members_read_running_ = false;
-    std::uint64_t own_version_ = 0; ///< of this VM's row; 0: there is none
-    bool state_known_ = false;      ///< leads and members have been read
-    bool has_restarted_ = false;    ///< a former process has written its row
-    bool registered_ = false;       ///< this process has written its row
-    milliseconds store_clock_{0};   ///< in the newest answer to a renewal
-    moment store_clock_at_{};       ///< when that renewal was sent
+    bool state_known_ = false;   ///< leads and members have been read
+    bool has_restarted_ = false; ///< a former process has written its row
+    bool registered_ = false;    ///< this process has written its row
     store_era era_ = 0; ///< newest one that any answer of the store had
     lead_table leads_;
     std::map<std::string, backend_server> servers_;
--- a/tools/daemon/fleet_agent_coordinator.cpp
+++ b/tools/daemon/fleet_agent_coordinator.cpp
@@ -129,7 +129,7 @@
     }
     const auto end = since + primary_lease_duration + primary_lease_margin;
     members_.incomplete_until = std::max(members_.incomplete_until,
-                                         now_() + (end - lease_.store_clock()));
+                                         now_() + (end - lease_.store_time()));
 }
 
 /// Releases the lease once no promotion request is on its way: the next holder
--- a/tools/daemon/fleet_agent_leads.cpp
+++ b/tools/daemon/fleet_agent_leads.cpp
@@ -1,5 +1,4 @@
 #include "fleet_agent.hpp"
-#include "fleet_tables.hpp"
 #include "group_operation.hpp"
 
 #include "tanagerhoist/fleet/table_read.hpp"
--- a/tools/daemon/fleet_agent_members.cpp
+++ b/tools/daemon/fleet_agent_members.cpp
@@ -1,8 +1,6 @@
 #include "fleet_agent.hpp"
-#include "fleet_tables.hpp"
 
 #include "tanagerhoist/fleet/fleet_schedule.hpp"
-#include "tanagerhoist/fleet/row_conflict.hpp"
 #include "tanagerhoist/fleet/table_read.hpp"
 #include "tanagerhoist/session/primary_lease.hpp"
 
@@ -22,13 +20,6 @@
 
 } // namespace
 
-/// Upper bound of the store's clock at this moment.
-std::uint64_t fleet_agent::store_time() const
-{
-    return static_cast<std::uint64_t>(store_clock_.count()) +
-           to_ms(now_() - store_clock_at_) + 1;
-}
-
 /// Reads the leads and members, so that this VM can register.
 void fleet_agent::register_self()
 {
@@ -42,11 +33,9 @@
         return;
     }
     apply_members(members);
-    store_clock_ = members.now;
-    store_clock_at_ = members.sent;
     const auto own = members_.rows.find(settings_.vm().name());
     has_restarted_ = own != members_.rows.end();
-    own_version_ = has_restarted_ ? own->second.version : 0;
+    registration_.use_read(members, has_restarted_ ? own->second.version : 0);
     state_known_ = true;
 }
 
@@ -71,7 +60,7 @@
         }
         retry.reset();
         const auto renewed = now_();
-        while (!leaving_ && era_of(own_version_) == era_ &&
+        while (!leaving_ && era_of(registration_.version()) == era_ &&
                !is_renewal_due(now_(), renewed, messages_.last_contact(),
                                proxy_.members()))
         {
@@ -111,26 +100,11 @@
 bool fleet_agent::write_member_row()
 {
     primary_renewal_begun_ = now_();
-    auto row = self_row();
-    row.set_store_ms(store_time());
-    store_transaction change;
-    change.expected.push_back(
-        {member_table, row.vm(), "", own_version_, false});
-    for (auto& condition : leads_.conditions(transaction_rows - 1))
-    {
-        change.expected.push_back(std::move(condition));
-    }
-    change.puts.push_back(
-        {member_table, row.vm(), row.SerializeAsString(), 0, false});
-    const auto answer = member_store_.rows.write(change);
+    const auto renewal =
+        registration_.write(leads_.conditions(transaction_rows - 1));
+    const auto& answer = renewal.answer;
     note_era(answer.era);
     const bool done = answer.result == store_result::done;
-    if (done || answer.result == store_result::restored)
-    {
-        own_version_ = answer.version;
-        store_clock_ = answer.now;
-        store_clock_at_ = answer.sent;
-    }
     if (done && !registered_)
     {
         registered_ = true;
@@ -141,7 +115,7 @@
     const bool confirmed = leads_.are_confirmed(era_);
     if (done && confirmed)
     {
-        proxy_.renew_primary_lease(answer.sent);
+        proxy_.renew_primary_lease(renewal.lease_from);
         return true;
     }
     lines_.write(log_level::change, "right_not_renewed",
@@ -150,24 +124,15 @@
                   {"took_ms", std::to_string(to_ms(now_() - answer.sent))}});
     if (answer.result == store_result::conflict)
     {
-        apply_conflict(change, answer);
+        log_conflicts(renewal.change, answer);
+        for (const auto& current : answer.rows)
+        {
+            apply_lead_row(current);
+        }
     }
     return false;
 }
 
-/// Takes over the versions of the rows that a failed renewal conflicted with.
-void fleet_agent::apply_conflict(const store_transaction& change,
-                                 const store_answer& answer)
-{
-    log_conflicts(change, answer);
-    own_version_ =
-        version_after_conflict(change, answer, change.expected.front());
-    for (const auto& current : answer.rows)
-    {
-        apply_lead_row(current);
-    }
-}
-
 /// Logs which rows have another version than this VM knows.
 void fleet_agent::log_conflicts(const store_transaction& change,
                                 const store_answer& answer)
