Count the primary lease from the time in the member's row

The row's time was taken before the write was sent, the VM counted its lease from the sending, the coordinator's wait for silent VMs from the row: a VM frozen, or connecting, in between held the lease for longer than a failover waited for it.

--- a/include/tanagerhoist/session/primary_lease.hpp
+++ b/include/tanagerhoist/session/primary_lease.hpp
@@ -23,12 +23,12 @@
 
 /// A VM's lease on using the primaries it knows. It is renewed by a conditional
 /// write to the store, which fails if any group's primary has changed. The
-/// lease runs from the time the write was sent and expires by itself.
+/// lease runs from the time in the written row and expires by itself.
 class primary_lease
 {
 public:
     /// Renews the lease after a successful conditional write.
-    /// @param sent when the write was sent
+    /// @param sent when the time in the written row was taken
     void renew(moment sent)
     {
         if (!renewed_ || sent > last_renewal_)
--- a/src/fleet/member_registration.cpp
+++ b/src/fleet/member_registration.cpp
@@ -37,7 +37,7 @@
     done.change.puts.push_back(
         {member_table, row.vm(), row.SerializeAsString(), 0, false});
     done.answer = store_.write(done.change);
-    done.lease_from = done.answer.sent;
+    done.lease_from = date.own;
     if (done.answer.result == store_result::done ||
         done.answer.result == store_result::restored)
     {
