A stopping VM gives up its primary lease, then removes its own row only

A stop removed the VM's row without a condition and served on with its primary lease until the answer came; a removal that the store performed late, or after a restart on the same VM, took the row of the next process away. No failover waited for either VM.

--- a/include/tanagerhoist/fleet/member_registration.hpp
+++ b/include/tanagerhoist/fleet/member_registration.hpp
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <vector>
 
 namespace tanagerhoist
@@ -39,7 +40,8 @@
     /// Writes the row if it is as known and the conditions hold.
     renewal write(std::vector<store_row> conditions);
 
-    /// Removes the row, so that seals no longer wait for this VM.
+    /// Removes the row if this process wrote it, so that seals no longer wait
+    /// for this VM. It must not use a primary any more.
     /// @param store one that no other fiber uses
     store_result remove(row_store& store) const;
 
@@ -47,6 +49,10 @@
     std::uint64_t version() const { return version_; }
 
 private:
+    store_transaction removal_of(std::uint64_t version) const;
+    std::optional<std::uint64_t>
+    own_version(const store_answer& conflict) const;
+
     row_store& store_;
     proto::MemberRow self_;
     clock now_;
--- a/include/tanagerhoist/session/primary_lease.hpp
+++ b/include/tanagerhoist/session/primary_lease.hpp
@@ -31,16 +31,20 @@
     /// @param sent when the time in the written row was taken
     void renew(moment sent)
     {
-        if (!renewed_ || sent > last_renewal_)
+        if (!ended_ && (!renewed_ || sent > last_renewal_))
         {
             renewed_ = true;
             last_renewal_ = sent;
         }
     }
 
+    /// Ends the lease for good, also if a renewal is on its way.
+    void end() { ended_ = true; }
+
     bool is_valid(moment now) const
     {
-        return renewed_ && now < last_renewal_ + primary_lease_duration;
+        return renewed_ && !ended_ &&
+               now < last_renewal_ + primary_lease_duration;
     }
 
     /// Time since the write of the last renewal was sent.
@@ -48,6 +52,7 @@
 
 private:
     bool renewed_ = false;
+    bool ended_ = false;
     moment last_renewal_{};
 };
 
--- a/include/tanagerhoist/session/proxy.hpp
+++ b/include/tanagerhoist/session/proxy.hpp
@@ -66,6 +66,9 @@
     /// @}
 
     /// @name Sessions
+    /// Gives the primary lease up for good, before other VMs may stop waiting
+    /// for its end.
+    void end_primary_lease() { primary_lease_.end(); }
     /// @{
     void start_session(moment now, session_id id, const std::string& database,
                        const std::string& key);
--- a/src/fleet/member_registration.cpp
+++ b/src/fleet/member_registration.cpp
@@ -53,10 +53,41 @@
 }
 
 store_result member_registration::remove(row_store& store) const
+{
+    auto answer = store.write(removal_of(version_));
+    if (answer.result == store_result::conflict)
+    {
+        const auto version = own_version(answer);
+        answer = version ? store.write(removal_of(*version)) : answer;
+    }
+    return answer.result;
+}
+
+store_transaction member_registration::removal_of(std::uint64_t version) const
 {
     store_transaction change;
+    change.expected.push_back({member_table, self_.vm(), "", version, false});
     change.removals.push_back({member_table, self_.vm(), "", 0, false});
-    return store.write(change).result;
+    return change;
+}
+
+/// Version of the row in a conflict, if this process wrote it: a renewal that
+/// has not been answered.
+std::optional<std::uint64_t>
+member_registration::own_version(const store_answer& conflict) const
+{
+    for (const auto& row : conflict.rows)
+    {
+        proto::MemberRow found;
+        const bool own = row.table == member_table && row.key == self_.vm() &&
+                         found.ParseFromString(row.value) &&
+                         found.life() == self_.life();
+        if (own)
+        {
+            return row.version;
+        }
+    }
+    return std::nullopt;
 }
 
 } // namespace tanagerhoist
--- a/tests/proxy_outcomes_test.cpp
+++ b/tests/proxy_outcomes_test.cpp
@@ -14,6 +14,8 @@
     CPPUNIT_TEST(read_whose_connection_is_lost_is_sent_again);
     CPPUNIT_TEST(write_answered_after_a_promotion_is_not_acknowledged);
     CPPUNIT_TEST(write_answered_after_the_lease_expired_is_not_acknowledged);
+    CPPUNIT_TEST(write_answered_long_after_a_seal_is_not_acknowledged);
+    CPPUNIT_TEST(write_answered_after_the_lease_was_given_up_is_unknown);
     CPPUNIT_TEST(sealed_primary_gets_no_write);
     CPPUNIT_TEST(open_transaction_at_sealed_primary_is_rolled_back);
     CPPUNIT_TEST(seal_is_acknowledged_only_when_nothing_runs);
@@ -217,6 +219,30 @@
                        session_error::outcome_unknown);
     }
 
+    /// The loop runs late, so that no tick has aborted the write.
+    void write_answered_long_after_a_seal_is_not_acknowledged()
+    {
+        proxy_fixture f;
+        const auto id = run_write(f);
+        f.seal();
+        f.advance(milliseconds(600));
+        f.succeed();
+        CPPUNIT_ASSERT(f.transport.last_answer(id).error ==
+                       session_error::outcome_unknown);
+    }
+
+    /// The VM stops; its row is about to be removed.
+    void write_answered_after_the_lease_was_given_up_is_unknown()
+    {
+        proxy_fixture f;
+        const auto id = run_write(f);
+        f.subject.end_primary_lease();
+        f.subject.renew_primary_lease(f.now + milliseconds(1));
+        f.succeed();
+        CPPUNIT_ASSERT(f.transport.last_answer(id).error ==
+                       session_error::outcome_unknown);
+    }
+
     void sealed_primary_gets_no_write()
     {
         proxy_fixture f;
--- a/tools/daemon/fleet_agent.cpp
+++ b/tools/daemon/fleet_agent.cpp
@@ -145,6 +145,7 @@
 {
     leaving_ = true;
     release_lease();
+    proxy_.end_primary_lease();
     auto store = make_store();
     const auto removed = registration_.remove(store.rows);
     lines_.write(
