A late answer to a VM's removal doesn't forget its newer row

A VM that had come back meanwhile, and whose new row had been read, was no longer waited for by a seal, though it held a primary lease.

Only the row of the removed version is forgotten. row_of_returned_vm_survives_a_late_removal is new.

--- a/include/tanagerhoist/fleet/fleet_members.hpp
+++ b/include/tanagerhoist/fleet/fleet_members.hpp
@@ -34,6 +34,10 @@
     /// Replaces the rows by those of a read. While they are incomplete, VMs
     /// and renewals that are missing from it are kept.
     void replace(std::map<std::string, fleet_member> read);
+
+    /// Forgets a VM whose row of that version was to be removed, unless a
+    /// newer row is known.
+    void forget(const std::string& vm, std::uint64_t version);
 };
 
 } // namespace tanagerhoist
--- a/src/fleet/fleet_members.cpp
+++ b/src/fleet/fleet_members.cpp
@@ -27,4 +27,13 @@
     }
 }
 
+void fleet_members::forget(const std::string& vm, std::uint64_t version)
+{
+    const auto it = rows.find(vm);
+    if (it != rows.end() && it->second.version == version)
+    {
+        rows.erase(it);
+    }
+}
+
 } // namespace tanagerhoist
--- a/tests/fleet_members_test.cpp
+++ b/tests/fleet_members_test.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST(vm_lost_with_the_store_is_kept_while_rows_are_incomplete);
     CPPUNIT_TEST(renewal_lost_with_the_store_is_kept);
     CPPUNIT_TEST(vm_missing_from_complete_rows_is_gone);
+    CPPUNIT_TEST(row_of_returned_vm_survives_a_late_removal);
     CPPUNIT_TEST_SUITE_END();
 
     static fleet_member member(std::uint64_t version, std::uint64_t renewed_ms)
@@ -53,6 +54,17 @@
         subject_.replace({});
         CPPUNIT_ASSERT(subject_.rows.empty());
     }
+
+    void row_of_returned_vm_survives_a_late_removal()
+    {
+        subject_.replace({{"a", member(3, 100)}, {"b", member(4, 100)}});
+        subject_.replace({{"a", member(9, 300)}, {"b", member(4, 100)}});
+        subject_.forget("a", 3);
+        subject_.forget("b", 4);
+        subject_.forget("c", 5);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, subject_.rows.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, subject_.rows.at("a").version);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(fleet_members_test);
--- a/tools/daemon/fleet_agent_members.cpp
+++ b/tools/daemon/fleet_agent_members.cpp
@@ -219,15 +219,15 @@
     {
         store_transaction change;
         change.expected.push_back(coordinator_lease::fence(term));
-        change.expected.push_back(
-            {member_table, vm, "", members_.rows.at(vm).version, false});
+        const auto version = members_.rows.at(vm).version;
+        change.expected.push_back({member_table, vm, "", version, false});
         change.removals.push_back({member_table, vm, "", 0, false});
         const auto answer = lead_store_.rows.write(change);
         const bool done = answer.result == store_result::done;
         lines_.write(log_level::change, "vm_removed",
                      {{"gone", vm}, {"done", done ? "yes" : "no"}});
-        members_.rows.erase(vm); // if that failed, the next read restores it
-        return;                  // others are removed in later calls
+        members_.forget(vm, version); // the next read restores it if need be
+        return;                       // others are removed in later calls
     }
 }
 
