A term that begins with the store's new era grants no old balances

Since a renewal with a new token begins a term, which resets the coordinator's state by the former holder's row: that of the term before the last.

The former row is then this VM's own, which left nothing. Both balances_are_not_granted_again_by_a_term_of_a_new_era and first_holder_is_not_the_first_again_in_a_new_era failed before and hold.

--- a/src/fleet/coordinator_lease.cpp
+++ b/src/fleet/coordinator_lease.cpp
@@ -194,6 +194,10 @@
     const auto answer = write(renewed, begins_term);
     if (answer.result == store_result::done && !is_from_copy(renewed))
     {
+        if (begins_term)
+        {
+            former_ = own_; // which has left nothing
+        }
         own_ = renewed;
         row_ = renewed;
         version_ = answer.version;
--- a/tests/coordinator_lease_test.cpp
+++ b/tests/coordinator_lease_test.cpp
@@ -164,6 +164,8 @@
     CPPUNIT_TEST(last_holder_takes_lease_of_older_copy_at_once);
     CPPUNIT_TEST(started_vm_leaves_missing_row_of_restored_store);
     CPPUNIT_TEST(balances_of_older_copy_are_not_granted_again);
+    CPPUNIT_TEST(balances_are_not_granted_again_by_a_term_of_a_new_era);
+    CPPUNIT_TEST(first_holder_is_not_the_first_again_in_a_new_era);
     CPPUNIT_TEST(renewal_answered_by_restored_store_is_repeated);
     CPPUNIT_TEST(row_of_former_build_is_believed_until_a_restore);
     CPPUNIT_TEST(random_restores_give_no_two_holders_and_no_token_twice);
@@ -514,6 +516,39 @@
         CPPUNIT_ASSERT(f.b.former().token() != 0); // not the first start
     }
 
+    void balances_are_not_granted_again_by_a_term_of_a_new_era()
+    {
+        two_vms f;
+        f.a.update(f.never);
+        proto::WorkspaceBalance balance;
+        balance.set_workspace("w");
+        balance.set_operations(7);
+        f.a.release({balance});
+        f.b.update(f.never);
+        CPPUNIT_ASSERT_EQUAL(1, f.b.former().left_size());
+        f.plain.take_copy();
+        f.plain.restore();
+        const auto term = *f.b.term();
+        f.b.update(f.never);
+        f.b.update(f.never);
+        CPPUNIT_ASSERT(f.b.term()->token > term.token);
+        CPPUNIT_ASSERT_EQUAL(0, f.b.former().left_size());
+        CPPUNIT_ASSERT(f.b.former().token() != 0);
+    }
+
+    void first_holder_is_not_the_first_again_in_a_new_era()
+    {
+        two_vms f;
+        f.a.update(f.never);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, f.a.former().token());
+        f.plain.take_copy();
+        f.plain.restore();
+        f.a.update(f.never);
+        f.a.update(f.never);
+        CPPUNIT_ASSERT(f.a.holds(f.now));
+        CPPUNIT_ASSERT(f.a.former().token() != 0);
+    }
+
     void renewal_answered_by_restored_store_is_repeated()
     {
         two_vms f;
