Repeat a lead's write until its outcome is known

A write of a lead is repeated under its own conditions until the store answers or the term is over: then no copy of it can be performed any more.

--- a/tools/daemon/fleet_agent_leads.cpp
+++ b/tools/daemon/fleet_agent_leads.cpp
@@ -1,6 +1,7 @@
 #include "fleet_agent.hpp"
 #include "group_operation.hpp"
 
+#include "tanagerhoist/fleet/repeated_write.hpp"
 #include "tanagerhoist/fleet/table_read.hpp"
 
 // The leads of all groups: reading, passing on, writing.
@@ -10,6 +11,7 @@
 {
 
 constexpr milliseconds failed_write_pause{100};
+constexpr milliseconds repeated_write_pause{50};
 
 std::string group_of_key(const std::string& key)
 {
@@ -167,20 +169,12 @@
     change.puts.push_back(
         {fleet_table, key, lead.SerializeAsString(), 0, false});
     auto store = make_store();
-    auto answer = store.rows.write(change);
-    if (answer.result == store_result::unanswered)
+    const auto goes_on = [this, &term]
     {
-        // Reading the row shows whether the write succeeded.
-        const auto read = store.rows.read(fleet_table, key);
-        for (const auto& row : read.rows)
-        {
-            if (row.key == key && row.value == lead.SerializeAsString())
-            {
-                answer.result = store_result::done;
-                answer.version = row.version;
-            }
-        }
-    }
+        pause(repeated_write_pause);
+        return is_current(term);
+    };
+    auto answer = write_until_answered(store.rows, change, goes_on);
     note_era(answer.era);
     if (answer.result == store_result::done)
     {
