Order a promotion without an answer again before any other

By reading (writes rolled back at a published primary): an order that was not answered could take effect after a second order, for another server, had been answered and published.

The next round orders the same server again until the platform answers for it. An order that found no connection is told apart, as nothing was sent. server_with_unanswered_promotion_is_ordered_again failed before and holds.

--- a/include/tanagerhoist/fleet/failover_executor.hpp
+++ b/include/tanagerhoist/fleet/failover_executor.hpp
@@ -110,6 +110,9 @@
     choose_candidate(const proto::GroupLead& lead,
                      const std::set<std::string>& ineligible);
     std::optional<server_role> promote(const backend_server& server,
+    choose_server(const proto::GroupLead& lead,
+                  const std::set<std::string>& ineligible);
+    std::optional<std::string>
                                        const proto::GroupLead& lead,
                                        std::set<std::string>& ineligible);
     std::optional<std::string>
@@ -131,5 +134,7 @@
 };
 
 } // namespace tanagerhoist
+    /// Server whose promotion was requested and may still happen.
+    std::optional<std::string> pending_;
 
 #endif
--- a/include/tanagerhoist/fleet/promotion_request.hpp
+++ b/include/tanagerhoist/fleet/promotion_request.hpp
@@ -22,6 +22,7 @@
     accepted,
     not_eligible, ///< not running, or another request is in progress
     unanswered,   ///< the promotion may still happen
+    not_sent,     ///< the platform could not be reached
     term_over     ///< not sent: the sender is no longer the coordinator
 };
 
@@ -36,6 +37,8 @@
         return "unfit";
     case promotion_result::unanswered:
         return "none";
+    case promotion_result::not_sent:
+        return "not sent, no connection";
     default:
         return "not sent, term over";
     }
--- a/src/fleet/failover_executor.cpp
+++ b/src/fleet/failover_executor.cpp
@@ -139,6 +139,7 @@
 failover_executor::change_primary(group_lead_row row, bool planned)
 {
     old_log_end_.reset();
+    pending_.reset();
     next_demotion_at_ = moment{};
     lines_.write(log_level::change, "lead_change",
                  {{"group", row.lead.group()},
@@ -161,7 +162,7 @@
         {
             demote_old_primary(row.lead);
         }
-        const auto id = choose_candidate(row.lead, ineligible);
+        const auto id = choose_server(row.lead, ineligible);
         const auto server = id ? find(row.lead.group(), *id) : std::nullopt;
         if (!server)
         {
@@ -197,17 +198,36 @@
     switch (answer)
     {
     case promotion_result::accepted:
+        pending_.reset();
         return wait_for_primary(server, lead, promotion_timeout);
     case promotion_result::unanswered:
+        pending_ = server.id;
         return wait_for_primary(server, lead, unanswered_promotion_timeout);
     case promotion_result::not_eligible:
+        pending_.reset();
         ineligible.insert(server.id);
         return std::nullopt;
+    case promotion_result::not_sent:
+        port_.pause(role_poll_interval * 2);
+        return std::nullopt;
     default:
         return std::nullopt;
     }
 }
 
+/// Returns the server whose promotion may still happen, so that the platform
+/// answers for it before another is promoted, else the best one.
+std::optional<std::string>
+failover_executor::choose_server(const proto::GroupLead& lead,
+                                 const std::set<std::string>& ineligible)
+{
+    if (pending_ && find(lead.group(), *pending_))
+    {
+        return pending_;
+    }
+    return choose_candidate(lead, ineligible);
+}
+
 /// Returns a server that is already primary, else the most up-to-date one,
 /// preferring servers that are not draining. With synchronous replicas all
 /// eligible servers must answer, since any of them may hold the last commit.
--- a/src/fleet/promotion_order.cpp
+++ b/src/fleet/promotion_order.cpp
@@ -13,7 +13,7 @@
 {
     if (!connection.open())
     {
-        return promotion_result::unanswered;
+        return promotion_result::not_sent;
     }
     const auto left = lease.time_left(term);
     if (left <= milliseconds(0))
--- a/tests/failover_executor_test.cpp
+++ b/tests/failover_executor_test.cpp
@@ -166,6 +166,8 @@
     CPPUNIT_TEST(planned_failover_waits_for_log_end);
     CPPUNIT_TEST(ineligible_server_is_skipped);
     CPPUNIT_TEST(unanswered_promotion_is_resolved_by_server_role);
+    CPPUNIT_TEST(server_with_unanswered_promotion_is_ordered_again);
+    CPPUNIT_TEST(primary_that_answers_as_replica_is_demoted);
     CPPUNIT_TEST(promotion_by_previous_coordinator_is_adopted);
     CPPUNIT_TEST(successor_with_same_term_becomes_primary);
     CPPUNIT_TEST(synchronous_group_waits_for_all_replicas);
@@ -357,6 +359,38 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.promotions.size());
     }
 
+    /// The order may still take effect, after one for another server.
+    void server_with_unanswered_promotion_is_ordered_again()
+    {
+        fake_group f;
+        f.members["p"].answers = false;
+        f.promotion_starts = false;
+        f.on_pause = [&]
+        {
+            if (!f.promotions.empty())
+            {
+                f.members["q"].role.received = {1, 99}; // now ahead of r
+                f.promotion_starts = true;
+            }
+        };
+        const auto done = f.change_primary(false);
+        CPPUNIT_ASSERT(done);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.promotions.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("r"), f.promotions.back());
+        CPPUNIT_ASSERT_EQUAL(std::string("r"), done->lead.primary());
+    }
+
+    void primary_that_answers_as_replica_is_demoted()
+    {
+        fake_group f;
+        failover_executor executor(f, f.lines);
+        CPPUNIT_ASSERT(!executor.is_primary_demoted(f.row.lead));
+        f.members["p"].role.primary = false;
+        CPPUNIT_ASSERT(executor.is_primary_demoted(f.row.lead));
+        f.members["p"].answers = false;
+        CPPUNIT_ASSERT(!executor.is_primary_demoted(f.row.lead));
+    }
+
     void promotion_by_previous_coordinator_is_adopted()
     {
         fake_group f;
--- a/tests/promotion_order_test.cpp
+++ b/tests/promotion_order_test.cpp
@@ -73,7 +73,7 @@
     CPPUNIT_TEST(order_is_not_sent_with_the_successors_token);
     CPPUNIT_TEST(order_is_not_sent_in_a_later_term_of_the_same_vm);
     CPPUNIT_TEST(order_arrives_before_another_vm_can_take_the_lease);
-    CPPUNIT_TEST(order_without_connection_is_unanswered);
+    CPPUNIT_TEST(order_without_connection_is_not_sent);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -127,11 +127,11 @@
         CPPUNIT_ASSERT(!f.b.holds(f.now));
     }
 
-    void order_without_connection_is_unanswered()
+    void order_without_connection_is_not_sent()
     {
         ordering_vm f;
         f.opens = false;
-        CPPUNIT_ASSERT(f.order() == promotion_result::unanswered);
+        CPPUNIT_ASSERT(f.order() == promotion_result::not_sent);
         CPPUNIT_ASSERT(f.sent.empty());
     }
 };
