Don't acknowledge a write answered long after its primary was sealed

The answer itself is judged by the grace. write_answered_long_after_a_seal_is_not_acknowledged failed before and holds.

--- a/include/tanagerhoist/session/proxy.hpp
+++ b/include/tanagerhoist/session/proxy.hpp
@@ -29,6 +29,9 @@
 /// failed probes, one second apart.
 constexpr milliseconds balancer_detection_time{2300};
 
+/// Time for statements at a primary that is sealed to end by themselves.
+constexpr milliseconds seal_grace{150};
+
 /// Session and statement handling of one VM: authentication, admission,
 /// queueing, routing and answers. It uses no sockets or clocks: callers pass
 /// the current time, and all I/O goes through a `proxy_transport`.
@@ -63,12 +66,12 @@
     /// Notes how long a failover is going to wait for silent VMs.
     void use_seal_wait(moment now, const proto::SealWait& wait);
     void renew_primary_lease(moment sent) { primary_lease_.renew(sent); }
-    /// @}
-
-    /// @name Sessions
     /// Gives the primary lease up for good, before other VMs may stop waiting
     /// for its end.
     void end_primary_lease() { primary_lease_.end(); }
+    /// @}
+
+    /// @name Sessions
     /// @{
     void start_session(moment now, session_id id, const std::string& database,
                        const std::string& key);
@@ -219,6 +222,7 @@
                          const log_position& position, moment sent);
     bool ran_at_current_primary(moment now, const server_connection& connection,
                                 const client_session& session) const;
+    bool is_seal_grace_over(moment now, const proto::GroupLead& lead) const;
     void log_statement(log_level level, std::string_view event, moment now,
                        const client_session& session, std::string_view cause);
 
--- a/src/session/proxy_answers.cpp
+++ b/src/session/proxy_answers.cpp
@@ -338,7 +338,16 @@
 {
     const auto* lead = lead_of(session.group);
     return lead != nullptr && primary_lease_.is_valid(now) &&
-           lead->primary() == connection.server;
+           lead->primary() == connection.server &&
+           !is_seal_grace_over(now, *lead);
+}
+
+/// Whether statements at a primary are to be aborted because it is sealed.
+bool proxy::is_seal_grace_over(moment now, const proto::GroupLead& lead) const
+{
+    const auto group = groups_.find(lead.group());
+    return lead.sealed() && group != groups_.end() &&
+           now >= group->second.sealed_at + seal_grace;
 }
 
 void proxy::handle_success(moment now, connection_id id,
--- a/src/session/proxy_time.cpp
+++ b/src/session/proxy_time.cpp
@@ -9,7 +9,6 @@
 {
 
 /// Time that statements running at a primary have to finish after it is sealed.
-constexpr milliseconds seal_grace{150};
 
 /// Time without an answer after which a server is probed with a new connection.
 constexpr milliseconds silence_before_probe{500};
@@ -298,7 +297,7 @@
         }
         const auto* state = server(lead.primary());
         const bool dead = state == nullptr || state->is_failing();
-        if (dead || now >= groups_[name].sealed_at + seal_grace)
+        if (dead || is_seal_grace_over(now, lead))
         {
             abort_running_at(now, lead.primary(), true);
         }
