Replace a primary that has been demoted without a successor

By reading (a group without a primary for good): a demotion that is carried out late can reach an old primary that was kept. The list then names no primary, and the monitor replaced one only if the list named another.

--- a/include/tanagerhoist/fleet/failover_executor.hpp
+++ b/include/tanagerhoist/fleet/failover_executor.hpp
@@ -91,6 +91,9 @@
     std::optional<group_lead_row> change_primary(group_lead_row row,
                                                  bool planned);
 
+    /// Whether the lead's primary says that it is a replica.
+    bool is_primary_demoted(const proto::GroupLead& lead);
+
     /// Writes a lead that is from before the store came back older anew. If the
     /// servers show a primary of a later term, whose lead is lost, it is
     /// written as sealed, to be replaced.
@@ -107,12 +110,12 @@
     bool wait_until_unused(const group_lead_row& row, moment sealed);
     void demote_old_primary(const proto::GroupLead& lead);
     std::optional<std::string>
-    choose_candidate(const proto::GroupLead& lead,
-                     const std::set<std::string>& ineligible);
-    std::optional<server_role> promote(const backend_server& server,
     choose_server(const proto::GroupLead& lead,
                   const std::set<std::string>& ineligible);
     std::optional<std::string>
+    choose_candidate(const proto::GroupLead& lead,
+                     const std::set<std::string>& ineligible);
+    std::optional<server_role> promote(const backend_server& server,
                                        const proto::GroupLead& lead,
                                        std::set<std::string>& ineligible);
     std::optional<std::string>
@@ -131,10 +134,10 @@
     /// Log end of the demoted primary.
     std::optional<log_position> old_log_end_;
     moment next_demotion_at_{};
+    /// Server whose promotion was requested and may still happen.
+    std::optional<std::string> pending_;
 };
 
 } // namespace tanagerhoist
-    /// Server whose promotion was requested and may still happen.
-    std::optional<std::string> pending_;
 
 #endif
--- a/include/tanagerhoist/fleet/group_monitor.hpp
+++ b/include/tanagerhoist/fleet/group_monitor.hpp
@@ -18,6 +18,7 @@
     none,
     create_lead, ///< the group has no primary yet
     replace_primary,
+    verify_primary, ///< it is listed as a replica: replaced if it says so too
     replace_planned ///< the primary runs, and is being drained
 };
 
@@ -42,8 +43,8 @@
     void operation_ended(const std::string& group);
 
 private:
-    bool is_lead_outdated(moment now, const proto::GroupLead& lead,
-                          const server_list& servers);
+    group_action action_by_list(moment now, const proto::GroupLead& lead,
+                                const server_list& servers);
 
     std::set<std::string> running_;
     std::map<std::string, lasting_condition> outdated_; ///< by group
--- a/include/tanagerhoist/fleet/store_clock.hpp
+++ b/include/tanagerhoist/fleet/store_clock.hpp
@@ -23,10 +23,14 @@
 class store_clock
 {
 public:
+    /// Takes over the clock of an answer; one without a time is ignored.
     void note(const store_answer& answer)
     {
-        told_ = answer.now;
-        asked_at_ = answer.sent;
+        if (answer.now != milliseconds(0))
+        {
+            told_ = answer.now;
+            asked_at_ = answer.sent;
+        }
     }
 
     /// The store's clock in the newest answer, a lower bound of its present
--- a/src/fleet/failover_executor.cpp
+++ b/src/fleet/failover_executor.cpp
@@ -350,6 +350,13 @@
                        });
 }
 
+bool failover_executor::is_primary_demoted(const proto::GroupLead& lead)
+{
+    const auto primary = find(lead.group(), lead.primary());
+    const auto role = primary ? port_.role(*primary) : std::nullopt;
+    return role && !role->primary;
+}
+
 std::optional<group_lead_row>
 failover_executor::confirm_lead(group_lead_row row)
 {
--- a/src/fleet/group_monitor.cpp
+++ b/src/fleet/group_monitor.cpp
@@ -31,18 +31,23 @@
     {
         return group_action::replace_planned;
     }
-    const bool replace =
-        lead->sealed() || unreachable || is_lead_outdated(now, *lead, servers);
-    return replace ? group_action::replace_primary : group_action::none;
+    if (lead->sealed() || unreachable)
+    {
+        return group_action::replace_primary;
+    }
+    return action_by_list(now, *lead, servers);
 }
 
-/// Whether the server list has named another server as primary for some time.
-bool group_monitor::is_lead_outdated(moment now, const proto::GroupLead& lead,
-                                     const server_list& servers)
+/// What to do if the server list has contradicted the lead for some time: it
+/// names another server as primary, or none and the lead's primary as a
+/// replica, which the list may say of a server that can't reach the store.
+group_action group_monitor::action_by_list(moment now,
+                                           const proto::GroupLead& lead,
+                                           const server_list& servers)
 {
     const auto primary = servers.find(lead.primary());
-    const bool claims =
-        primary != servers.end() && primary->second.claims_primary;
+    const bool listed = primary != servers.end();
+    const bool claims = listed && primary->second.claims_primary;
     const bool another = std::any_of(servers.begin(), servers.end(),
                                      [&lead](const auto& entry)
                                      {
@@ -52,8 +57,13 @@
                                                 id != lead.primary();
                                      });
     auto& outdated = outdated_[lead.group()];
-    outdated.update(now, another && !claims);
-    return outdated.has_lasted(now, outdated_lead_timeout);
+    outdated.update(now, (another || listed) && !claims);
+    if (!outdated.has_lasted(now, outdated_lead_timeout))
+    {
+        return group_action::none;
+    }
+    return another ? group_action::replace_primary
+                   : group_action::verify_primary;
 }
 
 void group_monitor::operation_ended(const std::string& group)
--- a/tests/group_monitor_test.cpp
+++ b/tests/group_monitor_test.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(group_has_one_operation_at_a_time);
     CPPUNIT_TEST(list_that_names_another_primary_for_long_is_believed);
     CPPUNIT_TEST(list_that_lags_behind_a_promotion_is_not_believed);
+    CPPUNIT_TEST(primary_listed_as_replica_for_long_is_verified);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -114,6 +115,19 @@
         f.now += milliseconds(1000);
         CPPUNIT_ASSERT(f.next() == group_action::none);
     }
+
+    /// A demotion that came late has left the group without a primary, or the
+    /// primary can't reach the store.
+    void primary_listed_as_replica_for_long_is_verified()
+    {
+        monitor_fixture f;
+        f.servers["p"].claims_primary = false;
+        CPPUNIT_ASSERT(f.next() == group_action::none);
+        f.now += milliseconds(2400);
+        CPPUNIT_ASSERT(f.next() == group_action::none);
+        f.now += milliseconds(200);
+        CPPUNIT_ASSERT(f.next() == group_action::verify_primary);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(group_monitor_test);
--- a/tools/daemon/fleet_agent.hpp
+++ b/tools/daemon/fleet_agent.hpp
@@ -185,6 +185,11 @@
     void use_lost_leases();
     void start_failover(const coordinator_term& term, const std::string& group,
                         bool planned);
+    void start_verification(const coordinator_term& term,
+                            const std::string& group);
+    void change_primary(failover_executor& executor,
+                        const coordinator_term& term, const std::string& group,
+                        bool planned);
     bool is_primary_unused(const proto::GroupLead& lead,
                            std::uint64_t seal_version, moment sealed);
     std::vector<backend_server> servers(const std::string& group) const;
--- a/tools/daemon/fleet_agent_coordinator.cpp
+++ b/tools/daemon/fleet_agent_coordinator.cpp
@@ -193,6 +193,9 @@
     case group_action::replace_primary:
         start_failover(term, group, false);
         break;
+    case group_action::verify_primary:
+        start_verification(term, group);
+        break;
     case group_action::replace_planned:
         start_failover(term, group, true);
         break;
@@ -210,19 +213,44 @@
         {
             group_operation operation(*this, term);
             failover_executor executor(operation, lines_);
-            const auto begun = now_();
-            const auto done =
-                executor.change_primary(*leads_.find(group), planned);
-            lines_.write(log_level::change, "lead_change_ended",
-                         {{"group", group},
-                          {"ms", std::to_string(to_ms(now_() - begun))},
-                          {"primary", done ? done->lead.primary() : "-"},
-                          {"token", std::to_string(term.token)},
-                          {"term_over", is_current(term) ? "no" : "yes"}});
+            change_primary(executor, term, group, planned);
             groups_.operation_ended(group);
         });
 }
 
+/// Replaces a primary that the server list calls a replica, if it says the
+/// same.
+void fleet_agent::start_verification(const coordinator_term& term,
+                                     const std::string& group)
+{
+    groups_.operation_begun(group);
+    run_fiber(
+        [this, term, group]
+        {
+            group_operation operation(*this, term);
+            failover_executor executor(operation, lines_);
+            if (executor.is_primary_demoted(leads_.find(group)->lead))
+            {
+                change_primary(executor, term, group, false);
+            }
+            groups_.operation_ended(group);
+        });
+}
+
+void fleet_agent::change_primary(failover_executor& executor,
+                                 const coordinator_term& term,
+                                 const std::string& group, bool planned)
+{
+    const auto begun = now_();
+    const auto done = executor.change_primary(*leads_.find(group), planned);
+    lines_.write(log_level::change, "lead_change_ended",
+                 {{"group", group},
+                  {"ms", std::to_string(to_ms(now_() - begun))},
+                  {"primary", done ? done->lead.primary() : "-"},
+                  {"token", std::to_string(term.token)},
+                  {"term_over", is_current(term) ? "no" : "yes"}});
+}
+
 bool fleet_agent::is_primary_unused(const proto::GroupLead& lead,
                                     std::uint64_t seal_version, moment sealed)
 {
--- a/tools/daemon/group_operation.cpp
+++ b/tools/daemon/group_operation.cpp
@@ -78,8 +78,8 @@
     return query_server(server, platform::status_line());
 }
 
-/// A demotion that arrives after the term changes no new primary, whose term it
-/// doesn't exceed; an old one that was kept is replaced again.
+/// A demotion that arrives late changes no new primary, whose term it doesn't
+/// exceed; an old one that was kept is found by verify_primary.
 std::optional<server_role>
 fleet_agent::group_operation::demote(const backend_server& server,
                                      std::uint64_t term)
