--- a/tests/coordinator_lease_test.cpp
+++ b/tests/coordinator_lease_test.cpp
@@ -1,4 +1,5 @@
 #include "fake_row_store.hpp"
+#include "member_rows.hpp"
 #include "proxy_fixture.hpp"
 #include "tanagerhoist/fleet/coordinator_lease.hpp"
 #include "tanagerhoist/fleet/era_row_store.hpp"
@@ -17,14 +18,6 @@
 namespace
 {
 
-proto::MemberRow member(const std::string& vm, std::uint64_t life)
-{
-    proto::MemberRow row;
-    row.set_vm(vm);
-    row.set_life(life);
-    return row;
-}
-
 struct two_vms
 {
     moment now{std::chrono::hours(1)};
--- a/tests/member_registration_test.cpp
+++ b/tests/member_registration_test.cpp
@@ -1,6 +1,7 @@
 #include "tanagerhoist/fleet/member_registration.hpp"
 
 #include "fake_row_store.hpp"
+#include "member_rows.hpp"
 #include "tanagerhoist/fleet/fleet_members.hpp"
 #include "tanagerhoist/session/primary_lease.hpp"
 
@@ -11,14 +12,6 @@
 namespace
 {
 
-proto::MemberRow member(std::uint64_t life)
-{
-    proto::MemberRow row;
-    row.set_vm("a");
-    row.set_life(life);
-    return row;
-}
-
 struct registered_vm
 {
     registered_vm()
@@ -39,7 +32,7 @@
 
     moment now{std::chrono::hours(1)};
     fake_row_store store{now};
-    member_registration subject{store, member(1), [this] { return now; }};
+    member_registration subject{store, member("a", 1), [this] { return now; }};
 };
 
 } // namespace
@@ -77,7 +70,8 @@
     void late_removal_of_former_process_leaves_the_new_row()
     {
         registered_vm f;
-        member_registration next(f.store, member(2), [&f] { return f.now; });
+        member_registration next(f.store, member("a", 2),
+                                 [&f] { return f.now; });
         next.use_read(f.store.read(member_table, ""), f.subject.version());
         next.write({});
         CPPUNIT_ASSERT(f.subject.remove(f.store) == store_result::conflict);
--- a/tests/promotion_order_test.cpp
+++ b/tests/promotion_order_test.cpp
@@ -1,4 +1,5 @@
 #include "fake_row_store.hpp"
+#include "member_rows.hpp"
 #include "proxy_fixture.hpp"
 #include "tanagerhoist/fleet/era_row_store.hpp"
 #include "tanagerhoist/fleet/promotion_order.hpp"
@@ -12,14 +13,6 @@
 namespace
 {
 
-proto::MemberRow member(const std::string& vm, std::uint64_t life)
-{
-    proto::MemberRow row;
-    row.set_vm(vm);
-    row.set_life(life);
-    return row;
-}
-
 /// Two VMs, of which the first is the coordinator and orders a promotion over a
 /// connection that takes some time to open.
 struct ordering_vm : promotion_connection
