End a term whose renewal is answered too late, and renew in time

Work that had given up in between, with a write or an order without an outcome, was followed by new work that relied on none being open.

Such a renewal ends the term. What the holder writes is built in fleet/coordinator_writes, where the tests use it; repeated writes wait as patiently as registrations, ever longer. A stop ends the primary lease and removes the row first, waits 0.4 s at most for the lease to be free, else leaves it to expire, and passes no balances on of a term that it never began. lead_change_ended wrote over the line's own ms: took_ms now.

--- a/include/tanagerhoist/fleet/fleet_schedule.hpp
+++ b/include/tanagerhoist/fleet/fleet_schedule.hpp
@@ -33,7 +33,8 @@
 bool is_takeover_read_due(moment now, moment last_contact, bool registered,
                           bool is_holder_known);
 
-/// Interval until the next update of the coordinator lease.
+/// Interval from the beginning of an update of the coordinator lease to the
+/// next one.
 /// @param registered whether this VM may take the lease
 /// @param done whether the last update needs no repeat
 /// @param spread random part, so that VMs do not read the lease row together
--- a/src/fleet/coordinator_lease.cpp
+++ b/src/fleet/coordinator_lease.cpp
@@ -192,6 +192,12 @@
     const auto renewed = renewed_row(date);
     const bool begins_term = renewed.token() != own_.token();
     const auto answer = write(renewed, begins_term);
+    if (answer.result == store_result::done && !holds(now_()))
+    {
+        version_ = answer.version;
+        mark_lost("renewed too late"); // its work has ended meanwhile
+        return false;
+    }
     if (answer.result == store_result::done && !is_from_copy(renewed))
     {
         if (begins_term)
--- a/tests/coordinator_lease_test.cpp
+++ b/tests/coordinator_lease_test.cpp
@@ -2,7 +2,9 @@
 #include "member_rows.hpp"
 #include "proxy_fixture.hpp"
 #include "tanagerhoist/fleet/coordinator_lease.hpp"
+#include "tanagerhoist/fleet/coordinator_writes.hpp"
 #include "tanagerhoist/fleet/era_row_store.hpp"
+#include "tanagerhoist/fleet/fleet_members.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -28,15 +30,23 @@
     coordinator_lease b{store, member("b", 2), [this] { return now; }, lines};
     const moment never{};
 
-    /// Writes a row as the holder does in a term.
+    /// Writes the first lead of a new group in a term.
     store_result write_in(const coordinator_term& term)
     {
-        return store
-            .write({{coordinator_lease::fence(term)},
-                    {{"fleet", "db.g", "", 0, false}},
-                    {}})
-            .result;
+        proto::GroupLead lead;
+        lead.set_group("g" + std::to_string(++groups));
+        return store.write(lead_change(term, lead, 0)).result;
     }
+
+    /// Removes a row that is as known in a term.
+    store_result remove_in(const coordinator_term& term)
+    {
+        const auto added =
+            store.write({{}, {{member_table, "v", "", 0, false}}, {}});
+        return store.write(vm_removal(term, "v", added.version)).result;
+    }
+
+    int groups = 0;
 };
 
 /// Four VMs that renew or take the lease at random intervals.
@@ -60,7 +70,7 @@
         lease.update(moment{}, milliseconds(random_() % 900));
         if (lease.holds(now_))
         {
-            lives_by_token_[lease.row().token()].insert(lives_[vm]);
+            lives_by_token_[lease.term()->token].insert(lives_[vm]);
         }
     }
 
@@ -103,11 +113,25 @@
         case 4:
             restart(random_() % vm_count);
             break;
+        case 5:
+            freeze_in_next_write(milliseconds(random_() % 4000));
+            break;
         default:
             plain_.down = plain_.down && random_() % 8 != 0;
         }
     }
 
+    /// The VM that writes next stands still between dating its row and sending
+    /// it, or until the answer has waited for it.
+    void freeze_in_next_write(milliseconds time)
+    {
+        plain_.on_write = [this, time]
+        {
+            now_ += time;
+            plain_.on_write = nullptr;
+        };
+    }
+
     void restart(std::size_t vm)
     {
         lives_[vm] = ++last_life_;
@@ -147,6 +171,7 @@
     CPPUNIT_TEST(late_write_of_former_term_is_refused);
     CPPUNIT_TEST(renewal_leaves_writes_of_the_term_valid);
     CPPUNIT_TEST(term_ends_when_token_rises_with_the_era);
+    CPPUNIT_TEST(term_that_ended_before_its_renewal_was_answered_stays_over);
     CPPUNIT_TEST(lost_answer_of_renewal_is_resolved_by_row);
     CPPUNIT_TEST(lost_answer_of_acquisition_is_resolved_by_row);
     CPPUNIT_TEST(released_lease_is_acquired_at_once_with_balance);
@@ -310,7 +335,9 @@
         f.now += coordinator_lease_duration;
         f.b.update(f.never);
         CPPUNIT_ASSERT(f.write_in(term) == store_result::conflict);
+        CPPUNIT_ASSERT(f.remove_in(term) == store_result::conflict);
         CPPUNIT_ASSERT(f.write_in(*f.b.term()) == store_result::done);
+        CPPUNIT_ASSERT(f.remove_in(*f.b.term()) == store_result::done);
     }
 
     void late_write_of_former_term_is_refused()
@@ -350,6 +377,21 @@
         CPPUNIT_ASSERT(f.write_in(*f.a.term()) == store_result::done);
     }
 
+    void term_that_ended_before_its_renewal_was_answered_stays_over()
+    {
+        two_vms f;
+        f.a.update(f.never);
+        const auto term = *f.a.term();
+        f.now += milliseconds(1800);
+        f.plain.on_write = [&f] { f.now += milliseconds(600); };
+        f.a.update(f.never);
+        f.plain.on_write = nullptr;
+        CPPUNIT_ASSERT(!f.a.is_current(term));
+        f.a.update(f.never);
+        CPPUNIT_ASSERT(f.a.holds(f.now));
+        CPPUNIT_ASSERT(!f.a.is_current(term));
+    }
+
     void lost_answer_of_renewal_is_resolved_by_row()
     {
         two_vms f;
--- a/tests/fake_row_store.hpp
+++ b/tests/fake_row_store.hpp
@@ -32,9 +32,9 @@
 
     store_answer write(const store_transaction& transaction) override
     {
-        if (on_write)
+        if (const auto called = on_write) // which may change it
         {
-            on_write();
+            called();
         }
         auto answer = finish(down ? refused() : table_.write(transaction));
         if (answer.result == store_result::done &&
--- a/tools/daemon/fleet_agent.cpp
+++ b/tools/daemon/fleet_agent.cpp
@@ -144,13 +144,13 @@
 void fleet_agent::leave()
 {
     leaving_ = true;
-    release_lease();
     proxy_.end_primary_lease();
     auto store = make_store();
     const auto removed = registration_.remove(store.rows);
     lines_.write(
         log_level::change, "left",
         {{"row_removed", removed == store_result::done ? "yes" : "no"}});
+    release_lease();
 }
 
 } // namespace tanagerhoist
--- a/tools/daemon/fleet_agent.hpp
+++ b/tools/daemon/fleet_agent.hpp
@@ -178,7 +178,7 @@
     bool is_current(const coordinator_term& term) const;
     bool is_coordinator() const { return term().has_value(); }
     void begin_term(const coordinator_term& term);
-    bool prepare_term(const coordinator_term& term);
+    void read_leads_in(const coordinator_term& term);
     void monitor_groups();
     void check_groups();
     void check_group(const coordinator_term& term, const std::string& group);
--- a/tools/daemon/fleet_agent_coordinator.cpp
+++ b/tools/daemon/fleet_agent_coordinator.cpp
@@ -18,6 +18,12 @@
 constexpr milliseconds check_interval{300};
 constexpr milliseconds release_check_interval{5};
 
+/// Shorter than the time that a stop has left at its deadline.
+constexpr milliseconds longest_release_wait{400};
+
+/// Between two updates of the lease, however long the first one took.
+constexpr milliseconds shortest_pause{20};
+
 /// Takeover delay of a VM that has restarted and is not registered yet: it
 /// takes the lease only if its former process held it.
 constexpr milliseconds only_own_lease = std::chrono::hours(24);
@@ -32,22 +38,25 @@
     std::minstd_rand random(static_cast<unsigned>(life_));
     while (!leaving_)
     {
+        const auto begun = now_();
         lease_in_use_ = true;
-        bool done = update_lease_if_due();
+        const bool done = update_lease_if_due();
+        lease_in_use_ = false;
         if (is_takeover_read_due(now_(), messages_.last_contact(), registered_,
                                  lease_.is_holder_known()))
         {
             read_members(); // to know which VM is the largest
         }
         const auto current = term();
-        if (current && !prepare_term(*current))
+        if (current && begun_token_ != current->token)
         {
-            done = false;
+            begin_term(*current);
         }
-        lease_in_use_ = false;
         const milliseconds spread(random() % check_interval.count());
-        pause(lease_update_interval(registered_, done, current.has_value(),
-                                    spread));
+        const auto interval = lease_update_interval(
+            registered_, done, current.has_value(), spread);
+        const auto took = std::chrono::ceil<milliseconds>(now_() - begun);
+        pause(std::max(interval - took, shortest_pause));
     }
 }
 
@@ -77,27 +86,25 @@
     read_members();
     request_refresh(config_watch_);
     request_refresh(server_watch_);
+    send_views();
+    run_fiber([this, term] { read_leads_in(term); });
 }
 
-/// Begins a term that is new, and reads the leads in it: from its begin on
-/// nobody else writes them.
-/// @return false if the leads could not be read yet
-bool fleet_agent::prepare_term(const coordinator_term& term)
+/// Reads the leads in a term: from its begin on nobody else writes them.
+void fleet_agent::read_leads_in(const coordinator_term& term)
 {
-    const bool begins = begun_token_ != term.token;
-    if (begins)
-    {
-        begin_term(term);
-    }
-    if (leads_token_ != term.token && read_leads(lease_store_.rows))
+    auto store = make_store();
+    auto retry = store_backoff();
+    while (is_current(term) && leads_token_ != term.token)
     {
-        leads_token_ = term.token;
-    }
-    if (begins)
-    {
-        send_views();
+        if (read_leads(store.rows))
+        {
+            leads_token_ = term.token;
+            send_views();
+            return;
+        }
+        pause(retry.next());
     }
-    return leads_token_ == term.token;
 }
 
 /// The term in which this VM is the coordinator; nothing if it is not, or is
@@ -132,15 +139,25 @@
                                          now_() + (end - lease_.store_time()));
 }
 
-/// Releases the lease once no promotion request is on its way: the next holder
-/// may send its own at once.
+/// Releases the lease, unless a promotion request is on its way: the next
+/// holder would send its own at once.
 void fleet_agent::release_lease()
 {
-    while (lease_in_use_ || promotion_requests_ > 0)
+    const auto busy = [this]
+    { return lease_in_use_ || promotion_requests_ > 0; };
+    const auto until = now_() + longest_release_wait;
+    while (busy() && now_() < until)
     {
         pause(release_check_interval);
     }
-    lease_.release(coordinator_.balances(now_()));
+    const auto held = lease_.term();
+    if (busy() || !held)
+    {
+        return; // it expires by itself
+    }
+    const bool begun = held->token == begun_token_;
+    lease_.release(begun ? coordinator_.balances(now_())
+                         : std::vector<proto::WorkspaceBalance>());
 }
 
 void fleet_agent::monitor_groups()
@@ -229,7 +246,8 @@
         {
             group_operation operation(*this, term);
             failover_executor executor(operation, lines_);
-            if (executor.is_primary_demoted(leads_.find(group)->lead))
+            const auto row = *leads_.find(group);
+            if (executor.is_primary_demoted(row.lead))
             {
                 change_primary(executor, term, group, false);
             }
@@ -245,7 +263,7 @@
     const auto done = executor.change_primary(*leads_.find(group), planned);
     lines_.write(log_level::change, "lead_change_ended",
                  {{"group", group},
-                  {"ms", std::to_string(to_ms(now_() - begun))},
+                  {"took_ms", std::to_string(to_ms(now_() - begun))},
                   {"primary", done ? done->lead.primary() : "-"},
                   {"token", std::to_string(term.token)},
                   {"term_over", is_current(term) ? "no" : "yes"}});
--- a/tools/daemon/fleet_agent_leads.cpp
+++ b/tools/daemon/fleet_agent_leads.cpp
@@ -1,6 +1,7 @@
 #include "fleet_agent.hpp"
 #include "group_operation.hpp"
 
+#include "tanagerhoist/fleet/coordinator_writes.hpp"
 #include "tanagerhoist/fleet/repeated_write.hpp"
 #include "tanagerhoist/fleet/table_read.hpp"
 
@@ -11,7 +12,6 @@
 {
 
 constexpr milliseconds failed_write_pause{100};
-constexpr milliseconds repeated_write_pause{50};
 
 std::string group_of_key(const std::string& key)
 {
@@ -162,16 +162,11 @@
                                      const proto::GroupLead& lead,
                                      std::uint64_t version)
 {
-    const auto key = group_prefix + lead.group();
-    store_transaction change;
-    change.expected.push_back(coordinator_lease::fence(term));
-    change.expected.push_back({fleet_table, key, "", version, false});
-    change.puts.push_back(
-        {fleet_table, key, lead.SerializeAsString(), 0, false});
-    auto store = make_store();
-    const auto goes_on = [this, &term]
+    const auto change = lead_change(term, lead, version);
+    auto store = make_store(platform::patient_write_timeout);
+    const auto goes_on = [this, &term, retry = store_backoff()]() mutable
     {
-        pause(repeated_write_pause);
+        pause(retry.next());
         return is_current(term);
     };
     auto answer = write_until_answered(store.rows, change, goes_on);
--- a/tools/daemon/fleet_agent_members.cpp
+++ b/tools/daemon/fleet_agent_members.cpp
@@ -1,5 +1,6 @@
 #include "fleet_agent.hpp"
 
+#include "tanagerhoist/fleet/coordinator_writes.hpp"
 #include "tanagerhoist/fleet/fleet_schedule.hpp"
 #include "tanagerhoist/fleet/table_read.hpp"
 #include "tanagerhoist/session/primary_lease.hpp"
@@ -185,6 +186,7 @@
     std::map<std::string, fleet_member> read;
     members_.store_now = answer.now;
     members_.read_at = answer.sent;
+    members_.answered_at = now_();
     for (const auto& row : answer.rows)
     {
         fleet_member member;
@@ -217,12 +219,9 @@
 {
     for (const auto& vm : coordinator_.expired_vms(now_(), members_))
     {
-        store_transaction change;
-        change.expected.push_back(coordinator_lease::fence(term));
         const auto version = members_.rows.at(vm).version;
-        change.expected.push_back({member_table, vm, "", version, false});
-        change.removals.push_back({member_table, vm, "", 0, false});
-        const auto answer = lead_store_.rows.write(change);
+        const auto answer =
+            lead_store_.rows.write(vm_removal(term, vm, version));
         const bool done = answer.result == store_result::done;
         lines_.write(log_level::change, "vm_removed",
                      {{"gone", vm}, {"done", done ? "yes" : "no"}});
