A promotion that the platform refuses for its rate was not taken

429 counted as unanswered: 1.2 s of waiting for a server that nobody had promoted, and the same server for all further rounds. Now told apart, as is a call that sent nothing.

--- a/include/tanagerhoist/fleet/promotion_request.hpp
+++ b/include/tanagerhoist/fleet/promotion_request.hpp
@@ -22,7 +22,7 @@
     accepted,
     not_eligible, ///< not running, or another request is in progress
     unanswered,   ///< the promotion may still happen
-    not_sent,     ///< the platform could not be reached
+    not_sent,     ///< the platform was not reached or took no request
     term_over     ///< not sent: the sender is no longer the coordinator
 };
 
@@ -38,7 +38,7 @@
     case promotion_result::unanswered:
         return "none";
     case promotion_result::not_sent:
-        return "not sent, no connection";
+        return "not taken";
     default:
         return "not sent, term over";
     }
