Count the time of VMs that know of a seal from the read's answer

By reading (ONE): a VM that wrote its row after a seal has 0.5 s to stop using the primary, counted from the sending of the read that showed the row. With an answer that took longer nothing was left of it.

vm_that_wrote_its_row_before_a_late_answer_is_waited_for is new.

--- a/include/tanagerhoist/fleet/fleet_members.hpp
+++ b/include/tanagerhoist/fleet/fleet_members.hpp
@@ -27,6 +27,7 @@
     std::map<std::string, fleet_member> rows; ///< by VM
     milliseconds store_now{0}; ///< lower bound of the store's clock
     moment read_at{};          ///< when the read was sent
+    moment answered_at{};      ///< when its answer came
     /// Until then the store, which has come back older, may lack VMs or
     /// renewals whose primary leases are still valid.
     moment incomplete_until{};
--- a/src/fleet/fleet_coordinator.cpp
+++ b/src/fleet/fleet_coordinator.cpp
@@ -194,7 +194,7 @@
     if (member.version > seal_version)
     {
         // The VM knew of the seal when it wrote this row.
-        return members.read_at + seal_propagation_time;
+        return members.answered_at + seal_propagation_time;
     }
     if (is_lease_expired(member, members.store_now))
     {
--- a/tests/fleet_coordinator_test.cpp
+++ b/tests/fleet_coordinator_test.cpp
@@ -21,6 +21,7 @@
         lead.set_epoch(7);
         lead.set_sealed(true);
         members.read_at = now;
+        members.answered_at = now;
         members.store_now = milliseconds(100000);
     }
 
@@ -69,6 +70,7 @@
     CPPUNIT_TEST(seal_completes_when_all_have_acknowledged);
     CPPUNIT_TEST(seal_does_not_wait_for_expired_lease);
     CPPUNIT_TEST(seal_needs_members_read_after_it);
+    CPPUNIT_TEST(vm_that_wrote_its_row_before_a_late_answer_is_waited_for);
     CPPUNIT_TEST(acknowledgement_of_earlier_process_is_ignored);
     CPPUNIT_TEST(vm_registered_after_the_seal_knows_of_it);
     CPPUNIT_TEST(seal_waits_for_leases_that_the_store_has_lost);
@@ -202,6 +204,17 @@
         CPPUNIT_ASSERT(f.sealed(f.now));
     }
 
+    void vm_that_wrote_its_row_before_a_late_answer_is_waited_for()
+    {
+        coordinator_fixture f;
+        f.add_member("a", seal_version + 1, f.members.store_now);
+        f.now += milliseconds(700);
+        f.members.answered_at = f.now;
+        CPPUNIT_ASSERT(!f.sealed(f.now - milliseconds(700)));
+        f.now += milliseconds(500);
+        CPPUNIT_ASSERT(f.sealed(f.now - milliseconds(1200)));
+    }
+
     void acknowledgement_of_earlier_process_is_ignored()
     {
         coordinator_fixture f;
