--- a/include/tanagerhoist/session/primary_lease.hpp
+++ b/include/tanagerhoist/session/primary_lease.hpp
@@ -28,13 +28,13 @@
 {
 public:
     /// Renews the lease after a successful conditional write.
-    /// @param sent when the time in the written row was taken
-    void renew(moment sent)
+    /// @param dated when the time in the written row was taken
+    void renew(moment dated)
     {
-        if (!ended_ && (!renewed_ || sent > last_renewal_))
+        if (!ended_ && (!renewed_ || dated > last_renewal_))
         {
             renewed_ = true;
-            last_renewal_ = sent;
+            last_renewal_ = dated;
         }
     }
 
@@ -47,7 +47,7 @@
                now < last_renewal_ + primary_lease_duration;
     }
 
-    /// Time since the write of the last renewal was sent.
+    /// Time since the last renewal, by the time in its row.
     microseconds age(moment now) const { return now - last_renewal_; }
 
 private:
--- a/include/tanagerhoist/session/proxy.hpp
+++ b/include/tanagerhoist/session/proxy.hpp
@@ -65,7 +65,8 @@
     void use_new_coordinator();
     /// Notes how long a failover is going to wait for silent VMs.
     void use_seal_wait(moment now, const proto::SealWait& wait);
-    void renew_primary_lease(moment sent) { primary_lease_.renew(sent); }
+    /// @param dated when the time in this VM's row was taken
+    void renew_primary_lease(moment dated) { primary_lease_.renew(dated); }
     /// Gives the primary lease up for good, before other VMs may stop waiting
     /// for its end.
     void end_primary_lease() { primary_lease_.end(); }
--- a/src/session/proxy_time.cpp
+++ b/src/session/proxy_time.cpp
@@ -8,8 +8,6 @@
 namespace
 {
 
-/// Time that statements running at a primary have to finish after it is sealed.
-
 /// Time without an answer after which a server is probed with a new connection.
 constexpr milliseconds silence_before_probe{500};
 
