Dispatch after a pass over sessions, not within it

Callers saw: while a failover waited for a silent VM, removing a route whose reads waited for the replicas ended every daemon by signal 6 (std::out_of_range).

Cause: use_settings collected the ids of the sessions to end and looked each up with at(). Ending one dispatched its group at once; that refused and erased other waiting sessions of the removed route, which the loop had yet to reach.

Change: dispatching within a pass over sessions is deferred to its end, and is never nested. use_settings ends its sessions in such a pass and looks each id up anew. Waiting statements of a removed route are now all answered with no_key; some could be answered as out of reach or be sent to a server before.

--- a/include/tanagerhoist/session/proxy.hpp
+++ b/include/tanagerhoist/session/proxy.hpp
@@ -16,8 +16,10 @@
 #include "tanagerhoist/session/session_settings.hpp"
 #include "tanagerhoist/session/workspace_limits.hpp"
 
+#include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -160,7 +162,9 @@
     void admit_held(moment now);
 
     // Queueing and routing: proxy_dispatch.cpp
+    void run_pass(moment now, const std::function<void()>& pass);
     void dispatch(moment now, const std::string& group);
+    void assign_waiting(moment now, const std::string& group);
     void dispatch_group_of(moment now, const std::string& server);
     std::optional<milliseconds>
     primary_out_of_reach(moment now, const client_session& session) const;
@@ -220,6 +224,7 @@
                        const client_session& session, std::string_view cause);
 
     // Fleet state: proxy_fleet.cpp
+    void end_disallowed_sessions(moment now);
     void remove_server(moment now, const std::string& id);
     bool has_primary_work_at(const std::string& server) const;
 
@@ -252,6 +257,8 @@
     std::unordered_map<std::string, group_state> groups_;
     session_map sessions_;
     std::unordered_map<connection_id, server_connection> connections_;
+    std::set<std::string> due_groups_; ///< to be dispatched after the pass
+    bool in_pass_ = false;
     std::vector<session_id> held_; ///< waiting for a grant, in order of arrival
     workspace_limits limits_;
     primary_lease primary_lease_;
--- a/src/session/proxy_dispatch.cpp
+++ b/src/session/proxy_dispatch.cpp
@@ -21,10 +21,49 @@
 /// How long a draining primary gets new work while its successor is chosen.
 constexpr milliseconds draining_primary_use{5000};
 
+/// Sets a flag during its own lifetime.
+class flag_guard
+{
+public:
+    explicit flag_guard(bool& flag) : flag_(flag) { flag_ = true; }
+    ~flag_guard() { flag_ = false; }
+    flag_guard(const flag_guard&) = delete;
+    flag_guard& operator=(const flag_guard&) = delete;
+
+private:
+    bool& flag_;
+};
+
 } // namespace
 
-/// Assigns queued statements to servers in scheduling order.
+/// Runs a step that walks sessions, connections or servers. Groups that become
+/// due for dispatching meanwhile are dispatched after it: dispatching ends
+/// sessions and uses connections, also such that the step has yet to reach.
+void proxy::run_pass(moment now, const std::function<void()>& pass)
+{
+    if (in_pass_)
+    {
+        pass();
+        return;
+    }
+    const flag_guard guard(in_pass_);
+    pass();
+    while (!due_groups_.empty())
+    {
+        const auto group = due_groups_.extract(due_groups_.begin());
+        assign_waiting(now, group.value());
+    }
+}
+
+/// Assigns a group's queued statements to servers, at once or after the pass
+/// that is running.
 void proxy::dispatch(moment now, const std::string& group)
+{
+    run_pass(now, [this, &group] { due_groups_.insert(group); });
+}
+
+/// Assigns queued statements to servers in scheduling order.
+void proxy::assign_waiting(moment now, const std::string& group)
 {
     auto& waiting = groups_[group].waiting;
     if (waiting.empty())
--- a/src/session/proxy_fleet.cpp
+++ b/src/session/proxy_fleet.cpp
@@ -29,6 +29,13 @@
                                      : std::string("-")}});
     settings_ = std::move(settings);
     limits_.use_settings(now, *settings_);
+    run_pass(now, [this, now] { end_disallowed_sessions(now); });
+}
+
+/// Ends the sessions that the settings no longer allow; those with a running
+/// statement after its answer.
+void proxy::end_disallowed_sessions(moment now)
+{
     std::vector<session_id> ended;
     for (auto& [id, session] : sessions_)
     {
@@ -45,11 +52,15 @@
     }
     for (const auto id : ended)
     {
-        auto& session = sessions_.at(id);
-        const auto stage = session.request.stage;
+        const auto found = sessions_.find(id);
+        if (found == sessions_.end())
+        {
+            continue;
+        }
+        const auto stage = found->second.request.stage;
         if (stage != request_stage::none && stage != request_stage::running)
         {
-            refuse_waiting(now, id, session, session_error::no_key,
+            refuse_waiting(now, id, found->second, session_error::no_key,
                            "taken away, not run");
         }
         end_session_if_done(now, id);
--- /dev/null
+++ b/tests/proxy_passes_test.cpp
@@ -0,0 +1,73 @@
+#include "proxy_fixture.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace tanagerhoist
+{
+
+/// Calls of a proxy that walk several sessions, connections or servers, each of
+/// which may end or place others.
+class proxy_passes_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(proxy_passes_test);
+    CPPUNIT_TEST(removed_route_with_waiting_reads_ends_the_process);
+    CPPUNIT_TEST_SUITE_END();
+
+    /// Sessions whose reads use up or wait for the replicas.
+    static std::vector<session_id> load_replicas(proxy_fixture& f)
+    {
+        for (auto& [id, server] : f.servers)
+        {
+            server.slots = 1;
+        }
+        f.subject.use_servers(f.now, f.servers);
+        f.report_position(100);
+        std::vector<session_id> readers;
+        for (int i = 0; i < 10; ++i)
+        {
+            readers.push_back(f.start("bounded"));
+            f.ask(readers.back(), f.make(statement_kind::read));
+        }
+        return readers;
+    }
+
+    static void wait_for_silent_vm(proxy_fixture& f)
+    {
+        proto::SealWait wait;
+        wait.set_group("g");
+        wait.set_wait_ms(5000);
+        f.subject.use_seal_wait(f.now, wait);
+    }
+
+public:
+    void removed_route_with_waiting_reads_ends_the_process()
+    {
+        proxy_fixture f;
+        const auto readers = load_replicas(f);
+        f.seal();
+        wait_for_silent_vm(f);
+        CPPUNIT_ASSERT(f.subject.waiting() > 1);
+        f.settings.routes.erase("bounded");
+        f.settings.version = 2;
+        f.use_settings();
+        CPPUNIT_ASSERT_EQUAL(readers.size(), f.transport.answers.size());
+        for (const auto id : readers)
+        {
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                                 f.transport.answers.at(id).size());
+            CPPUNIT_ASSERT(f.transport.last_answer(id).error ==
+                           session_error::no_key);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.transport.ended.count(id));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, f.subject.sessions());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(proxy_passes_test);
+
+} // namespace tanagerhoist
