Answer an expired statement once

Callers could see two answers to one statement, so that each later answer of the session was taken for the next statement's.

Cause: expire_requests collected the expired statements; refusing the first of a draining session ended the session and dispatched the group, which refused others of the list as out of reach. They were then refused again. Others of the list could be sent to a server and cut at once.

Change: a tick is one pass; groups are dispatched after it.

--- a/include/tanagerhoist/session/proxy.hpp
+++ b/include/tanagerhoist/session/proxy.hpp
@@ -232,6 +232,7 @@
     void withdraw(session_id id, const client_session& session);
     void refuse_waiting(moment now, session_id id, client_session& session,
                         session_error error, const std::string& text);
+    void tick_in_pass(moment now);
     void expire_requests(moment now);
     void expire_running(moment now, session_id id, client_session& session);
     void end_idle_transactions(moment now);
--- a/src/session/proxy_time.cpp
+++ b/src/session/proxy_time.cpp
@@ -25,6 +25,12 @@
 } // namespace
 
 void proxy::tick(moment now)
+{
+    run_pass(now, [this, now] { tick_in_pass(now); });
+}
+
+/// The work of a tick, within one pass.
+void proxy::tick_in_pass(moment now)
 {
     expire_requests(now);
     end_idle_transactions(now);
--- a/tests/proxy_passes_test.cpp
+++ b/tests/proxy_passes_test.cpp
@@ -16,6 +16,7 @@
 {
     CPPUNIT_TEST_SUITE(proxy_passes_test);
     CPPUNIT_TEST(removed_route_with_waiting_reads_ends_the_process);
+    CPPUNIT_TEST(expired_statement_is_refused_twice);
     CPPUNIT_TEST_SUITE_END();
 
     /// Sessions whose reads use up or wait for the replicas.
@@ -66,6 +67,29 @@
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, f.subject.sessions());
     }
+
+    void expired_statement_is_refused_twice()
+    {
+        proxy_fixture f;
+        f.advance(primary_lease_duration);
+        // A transaction comes before a single write in any order of sessions.
+        const auto first = f.start("primary");
+        const auto single = f.start("primary");
+        const auto last = f.start("primary");
+        f.ask(first, f.make(statement_kind::begin));
+        f.ask(last, f.make(statement_kind::begin));
+        for (const auto id : {first, single, last})
+        {
+            f.ask(id, f.make(statement_kind::write));
+        }
+        f.subject.begin_drain(f.now, f.now + milliseconds(3000));
+        f.advance(milliseconds(1000));
+        f.subject.tick(f.now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.transport.answers[first].size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             f.transport.answers[single].size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.transport.answers[last].size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(proxy_passes_test);
