Open no connection to a server that is being removed

Callers saw: when a server's entry went or its address changed, the daemon could end by signal 6 (std::out_of_range), or keep a connection to the removed server; if the entry came back, the counts of its connections fell below zero, so that no more were opened to it.

Cause: remove_server lost the server's connections one by one; each loss dispatched the group at once, with the server still listed. That opened connections that nobody closed, and closed idle ones that the loop had yet to reach.

Change: use_servers is one pass; groups are dispatched after it.

--- a/include/tanagerhoist/session/proxy.hpp
+++ b/include/tanagerhoist/session/proxy.hpp
@@ -225,6 +225,8 @@
 
     // Fleet state: proxy_fleet.cpp
     void end_disallowed_sessions(moment now);
+    void remove_gone_servers(moment now, const server_list& servers);
+    void add_servers(moment now, const server_list& servers);
     void remove_server(moment now, const std::string& id);
     bool has_primary_work_at(const std::string& server) const;
 
--- a/src/session/proxy_fleet.cpp
+++ b/src/session/proxy_fleet.cpp
@@ -68,6 +68,21 @@
 }
 
 void proxy::use_servers(moment now, const server_list& servers)
+{
+    run_pass(now,
+             [this, now, &servers]
+             {
+                 remove_gone_servers(now, servers);
+                 add_servers(now, servers);
+                 close_idle_at_draining();
+                 for (const auto& [name, group] : groups_)
+                 {
+                     dispatch(now, name);
+                 }
+             });
+}
+
+void proxy::remove_gone_servers(moment now, const server_list& servers)
 {
     std::vector<std::string> gone;
     for (auto& [id, state] : servers_)
@@ -90,6 +105,10 @@
         log_.write(log_level::change, "server_gone", {{"server", id}});
         remove_server(now, id);
     }
+}
+
+void proxy::add_servers(moment now, const server_list& servers)
+{
     for (const auto& [id, server] : servers)
     {
         const auto [it, added] = servers_.try_emplace(id, server);
@@ -110,11 +129,6 @@
         }
         state.server = server;
     }
-    close_idle_at_draining();
-    for (auto& [name, group] : groups_)
-    {
-        dispatch(now, name);
-    }
 }
 
 void proxy::remove_server(moment now, const std::string& id)
--- a/tests/proxy_passes_test.cpp
+++ b/tests/proxy_passes_test.cpp
@@ -17,6 +17,8 @@
     CPPUNIT_TEST_SUITE(proxy_passes_test);
     CPPUNIT_TEST(removed_route_with_waiting_reads_ends_the_process);
     CPPUNIT_TEST(expired_statement_is_refused_twice);
+    CPPUNIT_TEST(connection_is_opened_to_a_server_being_removed);
+    CPPUNIT_TEST(removed_server_with_spare_connections_ends_the_process);
     CPPUNIT_TEST_SUITE_END();
 
     /// Sessions whose reads use up or wait for the replicas.
@@ -45,6 +47,16 @@
         f.subject.use_seal_wait(f.now, wait);
     }
 
+    /// Leaves only server q for reads.
+    static void use_only_replica_q(proxy_fixture& f)
+    {
+        f.servers.erase("r");
+        f.servers.at("p").draining = true;
+        f.subject.use_servers(f.now, f.servers);
+        f.report_position(100);
+        f.seal();
+    }
+
 public:
     void removed_route_with_waiting_reads_ends_the_process()
     {
@@ -90,6 +102,52 @@
                              f.transport.answers[single].size());
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.transport.answers[last].size());
     }
+
+    void connection_is_opened_to_a_server_being_removed()
+    {
+        proxy_fixture f;
+        use_only_replica_q(f);
+        f.ask(f.start("bounded"), f.make(statement_kind::read));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.transport.opened.size());
+        const auto connection = f.open_last();
+        const auto opened = f.transport.opened.size();
+        const auto q = f.servers.extract("q");
+        f.subject.use_servers(f.now, f.servers);
+        CPPUNIT_ASSERT_EQUAL(opened, f.transport.opened.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.transport.closed.size());
+        CPPUNIT_ASSERT_EQUAL(connection, f.transport.closed.back());
+        f.servers["q"] = q.mapped();
+        f.subject.use_servers(f.now, f.servers);
+        CPPUNIT_ASSERT_EQUAL(1U, f.subject.server("q")->connections);
+    }
+
+    void removed_server_with_spare_connections_ends_the_process()
+    {
+        proxy_fixture f;
+        use_only_replica_q(f);
+        // Idle connections are before and after the running one in any order.
+        for (int i = 0; i < 3; ++i)
+        {
+            f.ask(f.start("bounded", i == 1 ? "key-w" : "key-v"),
+                  f.make(statement_kind::read));
+        }
+        for (const auto& connection : std::vector(f.transport.opened))
+        {
+            f.subject.connection_opened(f.now, connection.id, {});
+        }
+        for (const auto number : {0, 2})
+        {
+            const auto id = f.transport.opened.at(number).id;
+            f.subject.server_ready(f.now, id, transaction_state::none, {});
+        }
+        f.settings.groups["g"] = {3, 0}; // of which VMs use one
+        f.settings.version = 2;
+        f.use_settings();
+        f.servers.erase("q");
+        f.subject.use_servers(f.now, f.servers);
+        CPPUNIT_ASSERT(f.subject.server("q") == nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.subject.waiting());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(proxy_passes_test);
