Treat an unsolicited answer as the loss of its connection

Callers saw: after a server had sent an answer that nobody had asked for on a connection with an open transaction, the transaction's next statement ended the daemon by signal 6 (std::out_of_range).

Cause: server_ready closed the connection and left the session pinned to it.

Change: the connection counts as lost; the session's next statement is answered as rolled back.

Evidence: proxy_passes_test unsolicited_answer_in_a_transaction_ends_the_process fails before (unordered_map::at) and passes now; 536 unit tests pass.

--- a/src/session/proxy_answers.cpp
+++ b/src/session/proxy_answers.cpp
@@ -235,7 +235,7 @@
     }
     if (!connection.busy)
     {
-        close_connection(id); // unsolicited answer: connection state unknown
+        connection_lost(now, id); // unsolicited answer: its state is unknown
         return;
     }
     if (connection.current.query_id.empty())
--- a/tests/proxy_passes_test.cpp
+++ b/tests/proxy_passes_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(expired_statement_is_refused_twice);
     CPPUNIT_TEST(connection_is_opened_to_a_server_being_removed);
     CPPUNIT_TEST(removed_server_with_spare_connections_ends_the_process);
+    CPPUNIT_TEST(unsolicited_answer_in_a_transaction_ends_the_process);
     CPPUNIT_TEST_SUITE_END();
 
     /// Sessions whose reads use up or wait for the replicas.
@@ -148,6 +149,23 @@
         CPPUNIT_ASSERT(f.subject.server("q") == nullptr);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.subject.waiting());
     }
+
+    void unsolicited_answer_in_a_transaction_ends_the_process()
+    {
+        proxy_fixture f;
+        const auto id = f.start("primary");
+        f.ask(id, f.make(statement_kind::begin));
+        f.ask(id, f.make(statement_kind::write));
+        const auto connection = f.open_last();
+        f.succeed(transaction_state::open);
+        f.succeed(transaction_state::open);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.transport.answers[id].size());
+        f.subject.server_ready(f.now, connection, transaction_state::open, {});
+        CPPUNIT_ASSERT_EQUAL(connection, f.transport.closed.back());
+        f.ask(id, f.make(statement_kind::write));
+        CPPUNIT_ASSERT(f.transport.last_answer(id).error ==
+                       session_error::aborted);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(proxy_passes_test);
