--- a/src/session/proxy_admission.cpp
+++ b/src/session/proxy_admission.cpp
@@ -146,7 +146,7 @@
 void proxy::use_grants(moment now, const workspace_limits::grants& given)
 {
     limits_.use_grants(now, given);
-    admit_held(now);
+    run_pass(now, [this, now] { admit_held(now); });
 }
 
 } // namespace tanagerhoist
--- a/src/session/proxy_fleet.cpp
+++ b/src/session/proxy_fleet.cpp
@@ -186,7 +186,7 @@
         group.history.clear();
         if (!before.empty())
         {
-            abort_running_at(now, before, true);
+            run_pass(now, [&] { abort_running_at(now, before, true); });
         }
     }
     dispatch(now, lead.group());
