--- a/src/session/proxy_fleet.cpp
+++ b/src/session/proxy_fleet.cpp
@@ -29,6 +29,13 @@
                                      : std::string("-")}});
     settings_ = std::move(settings);
     limits_.use_settings(now, *settings_);
+    run_pass(now, [this, now] { end_disallowed_sessions(now); });
+}
+
+/// Ends the sessions that the settings no longer allow; those with a running
+/// statement after its answer.
+void proxy::end_disallowed_sessions(moment now)
+{
     std::vector<session_id> ended;
     for (auto& [id, session] : sessions_)
     {
@@ -45,11 +52,15 @@
     }
     for (const auto id : ended)
     {
-        auto& session = sessions_.at(id);
-        const auto stage = session.request.stage;
+        const auto found = sessions_.find(id);
+        if (found == sessions_.end())
+        {
+            continue;
+        }
+        const auto stage = found->second.request.stage;
         if (stage != request_stage::none && stage != request_stage::running)
         {
-            refuse_waiting(now, id, session, session_error::no_key,
+            refuse_waiting(now, id, found->second, session_error::no_key,
                            "taken away, not run");
         }
         end_session_if_done(now, id);
@@ -57,6 +68,21 @@
 }
 
 void proxy::use_servers(moment now, const server_list& servers)
+{
+    run_pass(now,
+             [this, now, &servers]
+             {
+                 remove_gone_servers(now, servers);
+                 add_servers(now, servers);
+                 close_idle_at_draining();
+                 for (const auto& [name, group] : groups_)
+                 {
+                     dispatch(now, name);
+                 }
+             });
+}
+
+void proxy::remove_gone_servers(moment now, const server_list& servers)
 {
     std::vector<std::string> gone;
     for (auto& [id, state] : servers_)
@@ -79,6 +105,10 @@
         log_.write(log_level::change, "server_gone", {{"server", id}});
         remove_server(now, id);
     }
+}
+
+void proxy::add_servers(moment now, const server_list& servers)
+{
     for (const auto& [id, server] : servers)
     {
         const auto [it, added] = servers_.try_emplace(id, server);
@@ -99,11 +129,6 @@
         }
         state.server = server;
     }
-    close_idle_at_draining();
-    for (auto& [name, group] : groups_)
-    {
-        dispatch(now, name);
-    }
 }
 
 void proxy::remove_server(moment now, const std::string& id)
@@ -161,7 +186,7 @@
         group.history.clear();
         if (!before.empty())
         {
-            abort_running_at(now, before, true);
+            run_pass(now, [&] { abort_running_at(now, before, true); });
         }
     }
     dispatch(now, lead.group());
