Promote no server that lacks commits which a draining one has

What a caller sees: in a group with a synchronous replica, an acknowledged write is missing after a change of primary (LOST).

A replica that was away and came back after the old primary was demoted or had crashed has nobody to catch up from; the only server with the last commits was draining, and the other one was promoted.

Change: with synchronous replicas the log counts first, then the preference. Groups without them choose as before.

--- a/src/fleet/failover_executor.cpp
+++ b/src/fleet/failover_executor.cpp
@@ -35,6 +35,28 @@
 /// Attempts to promote a server before the failover is left to a later call.
 constexpr int max_attempts = 8;
 
+/// What counts when a server is chosen for promotion.
+struct candidate
+{
+    log_position log_end;
+    bool draining = false;
+};
+
+/// Whether a candidate is better than another. With synchronous replicas no
+/// preference outweighs the log, which may hold the last commit.
+bool is_better(const candidate& one, const candidate& other, bool synchronous)
+{
+    if (synchronous && !(one.log_end == other.log_end))
+    {
+        return other.log_end < one.log_end;
+    }
+    if (one.draining != other.draining)
+    {
+        return other.draining;
+    }
+    return other.log_end < one.log_end;
+}
+
 } // namespace
 
 failover_executor::failover_executor(failover_port& port, structured_log& lines)
@@ -216,11 +238,11 @@
                                     const std::set<std::string>& ineligible)
 {
     const auto until = port_.now() + catch_up_timeout;
+    const bool synchronous = port_.synchronous_replicas(lead.group()) != 0;
     for (;;)
     {
         std::optional<std::string> best;
-        log_position newest_log_end;
-        bool best_is_draining = false;
+        candidate chosen;
         bool all_answered = true;
         for (const auto& server : port_.servers(lead.group()))
         {
@@ -234,21 +256,19 @@
             {
                 return server.id; // already promoted
             }
+            const candidate present{role ? role->received : log_position{},
+                                    server.draining};
             const bool better =
-                role && (!best || (best_is_draining && !server.draining) ||
-                         (best_is_draining == server.draining &&
-                          newest_log_end < role->received));
+                role && (!best || is_better(present, chosen, synchronous));
             if (better)
             {
                 best = server.id;
-                newest_log_end = role->received;
-                best_is_draining = server.draining;
+                chosen = present;
             }
         }
-        const bool complete =
-            port_.synchronous_replicas(lead.group()) == 0 || all_answered;
+        const bool complete = !synchronous || all_answered;
         const bool caught_up =
-            !old_log_end_ || !(newest_log_end < *old_log_end_);
+            !old_log_end_ || !(chosen.log_end < *old_log_end_);
         const bool waited = port_.now() >= until;
         if (best && complete && (caught_up || waited))
         {
--- a/tests/failover_executor_test.cpp
+++ b/tests/failover_executor_test.cpp
@@ -170,6 +170,7 @@
     CPPUNIT_TEST(successor_with_same_term_becomes_primary);
     CPPUNIT_TEST(synchronous_group_waits_for_all_replicas);
     CPPUNIT_TEST(draining_replica_is_promoted_only_without_others);
+    CPPUNIT_TEST(commits_that_only_a_draining_replica_has_are_kept);
     CPPUNIT_TEST(lead_is_created_from_current_primary);
     CPPUNIT_TEST(lead_lost_with_the_store_is_written_again);
     CPPUNIT_TEST(promotion_lost_with_the_store_is_found_at_the_servers);
@@ -410,6 +411,17 @@
         CPPUNIT_ASSERT_EQUAL(std::string("q"), done->lead.primary());
     }
 
+    void commits_that_only_a_draining_replica_has_are_kept()
+    {
+        fake_group f;
+        f.synchronous = 1;
+        f.members["p"].answers = false;
+        f.members["r"].draining = true;
+        const auto done = f.change_primary(false);
+        CPPUNIT_ASSERT(done);
+        CPPUNIT_ASSERT_EQUAL(std::string("r"), done->lead.primary());
+    }
+
     void lead_is_created_from_current_primary()
     {
         fake_group f;
