Promote no server that lacks commits which a refused one has

What a caller sees: in a group with a synchronous replica, an acknowledged write is missing after a change of primary (LOST).

Cause: a server whose promotion the platform refuses, also because another request is in progress, was left out of the choice, and with it its log. The next one was promoted after 1.5 s although it had fallen behind.

Change: with synchronous replicas a refused server is asked for its log, and nobody is chosen while it has more than the best of the others; the caller then clears the refusals and tries again.

--- a/src/fleet/failover_executor.cpp
+++ b/src/fleet/failover_executor.cpp
@@ -243,14 +243,22 @@
     {
         std::optional<std::string> best;
         candidate chosen;
+        log_position newest_refused;
         bool all_answered = true;
         for (const auto& server : port_.servers(lead.group()))
         {
-            if (server.id == lead.primary() || ineligible.count(server.id) != 0)
+            const bool refused = ineligible.count(server.id) != 0;
+            if (server.id == lead.primary() || (refused && !synchronous))
             {
                 continue;
             }
             const auto role = port_.role(server);
+            if (refused)
+            {
+                newest_refused = std::max(
+                    newest_refused, role ? role->received : log_position{});
+                continue;
+            }
             all_answered = all_answered && role.has_value();
             if (role && role->primary && role->term >= lead.term())
             {
@@ -266,6 +274,10 @@
                 chosen = present;
             }
         }
+        if (best && chosen.log_end < newest_refused)
+        {
+            return std::nullopt; // the refused server may hold the last commit
+        }
         const bool complete = !synchronous || all_answered;
         const bool caught_up =
             !old_log_end_ || !(chosen.log_end < *old_log_end_);
--- a/tests/failover_executor_test.cpp
+++ b/tests/failover_executor_test.cpp
@@ -114,7 +114,7 @@
         CPPUNIT_ASSERT(all_acknowledged);
         CPPUNIT_ASSERT(is_coordinator());
         promotions.push_back(server);
-        if (!members.at(server).answers)
+        if (!members.at(server).answers || refusals-- > 0)
         {
             return promotion_result::not_eligible;
         }
@@ -143,6 +143,7 @@
     bool coordinator = true;
     bool all_acknowledged = true;
     bool promotion_starts = true;
+    int refusals = 0; ///< of the next promotion requests
     unsigned synchronous = 0;
     store_era present_era = 0;
     std::vector<std::string> promotions;
@@ -171,6 +172,7 @@
     CPPUNIT_TEST(synchronous_group_waits_for_all_replicas);
     CPPUNIT_TEST(draining_replica_is_promoted_only_without_others);
     CPPUNIT_TEST(commits_that_only_a_draining_replica_has_are_kept);
+    CPPUNIT_TEST(commits_that_only_a_refused_replica_has_are_kept);
     CPPUNIT_TEST(lead_is_created_from_current_primary);
     CPPUNIT_TEST(lead_lost_with_the_store_is_written_again);
     CPPUNIT_TEST(promotion_lost_with_the_store_is_found_at_the_servers);
@@ -422,6 +424,17 @@
         CPPUNIT_ASSERT_EQUAL(std::string("r"), done->lead.primary());
     }
 
+    void commits_that_only_a_refused_replica_has_are_kept()
+    {
+        fake_group f;
+        f.synchronous = 1;
+        f.members["p"].answers = false;
+        f.refusals = 1; // another request is in progress
+        const auto done = f.change_primary(false);
+        CPPUNIT_ASSERT(done);
+        CPPUNIT_ASSERT_EQUAL(std::string("r"), done->lead.primary());
+    }
+
     void lead_is_created_from_current_primary()
     {
         fake_group f;
