Publish the old primary again only after it was demoted

Cause: if no other server can be promoted, a failover falls back on the old primary when that answers. It took a primary of the old term for one that was promoted again. If an earlier order had promoted another server, which is out of reach now, and the old primary comes back from being out of reach as primary of its old term, it was published at once.

In old_primary_that_was_not_demoted_is_not_published_again the old primary was published in its old term before; now it is demoted in the next round and published in the next term.

Change: the old primary is a fallback once it has been demoted in this failover.

--- a/src/fleet/failover_executor.cpp
+++ b/src/fleet/failover_executor.cpp
@@ -299,12 +299,13 @@
 }
 
 /// Returns the old primary if it answers, as fallback if no other server can be
-/// promoted.
+/// promoted. It must have been demoted: one that still leads the old term can't
+/// be told from one that was promoted again, and another server may lead.
 std::optional<std::string>
 failover_executor::reachable_old_primary(const proto::GroupLead& lead)
 {
     const auto old = find(lead.group(), lead.primary());
-    if (old && port_.role(*old))
+    if (old && old_log_end_ && port_.role(*old))
     {
         return old->id;
     }
--- a/tests/failover_executor_test.cpp
+++ b/tests/failover_executor_test.cpp
@@ -173,6 +173,7 @@
     CPPUNIT_TEST(draining_replica_is_promoted_only_without_others);
     CPPUNIT_TEST(commits_that_only_a_draining_replica_has_are_kept);
     CPPUNIT_TEST(commits_that_only_a_refused_replica_has_are_kept);
+    CPPUNIT_TEST(old_primary_that_was_not_demoted_is_not_published_again);
     CPPUNIT_TEST(lead_is_created_from_current_primary);
     CPPUNIT_TEST(lead_lost_with_the_store_is_written_again);
     CPPUNIT_TEST(promotion_lost_with_the_store_is_found_at_the_servers);
@@ -435,6 +436,19 @@
         CPPUNIT_ASSERT_EQUAL(std::string("r"), done->lead.primary());
     }
 
+    void old_primary_that_was_not_demoted_is_not_published_again()
+    {
+        fake_group f;
+        f.members["p"].answers = false;
+        f.members["q"].answers = false; // it may have been promoted
+        f.members["r"].answers = false;
+        f.on_pause = [&] { f.members["p"].answers = true; };
+        const auto done = f.change_primary(false);
+        CPPUNIT_ASSERT(done);
+        CPPUNIT_ASSERT_EQUAL(std::string("p"), done->lead.primary());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, done->lead.term());
+    }
+
     void lead_is_created_from_current_primary()
     {
         fake_group f;
