--- a/src/fleet/failover_executor.cpp
+++ b/src/fleet/failover_executor.cpp
@@ -34,6 +34,28 @@
 /// Attempts to promote a server before the failover is left to a later call.
 constexpr int max_attempts = 8;
 
+/// What counts when a server is chosen for promotion.
+struct candidate
+{
+    log_position log_end;
+    bool draining = false;
+};
+
+/// Whether a candidate is better than another. With synchronous replicas no
+/// preference outweighs the log, which may hold the last commit.
+bool is_better(const candidate& one, const candidate& other, bool synchronous)
+{
+    if (synchronous && !(one.log_end == other.log_end))
+    {
+        return other.log_end < one.log_end;
+    }
+    if (one.draining != other.draining)
+    {
+        return other.draining;
+    }
+    return other.log_end < one.log_end;
+}
+
 } // namespace
 
 failover_executor::failover_executor(failover_port& port, structured_log& lines)
@@ -235,39 +257,49 @@
                                     const std::set<std::string>& ineligible)
 {
     const auto until = port_.now() + catch_up_timeout;
+    const bool synchronous = port_.synchronous_replicas(lead.group()) != 0;
     for (;;)
     {
         std::optional<std::string> best;
-        log_position newest_log_end;
-        bool best_is_draining = false;
+        candidate chosen;
+        log_position newest_refused;
         bool all_answered = true;
         for (const auto& server : port_.servers(lead.group()))
         {
-            if (server.id == lead.primary() || ineligible.count(server.id) != 0)
+            const bool refused = ineligible.count(server.id) != 0;
+            if (server.id == lead.primary() || (refused && !synchronous))
             {
                 continue;
             }
             const auto role = port_.role(server);
+            if (refused)
+            {
+                newest_refused = std::max(
+                    newest_refused, role ? role->received : log_position{});
+                continue;
+            }
             all_answered = all_answered && role.has_value();
             if (role && role->primary && role->term >= lead.term())
             {
                 return server.id; // already promoted
             }
+            const candidate present{role ? role->received : log_position{},
+                                    server.draining};
             const bool better =
-                role && (!best || (best_is_draining && !server.draining) ||
-                         (best_is_draining == server.draining &&
-                          newest_log_end < role->received));
+                role && (!best || is_better(present, chosen, synchronous));
             if (better)
             {
                 best = server.id;
-                newest_log_end = role->received;
-                best_is_draining = server.draining;
+                chosen = present;
             }
         }
-        const bool complete =
-            port_.synchronous_replicas(lead.group()) == 0 || all_answered;
+        if (best && chosen.log_end < newest_refused)
+        {
+            return std::nullopt; // the refused server may hold the last commit
+        }
+        const bool complete = !synchronous || all_answered;
         const bool caught_up =
-            !old_log_end_ || !(newest_log_end < *old_log_end_);
+            !old_log_end_ || !(chosen.log_end < *old_log_end_);
         const bool waited = port_.now() >= until;
         if (best && complete && (caught_up || waited))
         {
@@ -286,12 +318,13 @@
 }
 
 /// Returns the old primary if it answers, as fallback if no other server can be
-/// promoted.
+/// promoted. It must have been demoted: one that still leads the old term can't
+/// be told from one that was promoted again, and another server may lead.
 std::optional<std::string>
 failover_executor::reachable_old_primary(const proto::GroupLead& lead)
 {
     const auto old = find(lead.group(), lead.primary());
-    if (old && port_.role(*old))
+    if (old && old_log_end_ && port_.role(*old))
     {
         return old->id;
     }
