Search over interleavings: the daemon's present steps, with the shared classes

The simulation's copies of registration, of the holder's writes and of the read after a lost answer are gone into the classes that the daemon uses; leads are read by a fiber of their own, releases wait 0.4 s at most, a primary that is listed as a replica is verified.

--- a/fuzz/coordinator_simulation_vm.cpp
+++ b/fuzz/coordinator_simulation_vm.cpp
@@ -1,7 +1,8 @@
 #include "coordinator_simulation_vm.hpp"
 
+#include "tanagerhoist/fleet/coordinator_writes.hpp"
 #include "tanagerhoist/fleet/fleet_schedule.hpp"
-#include "tanagerhoist/fleet/row_conflict.hpp"
+#include "tanagerhoist/fleet/repeated_write.hpp"
 #include "tanagerhoist/fleet/table_read.hpp"
 
 #include <algorithm>
@@ -24,6 +25,8 @@
 constexpr milliseconds only_own_lease = std::chrono::hours(24);
 constexpr milliseconds check_interval{300};
 constexpr milliseconds release_check_interval{5};
+constexpr milliseconds longest_release_wait{400};
+constexpr milliseconds shortest_pause{20};
 
 proto::MemberRow row_of(const std::string& vm, std::uint64_t life,
                         std::size_t index)
@@ -52,6 +55,8 @@
       lease_store_(world, *process_, index, short_write_timeout),
       member_store_(world, *process_, index, patient_write_timeout),
       lead_store_(world, *process_, index, patient_write_timeout),
+      registration_(member_store_.rows, row_of(name_, life_, index),
+                    [this] { return this->now(); }),
       lease_(
           lease_store_.rows, row_of(name_, life_, index),
           [this] { return this->now(); }, lines_),
@@ -74,48 +79,60 @@
     return !leaving_ && lease_.is_current(term);
 }
 
-std::uint64_t simulated_vm::store_time() const
-{
-    return static_cast<std::uint64_t>(store_clock_.count()) +
-           to_ms(now() - store_clock_at_) + 1;
-}
-
 void simulated_vm::stop(std::function<void()> ended)
 {
     process_->spawn(
         [this, ended = std::move(ended)]
         {
             leaving_ = true;
-            while (lease_in_use_ || promotion_requests_ > 0)
-            {
-                process_->pause(release_check_interval);
-            }
-            lease_.release({});
+            primary_lease_.end();
+            store_connection store(world_, *process_, index_,
+                                   short_write_timeout);
+            registration_.remove(store.rows);
+            release_lease();
             world_.events().add(microseconds(0), ended);
         });
 }
 
+void simulated_vm::release_lease()
+{
+    const auto busy = [this]
+    { return lease_in_use_ || promotion_requests_ > 0; };
+    const auto until = now() + longest_release_wait;
+    while (busy() && now() < until)
+    {
+        process_->pause(release_check_interval);
+    }
+    if (!busy())
+    {
+        lease_.release({});
+    }
+}
+
 void simulated_vm::maintain_coordinator_lease()
 {
     while (!leaving_)
     {
+        const auto begun = now();
         lease_in_use_ = true;
-        bool done = update_lease_if_due();
+        const bool done = update_lease_if_due();
+        lease_in_use_ = false;
         if (is_takeover_read_due(now(), messages_.last_contact(), registered_,
                                  lease_.is_holder_known()))
         {
             read_members();
         }
         const auto current = term();
-        if (current && !prepare_term(*current))
+        if (current && begun_token_ != current->token)
         {
-            done = false;
+            begin_term(*current);
         }
-        lease_in_use_ = false;
         const auto spread =
             std::chrono::duration_cast<milliseconds>(world_.short_delay() * 10);
-        process_->pause(lease_update_interval(registered_, done,
-                                              current.has_value(), spread));
+        const auto interval = lease_update_interval(
+            registered_, done, current.has_value(), spread);
+        const auto took = std::chrono::ceil<milliseconds>(now() - begun);
+        process_->pause(std::max(interval - took, shortest_pause));
     }
 }
 
@@ -142,27 +159,23 @@
     use_lost_leases();
     confirm_from_ = now() + report_wait;
     read_members();
+    send_views(term);
+    process_->spawn([this, term] { read_leads_in(term); });
 }
 
-bool simulated_vm::prepare_term(const coordinator_term& term)
+void simulated_vm::read_leads_in(const coordinator_term& term)
 {
-    const bool begins = begun_token_ != term.token;
-    if (begins)
-    {
-        begin_term(term);
-    }
-    if (leads_token_ != term.token && read_leads(lease_store_.rows))
-    {
-        leads_token_ = term.token;
-    }
-    if (begins)
+    store_connection store(world_, *process_, index_, short_write_timeout);
+    backoff retry(milliseconds(100), milliseconds(800));
+    while (is_current(term) && leads_token_ != term.token)
     {
-        if (const auto current = this->term())
+        if (read_leads(store.rows))
         {
-            send_views(*current);
+            leads_token_ = term.token;
+            return;
         }
+        process_->pause(retry.next());
     }
-    return leads_token_ == term.token;
 }
 
 void simulated_vm::use_lost_leases()
@@ -174,7 +187,7 @@
     }
     const auto end = since + primary_lease_duration + primary_lease_margin;
     members_.incomplete_until = std::max(members_.incomplete_until,
-                                         now() + (end - lease_.store_clock()));
+                                         now() + (end - lease_.store_time()));
 }
 
 void simulated_vm::monitor_group()
@@ -235,6 +248,19 @@
                           }
                       });
     }
+    else if (action == group_action::verify_primary)
+    {
+        run_operation(term,
+                      [this](failover_executor& executor)
+                      {
+                          const auto verified = *leads_.find(group_name);
+                          if (executor.is_primary_demoted(verified.lead))
+                          {
+                              executor.change_primary(*leads_.find(group_name),
+                                                      false);
+                          }
+                      });
+    }
     else if (action != group_action::none)
     {
         const bool planned = action == group_action::replace_planned;
@@ -248,13 +274,9 @@
 {
     for (const auto& vm : coordinator_.expired_vms(now(), members_))
     {
-        store_transaction change;
-        change.expected.push_back(coordinator_lease::fence(term));
-        change.expected.push_back(
-            {member_table, vm, "", members_.rows.at(vm).version, false});
-        change.removals.push_back({member_table, vm, "", 0, false});
-        lead_store_.rows.write(change);
-        members_.rows.erase(vm);
+        const auto version = members_.rows.at(vm).version;
+        lead_store_.rows.write(vm_removal(term, vm, version));
+        members_.forget(vm, version);
         return;
     }
 }
@@ -284,11 +306,9 @@
         return;
     }
     apply_members(members);
-    store_clock_ = members.now;
-    store_clock_at_ = members.sent;
     const auto own = members_.rows.find(name_);
     has_restarted_ = own != members_.rows.end();
-    own_version_ = has_restarted_ ? own->second.version : 0;
+    registration_.use_read(members, has_restarted_ ? own->second.version : 0);
     state_known_ = true;
 }
 
@@ -315,7 +335,7 @@
         retry.reset();
         const auto renewed = now();
         while (
-            !leaving_ && era_of(own_version_) == era_ &&
+            !leaving_ && era_of(registration_.version()) == era_ &&
             !is_renewal_due(now(), renewed, messages_.last_contact(), vm_count))
         {
             process_->pause(renewal_without_coordinator);
@@ -326,37 +346,21 @@
 bool simulated_vm::write_member_row()
 {
     constexpr std::size_t transaction_rows = 90;
-    const auto dated = now();
-    auto row = row_of(name_, life_, index_);
-    row.set_store_ms(store_time());
-    store_transaction change;
-    change.expected.push_back({member_table, name_, "", own_version_, false});
-    for (auto& condition : leads_.conditions(transaction_rows - 1))
-    {
-        change.expected.push_back(std::move(condition));
-    }
-    change.puts.push_back(
-        {member_table, name_, row.SerializeAsString(), 0, false});
-    const auto answer = member_store_.rows.write(change);
+    const auto renewal =
+        registration_.write(leads_.conditions(transaction_rows - 1));
+    const auto& answer = renewal.answer;
     note_era(answer.era);
     const bool done = answer.result == store_result::done;
-    if (done || answer.result == store_result::restored)
-    {
-        own_version_ = answer.version;
-        store_clock_ = answer.now;
-        store_clock_at_ = answer.sent;
-    }
     registered_ = registered_ || done;
     if (done && leads_.are_confirmed(era_))
     {
-        primary_lease_.renew(
-            world_.options().lease_counts_from_sending ? answer.sent : dated);
+        primary_lease_.renew(world_.options().lease_counts_from_sending
+                                 ? answer.sent
+                                 : renewal.lease_from);
         return true;
     }
     if (answer.result == store_result::conflict)
     {
-        own_version_ =
-            version_after_conflict(change, answer, change.expected.front());
         for (const auto& current : answer.rows)
         {
             apply_lead_row(current);
@@ -393,6 +397,7 @@
     std::map<std::string, fleet_member> read;
     members_.store_now = answer.now;
     members_.read_at = answer.sent;
+    members_.answered_at = now();
     for (const auto& row : answer.rows)
     {
         fleet_member member;
@@ -487,26 +492,16 @@
                                       const proto::GroupLead& lead,
                                       std::uint64_t version)
 {
-    const auto key = group_prefix + lead.group();
-    store_transaction change;
-    change.expected.push_back(coordinator_lease::fence(term));
-    change.expected.push_back({fleet_table, key, "", version, false});
-    change.puts.push_back(
-        {fleet_table, key, lead.SerializeAsString(), 0, false});
     store_connection store(world_, *process_, index_, patient_write_timeout);
-    auto answer = store.rows.write(change);
-    if (answer.result == store_result::unanswered)
+    const auto goes_on =
+        [this, &term,
+         retry = backoff(milliseconds(100), milliseconds(800))]() mutable
     {
-        const auto read = store.rows.read(fleet_table, key);
-        for (const auto& row : read.rows)
-        {
-            if (row.key == key && row.value == lead.SerializeAsString())
-            {
-                answer.result = store_result::done;
-                answer.version = row.version;
-            }
-        }
-    }
+        process_->pause(retry.next());
+        return is_current(term);
+    };
+    const auto answer = write_until_answered(
+        store.rows, lead_change(term, lead, version), goes_on);
     note_era(answer.era);
     if (answer.result == store_result::done)
     {
--- a/fuzz/coordinator_simulation_vm.hpp
+++ b/fuzz/coordinator_simulation_vm.hpp
@@ -12,6 +12,7 @@
 #include "tanagerhoist/fleet/fleet_coordinator.hpp"
 #include "tanagerhoist/fleet/group_monitor.hpp"
 #include "tanagerhoist/fleet/lead_table.hpp"
+#include "tanagerhoist/fleet/member_registration.hpp"
 #include "tanagerhoist/session/primary_lease.hpp"
 
 namespace tanagerhoist::fuzz
@@ -111,11 +112,11 @@
     std::optional<coordinator_term> term() const;
     bool is_current(const coordinator_term& term) const;
     bool is_coordinator() const { return term().has_value(); }
-    std::uint64_t store_time() const;
 
     void maintain_coordinator_lease();
     bool update_lease_if_due();
-    bool prepare_term(const coordinator_term& term);
+    void read_leads_in(const coordinator_term& term);
+    void release_lease();
     void begin_term(const coordinator_term& term);
     void use_lost_leases();
     void monitor_group();
@@ -158,6 +159,7 @@
     store_connection lease_store_;
     store_connection member_store_;
     store_connection lead_store_;
+    member_registration registration_;
     coordinator_lease lease_;
     coordinator_messages messages_;
     fleet_coordinator coordinator_;
@@ -179,9 +181,6 @@
     std::uint64_t leads_token_ = 0;
     moment confirm_from_{};
     moment members_requested_at_{};
-    std::uint64_t own_version_ = 0;
-    milliseconds store_clock_{0};
-    moment store_clock_at_{};
     store_era era_ = 0;
     std::string coordinator_name_;
     std::uint64_t view_sequence_ = 0;
--- a/tools/daemon/fleet_agent.hpp
+++ b/tools/daemon/fleet_agent.hpp
@@ -183,6 +183,9 @@
     void check_groups();
     void check_group(const coordinator_term& term, const std::string& group);
     void use_lost_leases();
+    using operation_body = std::function<void(failover_executor&)>;
+    void run_operation(const coordinator_term& term, const std::string& group,
+                       operation_body body);
     void start_failover(const coordinator_term& term, const std::string& group,
                         bool planned);
     void start_verification(const coordinator_term& term,
--- a/tools/daemon/fleet_agent_coordinator.cpp
+++ b/tools/daemon/fleet_agent_coordinator.cpp
@@ -221,38 +221,43 @@
     }
 }
 
-void fleet_agent::start_failover(const coordinator_term& term,
-                                 const std::string& group, bool planned)
+/// Runs a change of a group's lead as a fiber, as the group's only one.
+void fleet_agent::run_operation(const coordinator_term& term,
+                                const std::string& group, operation_body body)
 {
     groups_.operation_begun(group);
     run_fiber(
-        [this, term, group, planned]
+        [this, term, group, body = std::move(body)]
         {
             group_operation operation(*this, term);
             failover_executor executor(operation, lines_);
-            change_primary(executor, term, group, planned);
+            body(executor);
             groups_.operation_ended(group);
         });
 }
 
+void fleet_agent::start_failover(const coordinator_term& term,
+                                 const std::string& group, bool planned)
+{
+    run_operation(term, group,
+                  [this, term, group, planned](failover_executor& executor)
+                  { change_primary(executor, term, group, planned); });
+}
+
 /// Replaces a primary that the server list calls a replica, if it says the
 /// same.
 void fleet_agent::start_verification(const coordinator_term& term,
                                      const std::string& group)
 {
-    groups_.operation_begun(group);
-    run_fiber(
-        [this, term, group]
-        {
-            group_operation operation(*this, term);
-            failover_executor executor(operation, lines_);
-            const auto row = *leads_.find(group);
-            if (executor.is_primary_demoted(row.lead))
-            {
-                change_primary(executor, term, group, false);
-            }
-            groups_.operation_ended(group);
-        });
+    run_operation(term, group,
+                  [this, term, group](failover_executor& executor)
+                  {
+                      const auto row = *leads_.find(group);
+                      if (executor.is_primary_demoted(row.lead))
+                      {
+                          change_primary(executor, term, group, false);
+                      }
+                  });
 }
 
 void fleet_agent::change_primary(failover_executor& executor,
--- a/tools/daemon/fleet_agent_leads.cpp
+++ b/tools/daemon/fleet_agent_leads.cpp
@@ -1,5 +1,4 @@
 #include "fleet_agent.hpp"
-#include "group_operation.hpp"
 
 #include "tanagerhoist/fleet/coordinator_writes.hpp"
 #include "tanagerhoist/fleet/repeated_write.hpp"
@@ -122,18 +121,14 @@
 void fleet_agent::start_confirmation(const coordinator_term& term,
                                      const std::string& group)
 {
-    groups_.operation_begun(group);
-    run_fiber(
-        [this, term, group]
-        {
-            group_operation operation(*this, term);
-            failover_executor executor(operation, lines_);
-            if (!executor.confirm_lead(*leads_.find(group)))
-            {
-                pause(failed_write_pause);
-            }
-            groups_.operation_ended(group);
-        });
+    run_operation(term, group,
+                  [this, group](failover_executor& executor)
+                  {
+                      if (!executor.confirm_lead(*leads_.find(group)))
+                      {
+                          pause(failed_write_pause);
+                      }
+                  });
 }
 
 void fleet_agent::create_group_lead(const coordinator_term& term,
@@ -143,18 +138,14 @@
     {
         return;
     }
-    groups_.operation_begun(group);
-    run_fiber(
-        [this, term, group]
-        {
-            group_operation operation(*this, term);
-            failover_executor executor(operation, lines_);
-            if (!executor.create_lead(group))
-            {
-                pause(failed_write_pause);
-            }
-            groups_.operation_ended(group);
-        });
+    run_operation(term, group,
+                  [this, group](failover_executor& executor)
+                  {
+                      if (!executor.create_lead(group))
+                      {
+                          pause(failed_write_pause);
+                      }
+                  });
 }
 
 /// Writes a group's row if it still has `version` and the term still runs.
