Publish no server that was promoted and replaced again

Cause: a failover took any primary of at least the lead's term for the one that leads. If two coordinators had promoted one server after the other and neither publication was written, the first of them, coming back from being out of reach before it had learned of its successor, was published in its old term.

Change: the failover keeps the newest term that any server has told, and only a primary of that term counts as promoted. The fake's promotion begins a term above all of its servers' now, as the platform's does.

--- a/include/tanagerhoist/fleet/failover_executor.hpp
+++ b/include/tanagerhoist/fleet/failover_executor.hpp
@@ -127,6 +127,7 @@
     structured_log& lines_;
     /// Log end of the demoted primary.
     std::optional<log_position> old_log_end_;
+    std::uint64_t newest_term_ = 0; ///< that any server has told
     moment next_demotion_at_{};
 };
 
--- a/src/fleet/failover_executor.cpp
+++ b/src/fleet/failover_executor.cpp
@@ -161,6 +161,7 @@
 failover_executor::change_primary(group_lead_row row, bool planned)
 {
     old_log_end_.reset();
+    newest_term_ = row.lead.term();
     next_demotion_at_ = moment{};
     lines_.write(log_level::change, "lead_change",
                  {{"group", row.lead.group()},
@@ -230,7 +231,8 @@
     }
 }
 
-/// Returns a server that is already primary, else the most up-to-date one,
+/// Returns a server that is already primary of the newest term that any server
+/// has told, else the most up-to-date one,
 /// preferring servers that are not draining. With synchronous replicas all
 /// eligible servers must answer, since any of them may hold the last commit.
 std::optional<std::string>
@@ -242,6 +244,8 @@
     for (;;)
     {
         std::optional<std::string> best;
+        std::optional<std::string> promoted;
+        std::uint64_t promoted_term = 0;
         candidate chosen;
         log_position newest_refused;
         bool all_answered = true;
@@ -260,9 +264,11 @@
                 continue;
             }
             all_answered = all_answered && role.has_value();
-            if (role && role->primary && role->term >= lead.term())
+            newest_term_ = std::max(newest_term_, role ? role->term : 0);
+            if (role && role->primary && role->term >= newest_term_)
             {
-                return server.id; // already promoted
+                promoted = server.id;
+                promoted_term = role->term;
             }
             const candidate present{role ? role->received : log_position{},
                                     server.draining};
@@ -274,6 +280,10 @@
                 chosen = present;
             }
         }
+        if (promoted && promoted_term == newest_term_)
+        {
+            return promoted; // and not replaced again
+        }
         if (best && chosen.log_end < newest_refused)
         {
             return std::nullopt; // the refused server may hold the last commit
@@ -321,9 +331,8 @@
     while (port_.now() < until && port_.is_coordinator())
     {
         const auto role = port_.role(server);
-        // A primary of the same term is either the old primary itself or a
-        // server that replaced it and took over its log.
-        if (role && role->primary && role->term >= lead.term())
+        // A primary of an older term has been replaced by another one.
+        if (role && role->primary && role->term >= newest_term_)
         {
             return role;
         }
--- a/tests/failover_executor_test.cpp
+++ b/tests/failover_executor_test.cpp
@@ -123,11 +123,21 @@
             return promotion_result::unanswered;
         }
         auto& role = members.at(server).role;
-        role.term = role.primary ? role.term : row.lead.term() + 1;
+        role.term = role.primary ? role.term : newest_term() + 1;
         role.primary = true; // no change for the current primary
         return promotion_result::accepted;
     }
 
+    std::uint64_t newest_term() const
+    {
+        std::uint64_t newest = row.lead.term();
+        for (const auto& [id, entry] : members)
+        {
+            newest = std::max(newest, entry.role.term);
+        }
+        return newest;
+    }
+
     std::optional<group_lead_row> change_primary(bool planned)
     {
         failover_executor executor(*this, lines);
@@ -174,6 +184,7 @@
     CPPUNIT_TEST(commits_that_only_a_draining_replica_has_are_kept);
     CPPUNIT_TEST(commits_that_only_a_refused_replica_has_are_kept);
     CPPUNIT_TEST(old_primary_that_was_not_demoted_is_not_published_again);
+    CPPUNIT_TEST(promoted_server_that_was_replaced_is_not_published);
     CPPUNIT_TEST(lead_is_created_from_current_primary);
     CPPUNIT_TEST(lead_lost_with_the_store_is_written_again);
     CPPUNIT_TEST(promotion_lost_with_the_store_is_found_at_the_servers);
@@ -449,6 +460,18 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, done->lead.term());
     }
 
+    void promoted_server_that_was_replaced_is_not_published()
+    {
+        fake_group f;
+        f.members["p"].answers = false;
+        f.members["q"].role = {true, 2, {2, 90}};
+        f.members["r"].role = {false, 3, {3, 95}}; // p leads term 3
+        const auto done = f.change_primary(false);
+        CPPUNIT_ASSERT(done);
+        CPPUNIT_ASSERT_EQUAL(std::string("r"), done->lead.primary());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, done->lead.term());
+    }
+
     void lead_is_created_from_current_primary()
     {
         fake_group f;
