--- a/standin/http_service.cpp
+++ b/standin/http_service.cpp
@@ -101,9 +101,15 @@
             write({404, "{}"});
             return;
         }
-        found->second({target, std::move(request.body()), number_},
-                      [self = this->shared_from_this()](http_response answer)
-                      { self->write(std::move(answer)); });
+        std::map<std::string, std::string> headers;
+        for (const auto& field : request)
+        {
+            headers.emplace(field.name_string(), field.value());
+        }
+        found->second(
+            {target, std::move(request.body()), number_, std::move(headers)},
+            [self = this->shared_from_this()](http_response answer)
+            { self->write(std::move(answer)); });
     }
 
     void write(http_response answer)
--- a/standin/http_service.hpp
+++ b/standin/http_service.hpp
@@ -19,6 +19,7 @@
     std::string target; ///< with the query, if any
     std::string body;
     std::uint64_t connection = 0; ///< id, unique for each service object
+    std::map<std::string, std::string> headers{}; ///< by name, as sent
 };
 
 /// Response of a handler; the body is JSON.
--- /dev/null
+++ b/standin/session_server.cpp
@@ -0,0 +1,190 @@
+#include "standin/session_server.hpp"
+
+#include "platform/line_protocol.hpp"
+
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <memory>
+#include <sstream>
+#include <utility>
+
+namespace tanagerhoist::standin
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+/// Pending operations hold references to it.
+class session_server::connection
+    : public std::enable_shared_from_this<connection>
+{
+public:
+    connection(tcp::socket socket, session_server& server)
+        : socket_(std::move(socket)),
+          timer_(socket_.get_executor()),
+          server_(server)
+    {
+    }
+
+    void read()
+    {
+        asio::async_read_until(
+            socket_, asio::dynamic_buffer(input_), "\r\n",
+            [self = shared_from_this()](error_code error, std::size_t size)
+            {
+                if (!error)
+                {
+                    self->handle(self->take_line(size));
+                }
+            });
+    }
+
+private:
+    std::string take_line(std::size_t size)
+    {
+        auto line = input_.substr(0, size - 2);
+        input_.erase(0, size);
+        return line;
+    }
+
+    void handle(const std::string& line)
+    {
+        if (!server_.responds())
+        {
+            read();
+            return;
+        }
+        if (!started_)
+        {
+            started_ = server_.accepts(line);
+            write(started_ ? server_.ready()
+                           : platform::error_line(session_error::wrong_server,
+                                                  "not run"));
+            return;
+        }
+        std::istringstream words(line);
+        std::string query;
+        std::string id;
+        std::string text;
+        words >> query >> id >> std::ws;
+        std::getline(words, text);
+        run(text);
+    }
+
+    void run(const std::string& command)
+    {
+        server_.commands_.arrived(server_.id_, command);
+        timer_.expires_after(server_.commands_.duration);
+        timer_.async_wait(
+            [self = shared_from_this(), command](error_code error)
+            {
+                if (!error)
+                {
+                    self->finish(command);
+                }
+            });
+    }
+
+    void finish(const std::string& command)
+    {
+        if (server_.responds())
+        {
+            write(server_.run(command));
+        }
+        else
+        {
+            read();
+        }
+    }
+
+    void write(std::string answer)
+    {
+        output_ = std::move(answer);
+        asio::async_write(
+            socket_, asio::buffer(output_),
+            [self = shared_from_this()](error_code error, std::size_t /*size*/)
+            {
+                if (!error && self->started_)
+                {
+                    self->read();
+                }
+            });
+    }
+
+    tcp::socket socket_;
+    asio::steady_timer timer_;
+    session_server& server_;
+    std::string input_;
+    std::string output_;
+    bool started_ = false;
+};
+
+session_server::session_server(asio::io_context& context,
+                               const tcp::endpoint& listen, std::string id,
+                               session_group& group,
+                               const control_commands& commands)
+    : acceptor_(context, listen),
+      id_(std::move(id)),
+      group_(group),
+      commands_(commands)
+{
+    accept();
+}
+
+std::string session_server::address() const
+{
+    const auto local = acceptor_.local_endpoint();
+    return local.address().to_string() + ':' + std::to_string(local.port());
+}
+
+void session_server::accept()
+{
+    acceptor_.async_accept(
+        [this](error_code error, tcp::socket socket)
+        {
+            if (error == asio::error::operation_aborted)
+            {
+                return;
+            }
+            if (!error)
+            {
+                std::make_shared<connection>(std::move(socket), *this)->read();
+            }
+            accept();
+        });
+}
+
+/// Whether a connection's first line names this group, and this server if any.
+bool session_server::accepts(const std::string& line) const
+{
+    std::istringstream words(line);
+    std::string start;
+    std::string group;
+    std::string workspace;
+    std::string server;
+    words >> start >> group >> workspace >> server;
+    return start == "STARTUP" && group == group_.name() &&
+           (server.empty() || server == id_);
+}
+
+std::string session_server::ready() const
+{
+    return platform::ready_line(transaction_state::none, group_.log_end());
+}
+
+/// Runs a command and returns all lines of the answer.
+std::string session_server::run(const std::string& command)
+{
+    const auto row = group_.run(id_, command);
+    if (row.empty())
+    {
+        return platform::error_line(session_error::read_only, "not run") +
+               ready();
+    }
+    return platform::row_line(row) + platform::complete_line("-") + ready();
+}
+
+} // namespace tanagerhoist::standin
--- a/standin/store_service.cpp
+++ b/standin/store_service.cpp
@@ -1,6 +1,7 @@
 #include "standin/store_service.hpp"
 
-#include <boost/beast/core/detail/base64.hpp>
+#include "standin/base64.hpp"
+
 #include <boost/json.hpp>
 
 #include <charconv>
@@ -12,24 +13,9 @@
 {
 
 namespace json = boost::json;
-namespace base64 = boost::beast::detail::base64;
 
 constexpr std::size_t page_rows = 500;
 
-std::string encode_bytes(const std::string& bytes)
-{
-    std::string text(base64::encoded_size(bytes.size()), '\0');
-    text.resize(base64::encode(text.data(), bytes.data(), bytes.size()));
-    return text;
-}
-
-std::string decode_bytes(std::string_view text)
-{
-    std::string bytes(base64::decoded_size(text.size()), '\0');
-    bytes.resize(base64::decode(bytes.data(), text.data(), text.size()).first);
-    return bytes;
-}
-
 /// Value of a parameter of a query; empty if absent.
 std::string parameter(const std::string& target, const std::string& name)
 {
