Process test of a coordinator that is frozen while it replaces a primary

Three daemons, the store and a group run as processes.

Not shown by it: two holders with one token.

--- a/scripts/lib/fleet.sh
+++ b/scripts/lib/fleet.sh
@@ -288,7 +288,7 @@
 # logs if any failed.
 report()
 {
-    [ "$failed" -eq 0 ] || tail -n 3 "$fleet"/log/vm* "$fleet"/log/session 2>/dev/null
+    [ "$failed" -eq 0 ] || tail -n 3 "$fleet"/log/vm* "$fleet"/log/session "$fleet"/log/group 2>/dev/null
     [ ! -f "$fleet/log/load" ] || cat "$fleet/log/load"
     echo "$passed passed, $failed failed"
     [ "$failed" -eq 0 ]
--- a/scripts/lib/session_daemon.sh
+++ b/scripts/lib/session_daemon.sh
@@ -1,5 +1,6 @@
-# Shell functions for a daemon that serves sessions, with the stand-in of the
-# platform's store. To be sourced after fleet.sh and fleet_prepare.
+# Shell functions for daemons that serve sessions, with the stand-ins of the
+# platform's store and of a group of backend servers. To be sourced after
+# fleet.sh and fleet_prepare.
 
 # session_settings PORT: fills in the daemon's settings template; the daemon
 # listens on PORT and expects the store on PORT + 2.
@@ -7,16 +8,23 @@
 {
     port=$((${PORT_SHIFT:-0} + $1))
     store=$((port + 2))
-    sed -e 's/{{nodeName}}/vm1/; s/{{zone}}/a/; s/{{region}}/r/' \
-        -e "s/{{listen.frontend}}/127.0.0.1:$port/" \
-        -e "s/{{listen.readiness}}/127.0.0.1:$((port + 1))/" \
+    vm_settings vm1 "$port" session
+}
+
+# vm_settings VM FIRST_PORT FILE: fills in the settings template of one of the
+# daemons, which listens on FIRST_PORT and the next ones.
+vm_settings()
+{
+    sed -e "s/{{nodeName}}/$1/; s/{{zone}}/a/; s/{{region}}/r/" \
+        -e "s/{{listen.frontend}}/127.0.0.1:$2/" \
+        -e "s/{{listen.readiness}}/127.0.0.1:$(($2 + 1))/" \
         -e "s/{{platform.address}}/127.0.0.1:$store/" \
         -e "s/{{cloud.address}}/127.0.0.1:$((port + 3))/" \
-        -e "s/{{internalPorts.0}}/$((port + 4))/" \
+        -e "s/{{internalPorts.0}}/$(($2 + 4))/" \
         -e 's/{{bounds.graceS}}/3/; s/{{bounds.quotaWindowS}}/5/' \
         -e 's/{{bounds.quotaOverage}}/0.1/; s/{{bounds.quotaSlack}}/20/' \
         -e 's/{{bootstrap}}/true/; s/{{limits.cpuShare}}/0.25/' \
-        "$root/deploy/daemon.ini" >"$fleet/settings/session.ini"
+        "$root/deploy/daemon.ini" >"$fleet/settings/$3.ini"
 }
 
 # start_store [OPTION...]: starts the stand-in of the store.
@@ -31,11 +39,39 @@
     start session "$build/tools/tanagerhoistd" "$fleet/settings/session.ini"
 }
 
+# start_vms COUNT: starts daemons vm1, vm2 and so on, each with ten ports.
+start_vms()
+{
+    local i
+    for ((i = 1; i <= $1; ++i)); do
+        vm_settings "vm$i" $((port + 10 * i)) "vm$i"
+        start "vm$i" "$build/tools/tanagerhoistd" "$fleet/settings/vm$i.ini"
+    done
+}
+
+# start_group [OPTION...]: starts the stand-in of group g with the servers s1,
+# s2 and s3, and of the call that promotes them.
+start_group()
+{
+    start group "$build/standin/tanagerhoist-standin-session-group" \
+        --port $((port + 3)) --store-port "$store" \
+        --server "s1,127.0.0.1,$((port + 5))" \
+        --server "s2,127.0.0.1,$((port + 6))" \
+        --server "s3,127.0.0.1,$((port + 7))" "$@"
+}
+
 # logged TEXT...: whether a line of the daemon's log has all texts.
 logged()
+{
+    logged_by session "$@"
+}
+
+# logged_by NAME TEXT...: whether a line of the process's log has all texts.
+logged_by()
 {
     local text lines
-    lines=$(cat "$fleet/log/session")
+    lines=$(cat "$fleet/log/$1")
+    shift
     for text in "$@"; do
         lines=$(grep -F -- "$text" <<<"$lines") || return 1
     done
@@ -44,10 +80,23 @@
 # call TARGET [BODY]: sends a request to the store and prints the answer.
 call()
 {
-    local body=${2:-}
-    { exec 3<>"/dev/tcp/127.0.0.1/$store"; } 2>/dev/null || return 1
+    call_port "$store" "$@"
+}
+
+# call_group TARGET [BODY]: sends a request to the group and prints the answer's
+# body.
+call_group()
+{
+    call_port $((port + 3)) "$@" | sed '1,/^\r$/d'
+}
+
+# call_port PORT TARGET [BODY]: sends a request and prints the answer.
+call_port()
+{
+    local body=${3:-}
+    { exec 3<>"/dev/tcp/127.0.0.1/$1"; } 2>/dev/null || return 1
     printf 'POST %s HTTP/1.0\r\nContent-Length: %d\r\n\r\n%s' \
-        "$1" "${#body}" "$body" >&3
+        "$2" "${#body}" "$body" >&3
     cat <&3
     exec 3>&-
 }
