--- a/fuzz/coordinator_state.cpp
+++ b/fuzz/coordinator_state.cpp
@@ -137,9 +137,28 @@
     lose_primary(s, last_kind, a);
 }
 
+/// A failover whose coordinator is frozen in one of its next calls.
+void fail_over_slowly(coordinator_simulation& s, std::uint32_t a,
+                      std::uint32_t b)
+{
+    constexpr std::uint32_t longer_than_lease = 8; // of the durations
+    fuzz::call_plan slow;
+    slow.fate = call_fate::frozen_while_connecting;
+    slow.delay = duration(longer_than_lease + b % 3);
+    slow.rotation = a;
+    lose_primary(s, a, b / 3);
+    for (std::uint32_t calls = b % 4; calls > 0; --calls)
+    {
+        s.plan(s.holder(), call_target::server, {});
+    }
+    s.plan(s.holder(), a % 2 == 0 ? call_target::server : call_target::platform,
+           slow);
+    s.run_for(milliseconds(3000 + 4 * b));
+}
+
 using step = void (*)(coordinator_simulation&, std::uint32_t, std::uint32_t);
 
-const std::array<step, 24> steps{{
+const std::array<step, 26> steps{{
     [](coordinator_simulation& s, std::uint32_t a, std::uint32_t)
     { s.run_for(milliseconds(a % 60)); },
     [](coordinator_simulation& s, std::uint32_t a, std::uint32_t)
@@ -152,6 +171,8 @@
     { s.run_until_operation(milliseconds(3000)); },
     lose_primary,
     lose_primary,
+    fail_over_slowly,
+    fail_over_slowly,
     cut_off_after_slow_renewal,
     plan,
     plan,
