--- a/include/tanagerhoist/fleet/failover_executor.hpp
+++ b/include/tanagerhoist/fleet/failover_executor.hpp
@@ -121,7 +121,6 @@
     std::optional<std::string>
     reachable_old_primary(const proto::GroupLead& lead);
     std::optional<server_role> wait_for_primary(const backend_server& server,
-                                                const proto::GroupLead& lead,
                                                 milliseconds limit);
     std::optional<group_lead_row> publish_primary(group_lead_row row,
                                                   const backend_server& server,
--- a/src/fleet/failover_executor.cpp
+++ b/src/fleet/failover_executor.cpp
@@ -221,10 +221,10 @@
     {
     case promotion_result::accepted:
         pending_.reset();
-        return wait_for_primary(server, lead, promotion_timeout);
+        return wait_for_primary(server, promotion_timeout);
     case promotion_result::unanswered:
         pending_ = server.id;
-        return wait_for_primary(server, lead, unanswered_promotion_timeout);
+        return wait_for_primary(server, unanswered_promotion_timeout);
     case promotion_result::not_eligible:
         pending_.reset();
         ineligible.insert(server.id);
@@ -343,7 +343,6 @@
 
 std::optional<server_role>
 failover_executor::wait_for_primary(const backend_server& server,
-                                    const proto::GroupLead& lead,
                                     milliseconds limit)
 {
     const auto until = port_.now() + limit;
