Read the settings after the wait for a lost VM's removal

Callers saw: the coordinator's daemon ended by signal 11, also again after its restart, when a configuration arrived while the store removed a lost VM's row.

Cause: check_groups took a plain pointer to the settings and held it over remove_expired_vms, which suspends the fiber until the store answers; the proxy frees the old settings when it adopts new ones.

Change: the settings are read after that wait. Nothing else waits before the loop over their groups ends: operations are fibers that start later.

--- a/tools/daemon/fleet_agent_coordinator.cpp
+++ b/tools/daemon/fleet_agent_coordinator.cpp
@@ -156,8 +156,8 @@
 void fleet_agent::check_groups()
 {
     const auto current = term();
-    const auto* settings = proxy_.settings();
-    if (!current || leads_token_ != current->token || settings == nullptr)
+    if (!current || leads_token_ != current->token ||
+        proxy_.settings() == nullptr)
     {
         return;
     }
@@ -167,7 +167,8 @@
         read_members();
     }
     confirm_leads(*current);
-    for (const auto& [group, ignored] : settings->groups)
+    // Not earlier: the settings may be replaced while the removal waits.
+    for (const auto& [group, ignored] : proxy_.settings()->groups)
     {
         check_group(*current, group);
     }
