--- a/fuzz/coordinator_simulation_vm.cpp
+++ b/fuzz/coordinator_simulation_vm.cpp
@@ -500,7 +500,7 @@
         process_->pause(retry.next());
         return is_current(term);
     };
-    const auto answer = write_until_answered(
+    auto answer = write_until_answered(
         store.rows, lead_change(term, lead, version), goes_on);
     note_era(answer.era);
     if (answer.result == store_result::done)
