--- a/tools/daemon/fleet_agent.hpp
+++ b/tools/daemon/fleet_agent.hpp
@@ -223,7 +223,7 @@
     table_watch config_watch_;
     table_watch server_watch_;
     store_link lease_store_;
-    store_link lead_store_;
+    store_link removal_store_;
     store_link member_store_;
     member_registration registration_;
     coordinator_lease lease_;
--- a/tools/daemon/fleet_agent_members.cpp
+++ b/tools/daemon/fleet_agent_members.cpp
@@ -221,7 +221,7 @@
     {
         const auto version = members_.rows.at(vm).version;
         const auto answer =
-            lead_store_.rows.write(vm_removal(term, vm, version));
+            removal_store_.rows.write(vm_removal(term, vm, version));
         const bool done = answer.result == store_result::done;
         lines_.write(log_level::change, "vm_removed",
                      {{"gone", vm}, {"done", done ? "yes" : "no"}});
