--- a/tools/daemon/main.cpp
+++ b/tools/daemon/main.cpp
@@ -3,6 +3,7 @@
 #include "state_log.hpp"
 #include "tanagerhoist/adapter/http_platform_client.hpp"
 #include "tanagerhoist/adapter/record_uploader.hpp"
+#include "tanagerhoist/core/source_id.hpp"
 #include "tanagerhoist/record/replay.hpp"
 #include "tanagerhoist/settings/ini_reader.hpp"
 
@@ -130,7 +131,8 @@
         }
         if (given.count("version") > 0)
         {
-            std::cout << "tanagerhoistd " TANAGERHOIST_VERSION "\n";
+            std::cout << "tanagerhoistd " TANAGERHOIST_VERSION ", sources "
+                      << tanagerhoist::source_id() << '\n';
             return exit_drained;
         }
         if (given.count("settings") == 0)
--- a/tools/daemon/session_daemon.cpp
+++ b/tools/daemon/session_daemon.cpp
@@ -3,6 +3,7 @@
 #include "platform/ready_probe.hpp"
 #include "tanagerhoist/adapter/boot_clock.hpp"
 #include "tanagerhoist/adapter/fiber_loop.hpp"
+#include "tanagerhoist/core/source_id.hpp"
 #include "tanagerhoist/settings/ini_reader.hpp"
 
 #include <boost/fiber/fiber.hpp>
@@ -119,6 +120,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     lines_.write(log_level::change, "start",
                  {{"version", TANAGERHOIST_VERSION},
+                  {"build", std::string(source_id())},
                   {"data_centre", settings_.vm().data_centre()},
                   {"listen", settings_.sessions().listen()}});
     fleet_.start();
