Order nothing in a new term while an order of this VM's former one may arrive

Cause: the new process takes its own lease at once, 2.8 s before any other VM could, so that the 0.6 s between a holder's last act and the next holder's first do not lie between its two lives. The same where a VM takes its lease again after its term ended early, and where a new era of the store gives the holder a new token. Ruled out: a token given out twice (each term has its own); a late order after a stop (the release waits for it). Change: a term that begins before the claim of the VM's former one has ended orders no promotion until then; sealing, demoting and choosing go on, the server is chosen after the wait.

--- a/fuzz/coordinator_simulation_operation.hpp
+++ b/fuzz/coordinator_simulation_operation.hpp
@@ -18,6 +18,7 @@
     moment now() override { return vm_.now(); }
     void pause(milliseconds time) override { vm_.process_->pause(time); }
     bool is_coordinator() override { return vm_.is_current(term_); }
+    bool may_order() override { return vm_.lease_.may_order(term_); }
     store_era era() override { return vm_.era_; }
     store_answer write_lead(const proto::GroupLead& lead,
                             std::uint64_t version) override;
--- a/include/tanagerhoist/fleet/coordinator_lease.hpp
+++ b/include/tanagerhoist/fleet/coordinator_lease.hpp
@@ -75,6 +75,11 @@
     /// Time until this VM must stop acting in the term; zero if it has ended.
     milliseconds time_left(const coordinator_term& term) const;
 
+    /// Whether a promotion may be requested in the term now. Not while one of
+    /// an earlier term may still arrive: the platform must not see a token go
+    /// down.
+    bool may_order(const coordinator_term& term) const;
+
     /// Condition that the store adds no term after the given one: for each
     /// write of the holder.
     static store_row fence(const coordinator_term& term);
@@ -116,6 +121,8 @@
     bool is_restored() const;
     moment former_claims_end() const;
     void extend_claim(const store_date& date);
+    moment claim_end_of(const proto::DutyRow& row,
+                        const store_answer& read) const;
     void note_answer(const store_answer& answer);
     store_answer write(const proto::DutyRow& row, bool begins_term);
     void mark_lost(const char* cause);
@@ -131,6 +138,8 @@
     std::uint64_t fence_version_ = 0; ///< of the fence row in this VM's term
     moment held_until_{};
     moment claim_end_{}; ///< others may take the lease from then on
+    /// When no request of an earlier term is on its way any more.
+    moment orders_from_{};
     bool holding_ = false;
     /// When the row was first missing.
     std::optional<moment> row_missing_since_;
--- a/include/tanagerhoist/fleet/failover_executor.hpp
+++ b/include/tanagerhoist/fleet/failover_executor.hpp
@@ -41,6 +41,10 @@
     /// Whether the term still runs, with time left for a call.
     virtual bool is_coordinator() = 0;
 
+    /// Whether a promotion may be requested now; if not, soon, or the term
+    /// ends.
+    virtual bool may_order() = 0;
+
     /// Present era of the store.
     virtual store_era era() = 0;
 
@@ -108,6 +112,7 @@
     bool seal(group_lead_row& row);
     bool write(group_lead_row& row, const proto::GroupLead& lead);
     bool wait_until_unused(const group_lead_row& row, moment sealed);
+    bool wait_until_order_allowed();
     void demote_old_primary(const proto::GroupLead& lead);
     std::optional<std::string>
     choose_server(const proto::GroupLead& lead,
--- a/src/fleet/coordinator_lease.cpp
+++ b/src/fleet/coordinator_lease.cpp
@@ -88,6 +88,11 @@
     return std::chrono::duration_cast<milliseconds>(held_until_ - now_());
 }
 
+bool coordinator_lease::may_order(const coordinator_term& term) const
+{
+    return is_current(term) && now_() >= orders_from_;
+}
+
 store_row coordinator_lease::fence(const coordinator_term& term)
 {
     return {lease_table, fence_key, "", term.fence_version, false};
@@ -203,6 +208,7 @@
         if (begins_term)
         {
             former_ = own_; // which has left nothing
+            orders_from_ = std::max(orders_from_, claim_end_);
         }
         own_ = renewed;
         row_ = renewed;
@@ -304,11 +310,24 @@
     return row;
 }
 
+/// When the claim of a row that was just read ends, or shortly after. It has
+/// ended, unless the row is this VM's own.
+moment coordinator_lease::claim_end_of(const proto::DutyRow& row,
+                                       const store_answer& read) const
+{
+    const milliseconds until(row.renewed_ms() + row.lease_ms());
+    const bool released = row.lease_ms() == 0;
+    return released || until <= read.now ? moment{}
+                                         : now_() + (until - read.now);
+}
+
 /// Writes this VM as the holder, over the row that was just read.
 /// @param former the row of the previous holder
 void coordinator_lease::acquire(const store_answer& read,
                                 const proto::DutyRow& former)
 {
+    const auto orders_from =
+        std::max({orders_from_, claim_end_, claim_end_of(former, read)});
     const auto date = store_clock_.date(now_());
     proto::DutyRow taken;
     taken.set_holder(self_.vm());
@@ -336,6 +355,7 @@
     version_ = answer.version;
     fence_version_ = answer.version;
     holding_ = true;
+    orders_from_ = orders_from;
     extend_claim(date);
     lines_.write(log_level::change, "duty_taken",
                  {{"token", std::to_string(own_.token())},
--- a/src/fleet/failover_executor.cpp
+++ b/src/fleet/failover_executor.cpp
@@ -156,6 +156,18 @@
     return true;
 }
 
+/// Waits before a server is chosen, so that the choice is not old when its
+/// promotion is requested.
+/// @return false if the term is over
+bool failover_executor::wait_until_order_allowed()
+{
+    while (port_.is_coordinator() && !port_.may_order())
+    {
+        port_.pause(ack_poll_interval);
+    }
+    return port_.is_coordinator();
+}
+
 std::optional<group_lead_row>
 failover_executor::change_primary(group_lead_row row, bool planned)
 {
@@ -178,7 +190,8 @@
         return std::nullopt;
     }
     std::set<std::string> ineligible;
-    for (int round = 0; round < max_attempts && port_.is_coordinator(); ++round)
+    for (int round = 0; round < max_attempts && wait_until_order_allowed();
+         ++round)
     {
         if (round == 0 || !old_log_end_)
         {
--- a/src/fleet/promotion_order.cpp
+++ b/src/fleet/promotion_order.cpp
@@ -20,6 +20,10 @@
     {
         return promotion_result::term_over;
     }
+    if (!lease.may_order(term))
+    {
+        return promotion_result::not_sent;
+    }
     request.token = term.token;
     lines.write(log_level::change, "promotion_sent",
                 {{"group", request.group},
--- a/standin/session_group_service.cpp
+++ b/standin/session_group_service.cpp
@@ -102,6 +102,13 @@
     http_.route("/control-time", [this](const http_request& request,
                                         const response_callback& answer)
                 { set_control_time(request, answer); });
+    http_.route("/order-delay", [this](const http_request& request,
+                                       const response_callback& answer)
+                { set_order_delay(request, answer); });
+    http_.route("/received",
+                [this](const http_request&, const response_callback& answer) {
+                    answer({200, std::to_string(received_) + '\n'});
+                });
     http_.route("/commands",
                 [this](const http_request&, const response_callback& answer) {
                     answer({200, std::to_string(commands_) + '\n'});
@@ -176,6 +183,21 @@
     answer({200, "{}"});
 }
 
+void session_group_service::set_order_delay(const http_request& request,
+                                            const response_callback& answer)
+{
+    const auto number = whole_number(request.body);
+    if (!number)
+    {
+        answer(malformed);
+        return;
+    }
+    order_delay_ = milliseconds(*number);
+    spdlog::info("the next order is read {} ms late", *number);
+    answer({200, "{}"});
+}
+
+/// Reads an order, late if that is set for it. The caller may be gone by then.
 void session_group_service::fail_over(const http_request& request,
                                       const response_callback& answer)
 {
@@ -185,13 +207,27 @@
         answer(malformed);
         return;
     }
-    record_.add(*order);
-    spdlog::info("{}", to_text(*order));
+    ++received_;
+    spdlog::info("received: {}", to_text(*order));
+    const auto delay = std::exchange(order_delay_, milliseconds(0));
+    if (delay == milliseconds(0))
+    {
+        follow(*order, answer);
+        return;
+    }
+    run_later(delay, [this, order = *order, answer] { follow(order, answer); });
+}
+
+void session_group_service::follow(const promotion_order& order,
+                                   const response_callback& answer)
+{
+    record_.add(order);
+    spdlog::info("{}", to_text(order));
     for (const auto& server : servers_)
     {
-        if (server->id() == order->server && group_.responds(server->id()))
+        if (server->id() == order.server && group_.responds(server->id()))
         {
-            promote_later(order->server);
+            promote_later(order.server);
             answer({200, "{}"});
             return;
         }
@@ -201,21 +237,31 @@
 
 void session_group_service::promote_later(const std::string& server)
 {
-    const auto timer = promotions_.emplace(promotions_.end(), context_);
-    timer->expires_after(promotion_time_);
+    run_later(promotion_time_,
+              [this, server]
+              {
+                  if (group_.promote(server))
+                  {
+                      spdlog::info("{} is primary", server);
+                      register_servers();
+                  }
+              });
+}
+
+void session_group_service::run_later(milliseconds time,
+                                      std::function<void()> work)
+{
+    const auto timer = timers_.emplace(timers_.end(), context_);
+    timer->expires_after(time);
     timer->async_wait(
-        [this, timer, server](error_code error)
+        [this, timer, work = std::move(work)](error_code error)
         {
             if (error)
             {
                 return;
             }
-            promotions_.erase(timer);
-            if (group_.promote(server))
-            {
-                spdlog::info("{} is primary", server);
-                register_servers();
-            }
+            timers_.erase(timer);
+            work();
         });
 }
 
--- a/standin/session_group_service.hpp
+++ b/standin/session_group_service.hpp
@@ -12,6 +12,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <memory>
 #include <string>
@@ -41,8 +42,9 @@
 /// /failover, which records each request and checks no token. Other calls:
 /// /orders and /violations print the record, /commands the number of control
 /// commands, /next-command the next one once it arrives, /control-time takes
-/// the new time of a control command in ms; /drain and /silence act on the
-/// primary, /recover ends both.
+/// the new time of a control command in ms; /order-delay takes by how many ms
+/// the next request is read late, /received prints how many have come; /drain
+/// and /silence act on the primary, /recover ends both.
 class session_group_service
 {
 public:
@@ -60,7 +62,11 @@
     void command_arrived(const std::string& server, const std::string& command);
     void fail_over(const http_request& request,
                    const response_callback& answer);
+    void follow(const promotion_order& order, const response_callback& answer);
     void promote_later(const std::string& server);
+    void run_later(milliseconds time, std::function<void()> work);
+    void set_order_delay(const http_request& request,
+                         const response_callback& answer);
     void set_control_time(const http_request& request,
                           const response_callback& answer);
     void register_servers();
@@ -72,7 +78,9 @@
     std::vector<std::unique_ptr<session_server>> servers_;
     promotion_record record_;
     milliseconds promotion_time_;
-    std::list<boost::asio::steady_timer> promotions_;
+    milliseconds order_delay_{0}; ///< of the next request
+    std::uint64_t received_ = 0;  ///< requests, also those that are read late
+    std::list<boost::asio::steady_timer> timers_;
     std::uint64_t commands_ = 0;
     std::vector<response_callback> awaiting_command_;
     http_client store_;
--- a/tests/failover_executor_test.cpp
+++ b/tests/failover_executor_test.cpp
@@ -43,6 +43,7 @@
             on_pause();
         }
     }
+    bool may_order() override { return time >= orders_from; }
     store_era era() override { return present_era; }
     bool is_coordinator() override { return coordinator && time < lease_end; }
 
@@ -113,6 +114,7 @@
         CPPUNIT_ASSERT(row.lead.sealed());
         CPPUNIT_ASSERT(all_acknowledged);
         CPPUNIT_ASSERT(is_coordinator());
+        CPPUNIT_ASSERT(may_order());
         promotions.push_back(server);
         if (!members.at(server).answers || refusals-- > 0)
         {
@@ -148,6 +150,7 @@
     group_lead_row row;
     moment time{std::chrono::hours(1)};
     moment lease_end = time + std::chrono::seconds(30);
+    moment orders_from{};
     milliseconds control_time{0}; ///< that each call of a server takes
     std::function<void()> on_pause;
     bool coordinator = true;
@@ -175,6 +178,8 @@
     CPPUNIT_TEST(promotion_is_not_ordered_when_lease_ends_during_choice);
     CPPUNIT_TEST(row_conflict_aborts_failover);
     CPPUNIT_TEST(planned_failover_waits_for_log_end);
+    CPPUNIT_TEST(server_is_chosen_after_the_wait_for_an_order);
+    CPPUNIT_TEST(wait_for_an_order_ends_with_the_term);
     CPPUNIT_TEST(ineligible_server_is_skipped);
     CPPUNIT_TEST(unanswered_promotion_is_resolved_by_server_role);
     CPPUNIT_TEST(server_with_unanswered_promotion_is_ordered_again);
@@ -326,6 +331,35 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{100}, done->lead.base_number());
     }
 
+    /// A replica that was ahead when the wait began may be behind at its end.
+    void server_is_chosen_after_the_wait_for_an_order()
+    {
+        fake_group f;
+        f.members["p"].answers = false;
+        f.orders_from = f.time + std::chrono::seconds(2);
+        f.on_pause = [&]
+        {
+            if (f.time + milliseconds(100) >= f.orders_from)
+            {
+                f.members["q"].role.received = {1, 99};
+            }
+        };
+        const auto done = f.change_primary(false);
+        CPPUNIT_ASSERT(done);
+        CPPUNIT_ASSERT_EQUAL(std::string("q"), done->lead.primary());
+    }
+
+    void wait_for_an_order_ends_with_the_term()
+    {
+        fake_group f;
+        f.members["p"].answers = false;
+        f.lease_end = f.time + std::chrono::seconds(1);
+        f.orders_from = f.time + std::chrono::seconds(2);
+        CPPUNIT_ASSERT(!f.change_primary(false));
+        CPPUNIT_ASSERT(f.promotions.empty());
+        CPPUNIT_ASSERT(f.time < f.orders_from);
+    }
+
     void ineligible_server_is_skipped()
     {
         fake_group f;
--- a/tests/promotion_order_test.cpp
+++ b/tests/promotion_order_test.cpp
@@ -6,6 +6,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <vector>
 
 namespace tanagerhoist
@@ -37,9 +38,22 @@
         return promotion_result::accepted;
     }
 
-    promotion_result order()
+    promotion_result order() { return order_as(a, term); }
+
+    promotion_result order_as(coordinator_lease& lease,
+                              const coordinator_term& in)
     {
-        return order_promotion(*this, a, term, {"g", "r", "a", 0}, lines);
+        return order_promotion(*this, lease, in, {"g", "r", "a", 0}, lines);
+    }
+
+    /// Lets time pass, in which the holder renews its lease.
+    void renew_until(coordinator_lease& lease, moment end)
+    {
+        while (now < end)
+        {
+            now = std::min(now + coordinator_lease_renewal, end);
+            lease.update(never);
+        }
     }
 
     moment now{std::chrono::hours(1)};
@@ -67,6 +81,11 @@
     CPPUNIT_TEST(order_is_not_sent_in_a_later_term_of_the_same_vm);
     CPPUNIT_TEST(order_arrives_before_another_vm_can_take_the_lease);
     CPPUNIT_TEST(order_without_connection_is_not_sent);
+    CPPUNIT_TEST(order_of_former_life_may_be_read_after_that_of_the_next);
+    CPPUNIT_TEST(order_of_ended_term_may_be_read_after_that_of_the_next);
+    CPPUNIT_TEST(order_of_former_era_may_be_read_after_that_of_the_next);
+    CPPUNIT_TEST(successor_of_an_expired_lease_orders_at_once);
+    CPPUNIT_TEST(successor_of_a_released_lease_orders_at_once);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -127,6 +146,76 @@
         CPPUNIT_ASSERT(f.order() == promotion_result::not_sent);
         CPPUNIT_ASSERT(f.sent.empty());
     }
+
+    /// A VM that is killed and starts at once takes its own lease over.
+    void order_of_former_life_may_be_read_after_that_of_the_next()
+    {
+        ordering_vm f;
+        const auto former_claim_end = f.now + coordinator_lease_duration;
+        f.order();
+        f.now += milliseconds(100);
+        coordinator_lease again(
+            f.store, member("a", 9), [&f] { return f.now; }, f.lines);
+        again.update(f.never);
+        const auto term = *again.term();
+        CPPUNIT_ASSERT(f.order_as(again, term) == promotion_result::not_sent);
+        f.renew_until(again, former_claim_end - milliseconds(1));
+        CPPUNIT_ASSERT(f.order_as(again, term) == promotion_result::not_sent);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.sent.size());
+        f.now = former_claim_end;
+        CPPUNIT_ASSERT(f.order_as(again, term) == promotion_result::accepted);
+    }
+
+    /// A VM whose term ended takes the lease again before others may.
+    void order_of_ended_term_may_be_read_after_that_of_the_next()
+    {
+        ordering_vm f;
+        const auto former_claim_end = f.now + coordinator_lease_duration;
+        f.order();
+        f.now = former_claim_end - coordinator_lease_margin;
+        f.a.update(f.never);
+        const auto next = f.a.term();
+        CPPUNIT_ASSERT(next && next->token > f.term.token);
+        CPPUNIT_ASSERT(f.order_as(f.a, *next) == promotion_result::not_sent);
+        f.now = former_claim_end;
+        CPPUNIT_ASSERT(f.order_as(f.a, *next) == promotion_result::accepted);
+    }
+
+    /// A holder whose lease outlives a restore of the store gets a new token.
+    void order_of_former_era_may_be_read_after_that_of_the_next()
+    {
+        ordering_vm f;
+        f.order();
+        const auto former_claim_end = f.now + coordinator_lease_duration;
+        f.plain.take_copy();
+        f.plain.restore();
+        f.now += milliseconds(100);
+        f.a.update(f.never);
+        f.a.update(f.never);
+        const auto next = f.a.term();
+        CPPUNIT_ASSERT(next && next->token > f.term.token);
+        CPPUNIT_ASSERT(f.order_as(f.a, *next) == promotion_result::not_sent);
+        f.renew_until(f.a, former_claim_end);
+        CPPUNIT_ASSERT(f.order_as(f.a, *next) == promotion_result::accepted);
+    }
+
+    void successor_of_an_expired_lease_orders_at_once()
+    {
+        ordering_vm f;
+        f.now += coordinator_lease_duration;
+        f.b.update(f.never);
+        const auto term = *f.b.term();
+        CPPUNIT_ASSERT(f.order_as(f.b, term) == promotion_result::accepted);
+    }
+
+    void successor_of_a_released_lease_orders_at_once()
+    {
+        ordering_vm f;
+        f.a.release({});
+        f.b.update(f.never);
+        const auto term = *f.b.term();
+        CPPUNIT_ASSERT(f.order_as(f.b, term) == promotion_result::accepted);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(promotion_order_test);
--- a/tools/daemon/group_operation.hpp
+++ b/tools/daemon/group_operation.hpp
@@ -26,6 +26,7 @@
     moment now() override { return agent_.now_(); }
     void pause(milliseconds time) override { agent_.pause(time); }
     bool is_coordinator() override { return agent_.is_current(term_); }
+    bool may_order() override { return agent_.lease_.may_order(term_); }
     store_era era() override { return agent_.era_; }
     store_answer write_lead(const proto::GroupLead& lead,
                             std::uint64_t version) override;
