Publish the old primary where it was promoted again in an unpublished term

Seen by callers: a write acknowledged at a server that had been replaced (rule ONE): a failover published a server in the term in which it had replaced the old primary, although that one led a later term by then. Cause: the old primary is left out of the candidates, and what it answers to its demotion was used only if it was a replica. One that leads a later term was overlooked, so the newest term known was too low. Change: a demoted server that answers as primary of a later term counts with that term, and is chosen if no server knows a newer one.

--- a/include/tanagerhoist/fleet/failover_executor.hpp
+++ b/include/tanagerhoist/fleet/failover_executor.hpp
@@ -138,6 +138,8 @@
     /// Log end of the demoted primary.
     std::optional<log_position> old_log_end_;
     std::uint64_t newest_term_ = 0; ///< that any server has told
+    /// Term that the old primary leads, if it has been promoted again.
+    std::optional<std::uint64_t> old_primary_term_;
     moment next_demotion_at_{};
     /// Server whose promotion was requested and may still happen.
     std::optional<std::string> pending_;
--- a/src/fleet/failover_executor.cpp
+++ b/src/fleet/failover_executor.cpp
@@ -119,6 +119,11 @@
         return;
     }
     const auto role = port_.demote(*old, lead.term() + 1);
+    if (role && role->primary && role->term > lead.term())
+    {
+        old_primary_term_ = role->term;
+        newest_term_ = std::max(newest_term_, role->term);
+    }
     if (!role || role->primary)
     {
         return;
@@ -172,6 +177,7 @@
 failover_executor::change_primary(group_lead_row row, bool planned)
 {
     old_log_end_.reset();
+    old_primary_term_.reset();
     pending_.reset();
     newest_term_ = row.lead.term();
     next_demotion_at_ = moment{};
@@ -264,9 +270,9 @@
 }
 
 /// Returns a server that is already primary of the newest term that any server
-/// has told, else the most up-to-date one, preferring servers that are not
-/// draining. With synchronous replicas all eligible servers must answer, since
-/// any of them may hold the last commit.
+/// has told, also if that is the old primary, else the most up-to-date one,
+/// preferring servers that are not draining. With synchronous replicas all
+/// eligible servers must answer, since any of them may hold the last commit.
 std::optional<std::string>
 failover_executor::choose_candidate(const proto::GroupLead& lead,
                                     const std::set<std::string>& ineligible)
@@ -312,6 +318,10 @@
                 chosen = present;
             }
         }
+        if (old_primary_term_ == newest_term_)
+        {
+            return lead.primary();
+        }
         if (promoted && promoted_term == newest_term_)
         {
             return promoted; // and not replaced again
--- a/tests/failover_executor_test.cpp
+++ b/tests/failover_executor_test.cpp
@@ -90,7 +90,7 @@
         return entry.answers ? std::optional(entry.role) : std::nullopt;
     }
     std::optional<server_role> demote(const backend_server& server,
-                                      std::uint64_t) override
+                                      std::uint64_t term) override
     {
         time += control_time;
         auto& entry = members.at(server.id);
@@ -98,7 +98,10 @@
         {
             return std::nullopt;
         }
-        entry.role.primary = false;
+        if (entry.role.term < term)
+        {
+            entry.role.primary = false;
+        }
         return entry.role;
     }
     void confirm_log_end(const proto::GroupLead& lead, const log_position& end,
@@ -184,6 +187,7 @@
     CPPUNIT_TEST(unanswered_promotion_is_resolved_by_server_role);
     CPPUNIT_TEST(server_with_unanswered_promotion_is_ordered_again);
     CPPUNIT_TEST(primary_that_answers_as_replica_is_demoted);
+    CPPUNIT_TEST(server_that_the_old_primary_replaced_again_is_published);
     CPPUNIT_TEST(promotion_by_previous_coordinator_is_adopted);
     CPPUNIT_TEST(successor_with_same_term_becomes_primary);
     CPPUNIT_TEST(synchronous_group_waits_for_all_replicas);
@@ -440,6 +444,19 @@
         CPPUNIT_ASSERT(!executor.is_primary_demoted(f.row.lead));
     }
 
+    /// Another server led in between, in a term that was not published.
+    void server_that_the_old_primary_replaced_again_is_published()
+    {
+        fake_group f;
+        f.row.lead.set_sealed(true);
+        f.members["q"].role = {true, 2, {2, 100}};
+        f.members["p"].role = {true, 3, {3, 101}};
+        const auto done = f.change_primary(false);
+        CPPUNIT_ASSERT(done);
+        CPPUNIT_ASSERT_EQUAL(std::string("p"), done->lead.primary());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, done->lead.term());
+    }
+
     void promotion_by_previous_coordinator_is_adopted()
     {
         fake_group f;
