Order a promotion early in the term only

Seen by callers of the platform's promotion call: a lower fencing token after a higher one (rule ONE), where the platform read an order late: from 0.6 s on, if it had left at the end of its term. Cause: an order could leave, and be delivered, until the last moment of its term; 0.6 s later the next holder may act. The users' pages name no time within which the platform has read what it received. Change: an order leaves with 1 s of the term or more, else it waits for the next renewal (a holder that renews in time never waits: 1.3 s are left then); what the platform has not received 0.6 s before the term's end is dropped. So the platform may be 1.2 s late with what it received, whenever the order left.

--- a/fuzz/coordinator_simulation_operation.cpp
+++ b/fuzz/coordinator_simulation_operation.cpp
@@ -153,12 +153,12 @@
 
 promotion_result
 simulated_vm::promotion_call::send(const promotion_request& request,
-                                   milliseconds limit)
+                                   const promotion_limits& limits)
 {
     auto& world = vm_.world_;
     auto& process = *vm_.process_;
     const pending_answer<promotion_result> pending(world.events(), process);
-    const microseconds timeout = std::min(limit, answer_timeout);
+    const microseconds timeout = std::min(limits.answer, answer_timeout);
     const auto delivery = world.short_delay() + performance_delay(plan_);
     const bool delivered = is_performed(plan_) && delivery < timeout;
     if (delivered)
--- a/fuzz/coordinator_simulation_operation.hpp
+++ b/fuzz/coordinator_simulation_operation.hpp
@@ -57,7 +57,7 @@
 
     bool open() override;
     promotion_result send(const promotion_request& request,
-                          milliseconds limit) override;
+                          const promotion_limits& limits) override;
 
 private:
     simulated_vm& vm_;
--- a/include/tanagerhoist/fleet/coordinator_lease.hpp
+++ b/include/tanagerhoist/fleet/coordinator_lease.hpp
@@ -23,6 +23,13 @@
 /// The holder stops acting this long before its lease expires.
 constexpr milliseconds coordinator_lease_margin{600};
 
+/// Part of a term that is left to the platform for reading an order that it
+/// has received. Before the next holder can act, the margin adds to it.
+constexpr milliseconds order_reading_time{600};
+
+/// Shortest time for the delivery of an order: a lost packet is sent again.
+constexpr milliseconds order_delivery_time{400};
+
 /// Interval between renewals by the holder.
 constexpr milliseconds coordinator_lease_renewal{900};
 
@@ -76,8 +83,9 @@
     milliseconds time_left(const coordinator_term& term) const;
 
     /// Whether a promotion may be requested in the term now. Not while one of
-    /// an earlier term may still arrive: the platform must not see a token go
-    /// down.
+    /// an earlier term may still arrive, as the platform must not see a token
+    /// go down, and not late in the term, when the platform could read it after
+    /// that of the next holder.
     bool may_order(const coordinator_term& term) const;
 
     /// Condition that the store adds no term after the given one: for each
--- a/include/tanagerhoist/fleet/promotion_order.hpp
+++ b/include/tanagerhoist/fleet/promotion_order.hpp
@@ -9,6 +9,14 @@
 namespace tanagerhoist
 {
 
+/// Times from the sending of a promotion request.
+struct promotion_limits
+{
+    /// What the platform has not received by then is discarded.
+    milliseconds delivery;
+    milliseconds answer;
+};
+
 /// Connection to the platform for one promotion request. Calls may suspend the
 /// calling fiber.
 class promotion_connection
@@ -22,14 +30,13 @@
 
     /// Sends the request, without suspending the fiber before, and waits for
     /// the answer.
-    /// @param limit time for delivery and answer; what the platform has not
-    ///   received by then is discarded
     virtual promotion_result send(const promotion_request& request,
-                                  milliseconds limit) = 0;
+                                  const promotion_limits& limits) = 0;
 };
 
 /// Requests a promotion in the name of a coordinator's term. The term is
-/// checked when the connection is open, and no byte outlives it.
+/// checked when the connection is open, no byte outlives it, and the platform
+/// may read late what it has received.
 /// @param request its token is set to that of the term
 promotion_result order_promotion(promotion_connection& connection,
                                  const coordinator_lease& lease,
--- a/src/fleet/coordinator_lease.cpp
+++ b/src/fleet/coordinator_lease.cpp
@@ -90,7 +90,8 @@
 
 bool coordinator_lease::may_order(const coordinator_term& term) const
 {
-    return is_current(term) && now_() >= orders_from_;
+    return now_() >= orders_from_ &&
+           time_left(term) >= order_reading_time + order_delivery_time;
 }
 
 store_row coordinator_lease::fence(const coordinator_term& term)
--- a/src/fleet/promotion_order.cpp
+++ b/src/fleet/promotion_order.cpp
@@ -30,7 +30,7 @@
                  {"server", request.server},
                  {"token", std::to_string(request.token)},
                  {"term_ms_left", std::to_string(left.count())}});
-    return connection.send(request, left);
+    return connection.send(request, {left - order_reading_time, left});
 }
 
 } // namespace tanagerhoist
--- a/tests/promotion_order_test.cpp
+++ b/tests/promotion_order_test.cpp
@@ -31,10 +31,11 @@
     }
 
     promotion_result send(const promotion_request& request,
-                          milliseconds limit) override
+                          const promotion_limits& limits) override
     {
         sent.push_back(request);
-        latest_arrival = now + limit;
+        latest_arrival = now + limits.delivery;
+        latest_answer = now + limits.answer;
         return promotion_result::accepted;
     }
 
@@ -68,6 +69,7 @@
     bool opens = true;
     std::vector<promotion_request> sent;
     moment latest_arrival{};
+    moment latest_answer{};
 };
 
 } // namespace
@@ -79,7 +81,9 @@
     CPPUNIT_TEST(order_is_not_sent_when_lease_ends_while_connecting);
     CPPUNIT_TEST(order_is_not_sent_with_the_successors_token);
     CPPUNIT_TEST(order_is_not_sent_in_a_later_term_of_the_same_vm);
-    CPPUNIT_TEST(order_arrives_before_another_vm_can_take_the_lease);
+    CPPUNIT_TEST(order_read_late_comes_before_another_vm_can_take_the_lease);
+    CPPUNIT_TEST(order_late_in_the_term_waits_for_the_renewal);
+    CPPUNIT_TEST(order_just_before_the_renewal_is_sent);
     CPPUNIT_TEST(order_without_connection_is_not_sent);
     CPPUNIT_TEST(order_of_former_life_may_be_read_after_that_of_the_next);
     CPPUNIT_TEST(order_of_ended_term_may_be_read_after_that_of_the_next);
@@ -128,15 +132,48 @@
         CPPUNIT_ASSERT(f.sent.empty());
     }
 
-    void order_arrives_before_another_vm_can_take_the_lease()
+    /// The platform may read an order late that it received in time. However
+    /// late in the term it is due, it leaves time for that, or does not leave.
+    void order_read_late_comes_before_another_vm_can_take_the_lease()
+    {
+        constexpr milliseconds reading_time{1200};
+        for (milliseconds opening{0}; opening < coordinator_lease_duration;
+             opening += milliseconds(50))
+        {
+            ordering_vm f;
+            f.opening_time = opening;
+            f.order();
+            if (f.sent.empty())
+            {
+                continue;
+            }
+            CPPUNIT_ASSERT(f.latest_arrival > f.now);
+            CPPUNIT_ASSERT(f.latest_answer <
+                           f.now + coordinator_lease_duration);
+            f.now = f.latest_arrival + reading_time - milliseconds(1);
+            f.b.update(f.never);
+            CPPUNIT_ASSERT(!f.b.holds(f.now));
+        }
+    }
+
+    void order_late_in_the_term_waits_for_the_renewal()
     {
         ordering_vm f;
-        f.opening_time = milliseconds(500);
-        f.order();
-        CPPUNIT_ASSERT(f.latest_arrival < f.now + coordinator_lease_duration);
-        f.now = f.latest_arrival + coordinator_lease_margin - milliseconds(1);
-        f.b.update(f.never);
-        CPPUNIT_ASSERT(!f.b.holds(f.now));
+        f.now += coordinator_lease_duration - coordinator_lease_margin -
+                 milliseconds(700);
+        CPPUNIT_ASSERT(f.a.is_current(f.term));
+        CPPUNIT_ASSERT(f.order() == promotion_result::not_sent);
+        CPPUNIT_ASSERT(f.sent.empty());
+        f.a.update(f.never);
+        CPPUNIT_ASSERT(f.order() == promotion_result::accepted);
+    }
+
+    /// A holder that renews in time never waits.
+    void order_just_before_the_renewal_is_sent()
+    {
+        ordering_vm f;
+        f.now += coordinator_lease_renewal;
+        CPPUNIT_ASSERT(f.order() == promotion_result::accepted);
     }
 
     void order_without_connection_is_not_sent()
