--- a/include/tanagerhoist/fleet/coordinator_lease.hpp
+++ b/include/tanagerhoist/fleet/coordinator_lease.hpp
@@ -88,6 +88,10 @@
     /// that of the next holder.
     bool may_order(const coordinator_term& term) const;
 
+    /// Notes that a promotion was requested and not answered: the platform may
+    /// read the request for some time yet.
+    void note_unanswered_order();
+
     /// Condition that the store adds no term after the given one: for each
     /// write of the holder.
     static store_row fence(const coordinator_term& term);
@@ -111,7 +115,8 @@
     milliseconds store_time() const { return store_clock_.told(); }
 
     /// Releases the lease, so that the next holder need not wait for it to
-    /// expire.
+    /// expire, unless an order without an answer may still be read: then the
+    /// next holder waits, and gets what is left all the same.
     /// @param left operations that were still to be granted, by workspace
     void release(const std::vector<proto::WorkspaceBalance>& left);
 
@@ -148,6 +153,7 @@
     moment claim_end_{}; ///< others may take the lease from then on
     /// When no request of an earlier term is on its way any more.
     moment orders_from_{};
+    moment order_open_until_{}; ///< for orders without an answer
     bool holding_ = false;
     /// When the row was first missing.
     std::optional<moment> row_missing_since_;
--- a/include/tanagerhoist/fleet/promotion_order.hpp
+++ b/include/tanagerhoist/fleet/promotion_order.hpp
@@ -39,7 +39,7 @@
 /// may read late what it has received.
 /// @param request its token is set to that of the term
 promotion_result order_promotion(promotion_connection& connection,
-                                 const coordinator_lease& lease,
+                                 coordinator_lease& lease,
                                  const coordinator_term& term,
                                  promotion_request request,
                                  structured_log& lines);
--- a/src/fleet/coordinator_lease.cpp
+++ b/src/fleet/coordinator_lease.cpp
@@ -94,6 +94,11 @@
            time_left(term) >= order_reading_time + order_delivery_time;
 }
 
+void coordinator_lease::note_unanswered_order()
+{
+    order_open_until_ = now_() + coordinator_lease_duration;
+}
+
 store_row coordinator_lease::fence(const coordinator_term& term)
 {
     return {lease_table, fence_key, "", term.fence_version, false};
@@ -371,10 +376,14 @@
     {
         return;
     }
+    const bool order_open = now_() < order_open_until_;
     auto ended = own_;
-    ended.set_lease_ms(0);
-    const auto date = store_clock_.date(now_());
-    ended.set_renewed_ms(static_cast<std::uint64_t>(date.store.count()));
+    if (!order_open)
+    {
+        const auto date = store_clock_.date(now_());
+        ended.set_renewed_ms(static_cast<std::uint64_t>(date.store.count()));
+        ended.set_lease_ms(0);
+    }
     for (const auto& balance : left)
     {
         *ended.add_left() = balance;
@@ -385,7 +394,8 @@
     lines_.write(
         log_level::change, "duty_resigned",
         {{"token", std::to_string(own_.token())},
-         {"stored", answer.result == store_result::done ? "yes" : "no"}});
+         {"stored", answer.result == store_result::done ? "yes" : "no"},
+         {"order_open", order_open ? "yes" : "no"}});
 }
 
 } // namespace tanagerhoist
--- a/src/fleet/promotion_order.cpp
+++ b/src/fleet/promotion_order.cpp
@@ -6,7 +6,7 @@
 {
 
 promotion_result order_promotion(promotion_connection& connection,
-                                 const coordinator_lease& lease,
+                                 coordinator_lease& lease,
                                  const coordinator_term& term,
                                  promotion_request request,
                                  structured_log& lines)
@@ -30,7 +30,13 @@
                  {"server", request.server},
                  {"token", std::to_string(request.token)},
                  {"term_ms_left", std::to_string(left.count())}});
-    return connection.send(request, {left - order_reading_time, left});
+    const auto result =
+        connection.send(request, {left - order_reading_time, left});
+    if (result == promotion_result::unanswered)
+    {
+        lease.note_unanswered_order();
+    }
+    return result;
 }
 
 } // namespace tanagerhoist
--- a/tests/promotion_order_test.cpp
+++ b/tests/promotion_order_test.cpp
@@ -36,7 +36,7 @@
         sent.push_back(request);
         latest_arrival = now + limits.delivery;
         latest_answer = now + limits.answer;
-        return promotion_result::accepted;
+        return answer;
     }
 
     promotion_result order() { return order_as(a, term); }
@@ -67,6 +67,7 @@
     coordinator_term term;
     milliseconds opening_time{0};
     bool opens = true;
+    promotion_result answer = promotion_result::accepted;
     std::vector<promotion_request> sent;
     moment latest_arrival{};
     moment latest_answer{};
@@ -88,6 +89,7 @@
     CPPUNIT_TEST(order_of_former_life_may_be_read_after_that_of_the_next);
     CPPUNIT_TEST(order_of_ended_term_may_be_read_after_that_of_the_next);
     CPPUNIT_TEST(order_of_former_era_may_be_read_after_that_of_the_next);
+    CPPUNIT_TEST(order_without_answer_may_be_read_after_a_release);
     CPPUNIT_TEST(successor_of_an_expired_lease_orders_at_once);
     CPPUNIT_TEST(successor_of_a_released_lease_orders_at_once);
     CPPUNIT_TEST_SUITE_END();
@@ -245,9 +247,25 @@
         CPPUNIT_ASSERT(f.order_as(f.b, term) == promotion_result::accepted);
     }
 
+    /// A VM that stops hands its lease over, perhaps before its order is read.
+    void order_without_answer_may_be_read_after_a_release()
+    {
+        ordering_vm f;
+        f.answer = promotion_result::unanswered;
+        f.order();
+        f.a.release({});
+        CPPUNIT_ASSERT(!f.a.term());
+        f.b.update(f.never);
+        CPPUNIT_ASSERT(!f.b.holds(f.now));
+        f.now += coordinator_lease_duration;
+        f.b.update(f.never);
+        CPPUNIT_ASSERT(f.b.holds(f.now));
+    }
+
     void successor_of_a_released_lease_orders_at_once()
     {
         ordering_vm f;
+        f.order();
         f.a.release({});
         f.b.update(f.never);
         const auto term = *f.b.term();
