--- a/include/tanagerhoist/fleet/failover_executor.hpp
+++ b/include/tanagerhoist/fleet/failover_executor.hpp
@@ -107,6 +107,29 @@
     std::optional<group_lead_row> create_lead(const std::string& group);
 
 private:
+    /// What counts when a server is chosen for promotion.
+    struct candidate
+    {
+        log_position log_end;
+        bool draining = false;
+    };
+
+    /// What the servers of a group have answered, but for the old primary.
+    struct candidates
+    {
+        std::optional<std::string> best;
+        candidate best_candidate;
+        /// The primary of the newest term, if any.
+        std::optional<std::string> promoted;
+        std::uint64_t promoted_term = 0;
+        log_position newest_refused; ///< of servers that are not eligible
+        bool all_answered = true;
+    };
+
+    static bool is_better(const candidate& one, const candidate& other,
+                          bool synchronous);
+    candidates ask_candidates(const proto::GroupLead& lead,
+                              const std::set<std::string>& ineligible);
     std::uint64_t next_epoch(const proto::GroupLead& lead);
     bool has_later_primary(const proto::GroupLead& lead);
     bool seal(group_lead_row& row);
--- a/src/fleet/failover_executor.cpp
+++ b/src/fleet/failover_executor.cpp
@@ -34,16 +34,12 @@
 /// Attempts to promote a server before the failover is left to a later call.
 constexpr int max_attempts = 8;
 
-/// What counts when a server is chosen for promotion.
-struct candidate
-{
-    log_position log_end;
-    bool draining = false;
-};
+} // namespace
 
 /// Whether a candidate is better than another. With synchronous replicas no
 /// preference outweighs the log, which may hold the last commit.
-bool is_better(const candidate& one, const candidate& other, bool synchronous)
+bool failover_executor::is_better(const candidate& one, const candidate& other,
+                                  bool synchronous)
 {
     if (synchronous && !(one.log_end == other.log_end))
     {
@@ -56,8 +52,6 @@
     return other.log_end < one.log_end;
 }
 
-} // namespace
-
 failover_executor::failover_executor(failover_port& port, structured_log& lines)
     : port_(port), lines_(lines)
 {
@@ -269,6 +263,45 @@
     return choose_candidate(lead, ineligible);
 }
 
+/// Asks the group's servers, but for the old primary, for their roles.
+failover_executor::candidates
+failover_executor::ask_candidates(const proto::GroupLead& lead,
+                                  const std::set<std::string>& ineligible)
+{
+    const bool synchronous = port_.synchronous_replicas(lead.group()) != 0;
+    candidates found;
+    for (const auto& server : port_.servers(lead.group()))
+    {
+        const bool refused = ineligible.count(server.id) != 0;
+        if (server.id == lead.primary() || (refused && !synchronous))
+        {
+            continue;
+        }
+        const auto role = port_.role(server);
+        const auto log_end = role ? role->received : log_position{};
+        if (refused)
+        {
+            found.newest_refused = std::max(found.newest_refused, log_end);
+            continue;
+        }
+        found.all_answered = found.all_answered && role.has_value();
+        newest_term_ = std::max(newest_term_, role ? role->term : 0);
+        if (role && role->primary && role->term >= newest_term_)
+        {
+            found.promoted = server.id;
+            found.promoted_term = role->term;
+        }
+        const candidate present{log_end, server.draining};
+        if (role && (!found.best ||
+                     is_better(present, found.best_candidate, synchronous)))
+        {
+            found.best = server.id;
+            found.best_candidate = present;
+        }
+    }
+    return found;
+}
+
 /// Returns a server that is already primary of the newest term that any server
 /// has told, also if that is the old primary, else the most up-to-date one,
 /// preferring servers that are not draining. With synchronous replicas all
@@ -281,58 +314,23 @@
     const bool synchronous = port_.synchronous_replicas(lead.group()) != 0;
     for (;;)
     {
-        std::optional<std::string> best;
-        std::optional<std::string> promoted;
-        std::uint64_t promoted_term = 0;
-        candidate chosen;
-        log_position newest_refused;
-        bool all_answered = true;
-        for (const auto& server : port_.servers(lead.group()))
-        {
-            const bool refused = ineligible.count(server.id) != 0;
-            if (server.id == lead.primary() || (refused && !synchronous))
-            {
-                continue;
-            }
-            const auto role = port_.role(server);
-            if (refused)
-            {
-                newest_refused = std::max(
-                    newest_refused, role ? role->received : log_position{});
-                continue;
-            }
-            all_answered = all_answered && role.has_value();
-            newest_term_ = std::max(newest_term_, role ? role->term : 0);
-            if (role && role->primary && role->term >= newest_term_)
-            {
-                promoted = server.id;
-                promoted_term = role->term;
-            }
-            const candidate present{role ? role->received : log_position{},
-                                    server.draining};
-            const bool better =
-                role && (!best || is_better(present, chosen, synchronous));
-            if (better)
-            {
-                best = server.id;
-                chosen = present;
-            }
-        }
+        const auto found = ask_candidates(lead, ineligible);
+        const auto& best = found.best;
+        const auto& log_end = found.best_candidate.log_end;
         if (old_primary_term_ == newest_term_)
         {
             return lead.primary();
         }
-        if (promoted && promoted_term == newest_term_)
+        if (found.promoted && found.promoted_term == newest_term_)
         {
-            return promoted; // and not replaced again
+            return found.promoted; // and not replaced again
         }
-        if (best && chosen.log_end < newest_refused)
+        if (best && log_end < found.newest_refused)
         {
             return std::nullopt; // the refused server may hold the last commit
         }
-        const bool complete = !synchronous || all_answered;
-        const bool caught_up =
-            !old_log_end_ || !(chosen.log_end < *old_log_end_);
+        const bool complete = !synchronous || found.all_answered;
+        const bool caught_up = !old_log_end_ || !(log_end < *old_log_end_);
         const bool waited = port_.now() >= until;
         if (best && complete && (caught_up || waited))
         {
