--- a/fuzz/coordinator_simulation.cpp
+++ b/fuzz/coordinator_simulation.cpp
@@ -154,6 +154,7 @@
         return;
     }
     trace(simulated_vm::name(vm) + " stops");
+    stopped_at_ = now();
     const std::weak_ptr<fiber_process> process = vms_.at(vm)->process();
     vms_.at(vm)->stop(
         [this, vm, process]
@@ -301,6 +302,7 @@
     rules_.expect(request.token >= newest_token_,
                   "the token of an order went down");
     newest_token_ = std::max(newest_token_, request.token);
+    check_turn(request.holder);
     const auto server = simulated_group::index_of(request.server);
     if (promotion_runs_ || !group_.at(server).up)
     {
@@ -314,6 +316,25 @@
     return promotion_result::accepted;
 }
 
+/// Holders don't take turns within a lease, and leave a margin between their
+/// orders, unless one was stopped and has handed the lease over.
+void coordinator_simulation::check_turn(const std::string& holder)
+{
+    const auto& former = last_order_;
+    const bool follows = !former.holder.empty() && former.holder != holder;
+    const bool handed_over = stopped_at_ >= former.at;
+    rules_.expect(!follows || handed_over ||
+                      now() >= former.at + coordinator_lease_margin,
+                  "two holders ordered within the margin of a lease");
+    const auto own = orders_.find(holder);
+    const bool returns = follows && own != orders_.end();
+    rules_.expect(!returns || stopped_at_ >= own->second ||
+                      now() >= own->second + coordinator_lease_duration,
+                  "two holders took turns within a lease");
+    orders_[holder] = now();
+    last_order_ = {holder, now()};
+}
+
 void coordinator_simulation::promote(std::size_t server)
 {
     promotion_runs_ = false;
--- a/fuzz/coordinator_simulation.hpp
+++ b/fuzz/coordinator_simulation.hpp
@@ -251,6 +251,7 @@
 private:
     void start_vm(std::size_t vm);
     void check_holders();
+    void check_turn(const std::string& holder);
     void promote(std::size_t server);
     void step(moment until);
     bool is_operating() const;
@@ -271,6 +272,14 @@
     bool promotion_runs_ = false;
     std::map<std::uint64_t, std::string> holder_by_token_; ///< of orders
     std::uint64_t newest_token_ = 0;
+    struct order
+    {
+        std::string holder;
+        moment at{};
+    };
+    order last_order_;
+    std::map<std::string, moment> orders_; ///< each holder's last one
+    moment stopped_at_{};                  ///< the last planned stop of a VM
     std::size_t promotions_ = 0;
     std::uint64_t writes_ = 0;
     std::set<std::string> acknowledged_;
