Tell why a daemon can't start, and end with the code of that error

Cause: the daemon ran inside the handlers of errors in its settings; the last of them took any exception and returned the settings' exit code. The same in tanagerhoist-load and tanagerhoist-publish. Change: read_or_print reads the settings or prints their errors; what uses them runs outside. Sockets are opened by listen_on and receive_on, whose errors name the endpoint. Publish no longer prints the number of errors after them. Test functions refuse a PORT_SHIFT into the range of outgoing connections.

--- a/scripts/lib/session_daemon.sh
+++ b/scripts/lib/session_daemon.sh
@@ -7,10 +7,23 @@
 session_settings()
 {
     port=$((${PORT_SHIFT:-0} + $1))
+    check_port_shift
     store=$((port + 2))
     vm_settings vm1 "$port" session
 }
 
+# check_port_shift: ends the test if PORT_SHIFT moves the ports to where the
+# system takes those of outgoing connections, any of which may be in use.
+check_port_shift()
+{
+    local first_outgoing rest highest=$((port + 100))
+    read -r first_outgoing rest </proc/sys/net/ipv4/ip_local_port_range
+    if [ -n "${PORT_SHIFT:-}" ] && [ "$highest" -ge "$first_outgoing" ]; then
+        echo "PORT_SHIFT=$PORT_SHIFT: ports from $first_outgoing on are those of outgoing connections"
+        exit 1
+    fi
+}
+
 # vm_settings VM FIRST_PORT FILE: fills in the settings template of one of the
 # daemons, which listens on FIRST_PORT and the next ones.
 vm_settings()
--- a/src/adapter/http_responder.cpp
+++ b/src/adapter/http_responder.cpp
@@ -1,5 +1,7 @@
 #include "tanagerhoist/adapter/http_responder.hpp"
 
+#include "tanagerhoist/adapter/bound_socket.hpp"
+
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/fixedsize_stack.hpp>
 
@@ -22,7 +24,7 @@
 http_responder::http_responder(boost::asio::io_context& context,
                                const boost::asio::ip::tcp::endpoint& where,
                                responder respond)
-    : acceptor_(context, where), respond_(std::move(respond))
+    : acceptor_(listen_on(context, where)), respond_(std::move(respond))
 {
     accept();
 }
--- a/tools/daemon/daemon.cpp
+++ b/tools/daemon/daemon.cpp
@@ -1,5 +1,7 @@
 #include "daemon.hpp"
 
+#include "tanagerhoist/adapter/bound_socket.hpp"
+
 #include <spdlog/spdlog.h>
 
 #include <csignal>
@@ -42,7 +44,8 @@
       workers_(make_workers(settings.vm().workers(), snapshot_, counters,
                             [this](proto::Input input)
                             { post(std::move(input)); })),
-      acceptor_(workers_.front()->context(), endpoint_of(settings.listen())),
+      acceptor_(listen_on(workers_.front()->context(),
+                          endpoint_of(settings.listen()))),
       signals_(workers_.front()->context(), SIGTERM, SIGINT),
       drain_limit_(workers_.front()->context()),
       loop_(
--- a/tools/daemon/fleet_agent.cpp
+++ b/tools/daemon/fleet_agent.cpp
@@ -1,6 +1,7 @@
 #include "fleet_agent.hpp"
 
 #include "platform/operator_config.hpp"
+#include "tanagerhoist/adapter/bound_socket.hpp"
 #include "tanagerhoist/adapter/fiber_await.hpp"
 
 #include <boost/fiber/fiber.hpp>
@@ -60,11 +61,12 @@
       now_(std::move(now)),
       store_(split_endpoint(settings.sessions().store())),
       promotion_address_(split_endpoint(settings.sessions().duty())),
-      socket_(context,
-              udp::endpoint(
-                  asio::ip::make_address(
-                      split_endpoint(settings.sessions().listen()).address),
-                  static_cast<std::uint16_t>(settings.sessions().peer_port()))),
+      socket_(receive_on(
+          context,
+          udp::endpoint(
+              asio::ip::make_address(
+                  split_endpoint(settings.sessions().listen()).address),
+              static_cast<std::uint16_t>(settings.sessions().peer_port())))),
       report_timer_(context),
       request_timer_(context),
       config_watch_{platform::operator_table, config_wait,
--- a/tools/daemon/main.cpp
+++ b/tools/daemon/main.cpp
@@ -6,8 +6,8 @@
 #include "tanagerhoist/core/source_id.hpp"
 #include "tanagerhoist/record/replay.hpp"
 #include "tanagerhoist/settings/ini_reader.hpp"
+#include "tanagerhoist/settings/read_or_print.hpp"
 
-#include <boost/leaf.hpp>
 #include <cxxopts.hpp>
 #include <spdlog/spdlog.h>
 
@@ -24,13 +24,14 @@
 constexpr int exit_drained = 0;
 constexpr int exit_usage = 1;
 constexpr int exit_settings = 2;
-constexpr int exit_start = 3;
+constexpr int exit_error = 3;
 constexpr int exit_cut_off = 4;
 
 constexpr const char* exit_help =
     "\nExit codes: 0 drained, every request answered; 1 wrong command line; "
-    "2 fault in\nthe settings file; 3 could not start; 4 ended before the "
-    "drain was over.\n";
+    "2 fault in\nthe settings file; 3 ended by an error, for example a port "
+    "that is "
+    "taken; 4 ended\nbefore the drain was over.\n";
 
 constexpr tanagerhoist::milliseconds record_timeout{1000};
 constexpr tanagerhoist::milliseconds record_interval{1000};
@@ -84,30 +85,26 @@
 /// Serves with the settings of `file`, or prints all errors in it.
 int serve_file(const std::string& file)
 {
-    namespace leaf = boost::leaf;
-    return leaf::try_handle_all(
-        [&]() -> leaf::result<int>
-        {
-            if (tanagerhoist::has_sessions_section(file))
-            {
-                BOOST_LEAF_AUTO(
-                    sessions, tanagerhoist::read_session_daemon_settings(file));
-                serve_sessions(sessions, file);
-            }
-            BOOST_LEAF_AUTO(settings, tanagerhoist::read_daemon_settings(file));
-            spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %l " +
-                                settings.vm().name() + " %v");
-            return serve(settings);
-        },
-        [](const tanagerhoist::settings_errors& errors)
+    using namespace tanagerhoist;
+    if (has_sessions_section(file))
+    {
+        const auto sessions = read_or_print<proto::SessionDaemonSettings>(
+            [&file] { return read_session_daemon_settings(file); }, std::cerr);
+        if (!sessions)
         {
-            for (const auto& error : errors.all)
-            {
-                std::cerr << to_text(error) << '\n';
-            }
             return exit_settings;
-        },
-        [] { return exit_settings; });
+        }
+        serve_sessions(*sessions, file);
+    }
+    const auto settings = read_or_print<proto::DaemonSettings>(
+        [&file] { return read_daemon_settings(file); }, std::cerr);
+    if (!settings)
+    {
+        return exit_settings;
+    }
+    spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %l " + settings->vm().name() +
+                        " %v");
+    return serve(*settings);
 }
 
 } // namespace
@@ -149,7 +146,7 @@
     }
     catch (const std::exception& error)
     {
-        std::cerr << "could not start: " << error.what() << '\n';
-        return exit_start;
+        std::cerr << "ended by an error: " << error.what() << '\n';
+        return exit_error;
     }
 }
--- a/tools/daemon/session_daemon.cpp
+++ b/tools/daemon/session_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/ready_probe.hpp"
 #include "tanagerhoist/adapter/boot_clock.hpp"
+#include "tanagerhoist/adapter/bound_socket.hpp"
 #include "tanagerhoist/adapter/fiber_loop.hpp"
 #include "tanagerhoist/core/source_id.hpp"
 #include "tanagerhoist/settings/ini_reader.hpp"
@@ -86,7 +87,7 @@
              lines_),
       fleet_(context_, settings, random_life(), tolerance_of(settings), proxy_,
              lines_, monitor_, now_),
-      acceptor_(context_, endpoint_of(settings.sessions().listen())),
+      acceptor_(listen_on(context_, endpoint_of(settings.sessions().listen()))),
       readiness_(context_, endpoint_of(settings.sessions().readiness()),
                  [this](const http_request& request)
                  { return respond(request); }),
--- a/tools/load/main.cpp
+++ b/tools/load/main.cpp
@@ -1,9 +1,8 @@
 #include "commands.hpp"
 #include "tanagerhoist/adapter/fiber_loop.hpp"
-#include "tanagerhoist/settings/settings_error.hpp"
+#include "tanagerhoist/settings/read_or_print.hpp"
 
 #include <boost/fiber/fiber.hpp>
-#include <boost/leaf.hpp>
 
 #include <algorithm>
 #include <exception>
@@ -53,23 +52,10 @@
 
 exit_code run_with_fleet(const command_row& row, const command_line& line)
 {
-    namespace leaf = boost::leaf;
-    return leaf::try_handle_all(
-        [&]() -> leaf::result<exit_code>
-        {
-            BOOST_LEAF_AUTO(fleet,
-                            read_fleet_config(line.target, line.keys_file));
-            return run_command(row, line, fleet);
-        },
-        [](const settings_errors& errors)
-        {
-            for (const auto& error : errors.all)
-            {
-                std::cerr << to_text(error) << '\n';
-            }
-            return exit_code::settings;
-        },
-        [] { return exit_code::settings; });
+    const auto fleet = read_or_print<fleet_config>(
+        [&line] { return read_fleet_config(line.target, line.keys_file); },
+        std::cerr);
+    return fleet ? run_command(row, line, *fleet) : exit_code::settings;
 }
 
 exit_code dispatch(const command_line& line)
--- a/tools/publish/commands.cpp
+++ b/tools/publish/commands.cpp
@@ -5,10 +5,10 @@
 #include "tanagerhoist/decision/publish_plan.hpp"
 #include "tanagerhoist/decision/settings_rows.hpp"
 #include "tanagerhoist/settings/ini_reader.hpp"
+#include "tanagerhoist/settings/read_or_print.hpp"
 #include "tanagerhoist/settings/rollout_status.hpp"
 #include "tanagerhoist/settings/settings_diff.hpp"
 
-#include <boost/leaf/handle_errors.hpp>
 #include <openssl/rand.h>
 
 #include <algorithm>
@@ -21,7 +21,6 @@
 namespace
 {
 
-namespace leaf = boost::leaf;
 using std::chrono::steady_clock;
 
 constexpr std::size_t random_bytes = 16;
@@ -58,23 +57,14 @@
 template <class Use>
 exit_code with_valid_settings(const command_line& line, Use use)
 {
-    return leaf::try_handle_all(
-        [&]() -> leaf::result<exit_code>
-        {
-            BOOST_LEAF_AUTO(settings, read_settings(expand_paths(line)));
-            return use(std::move(settings));
-        },
-        [](const settings_errors& errors)
-        {
-            for (const auto& error : errors.all)
-            {
-                std::cerr << to_text(error) << '\n';
-            }
-            std::cerr << errors.all.size()
-                      << " errors; nothing was published\n";
-            return exit_code::settings_error;
-        },
-        [] { return exit_code::settings_error; });
+    auto settings = read_or_print<proto::Settings>(
+        [&line] { return read_settings(expand_paths(line)); }, std::cerr);
+    if (!settings)
+    {
+        std::cerr << "nothing was published\n";
+        return exit_code::settings_error;
+    }
+    return use(std::move(*settings));
 }
 
 exit_code report_no_answer()
