--- a/include/tanagerhoist/fleet/coordinator_lease.hpp
+++ b/include/tanagerhoist/fleet/coordinator_lease.hpp
@@ -122,6 +122,7 @@
 
 private:
     bool renew();
+    store_answer read_rows();
     void note_row(const proto::DutyRow& found);
     void read_lease(milliseconds takeover_delay);
     void resolve_conflict(const store_answer& answer);
@@ -153,7 +154,8 @@
     moment claim_end_{}; ///< others may take the lease from then on
     /// When no request of an earlier term is on its way any more.
     moment orders_from_{};
-    moment order_open_until_{}; ///< for orders without an answer
+    /// Until when an order without an answer may still be read.
+    moment unanswered_order_until_{};
     bool holding_ = false;
     /// When the row was first missing.
     std::optional<moment> row_missing_since_;
--- a/include/tanagerhoist/fleet/failover_executor.hpp
+++ b/include/tanagerhoist/fleet/failover_executor.hpp
@@ -115,7 +115,7 @@
     };
 
     /// What the servers of a group have answered, but for the old primary.
-    struct candidates
+    struct candidate_answers
     {
         std::optional<std::string> best;
         candidate best_candidate;
@@ -128,8 +128,8 @@
 
     static bool is_better(const candidate& one, const candidate& other,
                           bool synchronous);
-    candidates ask_candidates(const proto::GroupLead& lead,
-                              const std::set<std::string>& ineligible);
+    candidate_answers ask_candidates(const proto::GroupLead& lead,
+                                     const std::set<std::string>& ineligible);
     std::uint64_t next_epoch(const proto::GroupLead& lead);
     bool has_later_primary(const proto::GroupLead& lead);
     bool seal(group_lead_row& row);
--- /dev/null
+++ b/src/fleet/failover_executor_candidates.cpp
@@ -0,0 +1,133 @@
+#include "tanagerhoist/fleet/failover_executor.hpp"
+
+#include <algorithm>
+
+// Which server is promoted.
+namespace tanagerhoist
+{
+namespace
+{
+
+/// Wait for a replica to reach the log end of the demoted primary.
+constexpr milliseconds catch_up_timeout{1500};
+
+constexpr milliseconds candidate_poll_interval{30};
+
+} // namespace
+
+/// Whether a candidate is better than another. With synchronous replicas no
+/// preference outweighs the log, which may hold the last commit.
+bool failover_executor::is_better(const candidate& one, const candidate& other,
+                                  bool synchronous)
+{
+    if (synchronous && !(one.log_end == other.log_end))
+    {
+        return other.log_end < one.log_end;
+    }
+    if (one.draining != other.draining)
+    {
+        return other.draining;
+    }
+    return other.log_end < one.log_end;
+}
+
+/// Asks the group's servers, but for the old primary, for their roles.
+failover_executor::candidate_answers
+failover_executor::ask_candidates(const proto::GroupLead& lead,
+                                  const std::set<std::string>& ineligible)
+{
+    const bool synchronous = port_.synchronous_replicas(lead.group()) != 0;
+    candidate_answers found;
+    for (const auto& server : port_.servers(lead.group()))
+    {
+        const bool refused = ineligible.count(server.id) != 0;
+        if (server.id == lead.primary() || (refused && !synchronous))
+        {
+            continue;
+        }
+        const auto role = port_.role(server);
+        const auto log_end = role ? role->received : log_position{};
+        if (refused)
+        {
+            found.newest_refused = std::max(found.newest_refused, log_end);
+            continue;
+        }
+        found.all_answered = found.all_answered && role.has_value();
+        newest_term_ = std::max(newest_term_, role ? role->term : 0);
+        if (role && role->primary && role->term >= newest_term_)
+        {
+            found.promoted = server.id;
+            found.promoted_term = role->term;
+        }
+        const candidate present{log_end, server.draining};
+        if (role && (!found.best ||
+                     is_better(present, found.best_candidate, synchronous)))
+        {
+            found.best = server.id;
+            found.best_candidate = present;
+        }
+    }
+    return found;
+}
+
+/// Returns a server that is already primary of the newest term that any server
+/// has told, also if that is the old primary, else the most up-to-date one,
+/// preferring servers that are not draining. With synchronous replicas all
+/// eligible servers must answer, since any of them may hold the last commit.
+std::optional<std::string>
+failover_executor::choose_candidate(const proto::GroupLead& lead,
+                                    const std::set<std::string>& ineligible)
+{
+    const auto until = port_.now() + catch_up_timeout;
+    const bool synchronous = port_.synchronous_replicas(lead.group()) != 0;
+    for (;;)
+    {
+        const auto found = ask_candidates(lead, ineligible);
+        const auto& best = found.best;
+        const auto& log_end = found.best_candidate.log_end;
+        if (old_primary_term_ == newest_term_)
+        {
+            return lead.primary();
+        }
+        if (found.promoted && found.promoted_term == newest_term_)
+        {
+            return found.promoted; // and not replaced again
+        }
+        if (best && log_end < found.newest_refused)
+        {
+            return std::nullopt; // the refused server may hold the last commit
+        }
+        const bool complete = !synchronous || found.all_answered;
+        const bool caught_up = !old_log_end_ || !(log_end < *old_log_end_);
+        const bool waited = port_.now() >= until;
+        if (best && complete && (caught_up || waited))
+        {
+            return best;
+        }
+        if (waited)
+        {
+            return best && complete ? best : reachable_old_primary(lead);
+        }
+        if (!port_.is_coordinator())
+        {
+            return std::nullopt;
+        }
+        port_.pause(candidate_poll_interval);
+    }
+}
+
+/// Returns the old primary if it answers, as fallback if no other server can be
+/// promoted. It must have been demoted: one that still leads the old term can't
+/// be told from one that was promoted again, and another server may lead.
+std::optional<std::string>
+failover_executor::reachable_old_primary(const proto::GroupLead& lead)
+{
+    const auto old = find(lead.group(), lead.primary());
+    if (old && old_log_end_ && port_.role(*old))
+    {
+        return old->id;
+    }
+    return std::nullopt;
+}
+
+} // namespace tanagerhoist
