--- a/fuzz/coordinator_simulation.cpp
+++ b/fuzz/coordinator_simulation.cpp
@@ -302,7 +302,7 @@
     rules_.expect(request.token >= newest_token_,
                   "the token of an order went down");
     newest_token_ = std::max(newest_token_, request.token);
-    check_turn(request.holder);
+    check_alternation(request.holder);
     const auto server = simulated_group::index_of(request.server);
     if (promotion_runs_ || !group_.at(server).up)
     {
@@ -316,21 +316,21 @@
     return promotion_result::accepted;
 }
 
-/// Holders don't take turns within a lease, and leave a margin between their
-/// orders, unless one was stopped and has handed the lease over.
-void coordinator_simulation::check_turn(const std::string& holder)
+/// Orders of two holders don't alternate within the duration of a lease, and
+/// are a margin apart, unless a VM was stopped and has released its lease.
+void coordinator_simulation::check_alternation(const std::string& holder)
 {
     const auto& former = last_order_;
     const bool follows = !former.holder.empty() && former.holder != holder;
-    const bool handed_over = stopped_at_ >= former.at;
-    rules_.expect(!follows || handed_over ||
+    const bool released = stopped_at_ >= former.at;
+    rules_.expect(!follows || released ||
                       now() >= former.at + coordinator_lease_margin,
                   "two holders ordered within the margin of a lease");
     const auto own = orders_.find(holder);
     const bool returns = follows && own != orders_.end();
     rules_.expect(!returns || stopped_at_ >= own->second ||
                       now() >= own->second + coordinator_lease_duration,
-                  "two holders took turns within a lease");
+                  "two holders alternated within a lease");
     orders_[holder] = now();
     last_order_ = {holder, now()};
 }
--- a/fuzz/coordinator_simulation.hpp
+++ b/fuzz/coordinator_simulation.hpp
@@ -251,7 +251,7 @@
 private:
     void start_vm(std::size_t vm);
     void check_holders();
-    void check_turn(const std::string& holder);
+    void check_alternation(const std::string& holder);
     void promote(std::size_t server);
     void step(moment until);
     bool is_operating() const;
--- a/tools/daemon/main.cpp
+++ b/tools/daemon/main.cpp
@@ -128,7 +128,7 @@
         }
         if (given.count("version") > 0)
         {
-            std::cout << "tanagerhoistd " TANAGERHOIST_VERSION ", sources "
+            std::cout << "tanagerhoistd " TANAGERHOIST_VERSION ", source id "
                       << tanagerhoist::source_id() << '\n';
             return exit_drained;
         }
--- a/tools/daemon/session_daemon.cpp
+++ b/tools/daemon/session_daemon.cpp
@@ -121,7 +121,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     lines_.write(log_level::change, "start",
                  {{"version", TANAGERHOIST_VERSION},
-                  {"build", std::string(source_id())},
+                  {"source_id", std::string(source_id())},
                   {"data_centre", settings_.vm().data_centre()},
                   {"listen", settings_.sessions().listen()}});
     fleet_.start();
