--- a/include/tanagerhoist/fleet/failover_executor.hpp
+++ b/include/tanagerhoist/fleet/failover_executor.hpp
@@ -73,7 +73,8 @@
     virtual void confirm_log_end(const proto::GroupLead& lead,
                                  const log_position& end, moment confirmed) = 0;
 
-    /// Requests a promotion, unless the term is over when it can be sent.
+    /// Requests a promotion, unless the term is over, or nearly over, when it
+    /// can be sent.
     virtual promotion_result request_promotion(const std::string& group,
                                                const std::string& server) = 0;
 };
--- a/include/tanagerhoist/fleet/promotion_request.hpp
+++ b/include/tanagerhoist/fleet/promotion_request.hpp
@@ -22,8 +22,8 @@
     accepted,
     not_eligible, ///< not running, or another request is in progress
     unanswered,   ///< the promotion may still happen
-    not_sent,     ///< the platform was not reached or took no request
-    term_over     ///< not sent: the sender is no longer the coordinator
+    not_sent, ///< platform not reached, or took none; or too late in the term
+    term_over ///< not sent: the sender is no longer the coordinator
 };
 
 /// Text of a result in log lines.
--- a/src/fleet/coordinator_lease.cpp
+++ b/src/fleet/coordinator_lease.cpp
@@ -94,6 +94,8 @@
            time_left(term) >= order_reading_time + order_delivery_time;
 }
 
+/// As long as a lease that is not released would keep the next holder from
+/// ordering.
 void coordinator_lease::note_unanswered_order()
 {
     unanswered_order_until_ = now_() + coordinator_lease_duration;
