Log and count answers of servers that do not fit their statements

answer_history keeps, by connection, hashes of the signatures and errors that were given and of the last rows; each answer is compared with them and with what its statement allows. What does not fit is logged and counted by cause. Nothing acts on it yet.

--- /dev/null
+++ b/include/tanagerhoist/session/answer_history.hpp
@@ -0,0 +1,98 @@
+#ifndef TANAGERHOIST_SESSION_ANSWER_HISTORY_HPP
+#define TANAGERHOIST_SESSION_ANSWER_HISTORY_HPP
+
+#include "tanagerhoist/session/proxy_transport.hpp"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace tanagerhoist
+{
+
+/// Why what a server sent is not the answer to the statement that its
+/// connection runs.
+enum class answer_fault
+{
+    none,
+    unasked,       ///< no statement is outstanding
+    out_of_order,  ///< a line that can't follow the lines before it
+    incomplete,    ///< it ends without a result
+    not_signed,    ///< a result without the signature that it needs
+    repeated,      ///< its signature was given before
+    wrong_state,   ///< a transaction state that the statement can't have
+    wrong_rows,    ///< rows of a statement that has none
+    doubtful_rows, ///< rows that may belong to an earlier answer
+    doubtful_error ///< an error that may belong to an earlier answer
+};
+
+/// Number of enumerators of `answer_fault`.
+constexpr std::size_t answer_faults = 10;
+
+const char* to_text(answer_fault fault);
+
+/// What a statement allows its answer to be.
+struct expected_answer
+{
+    bool is_signed = false; ///< a success has a signature
+    bool may_have_rows = false;
+    transaction_state state = transaction_state::none; ///< after a success
+    std::uint64_t statement = 0; ///< hash of the text, to compare rows by
+};
+
+/// The answers that a connection to a server has given. Answers name no
+/// statement, so a repeated one is told from the answer to the current
+/// statement by what it repeats: a signature stands for one run. An error has
+/// none; one that was given before, with the same text and position, may be a
+/// repeated one.
+class answer_history
+{
+public:
+    /// Compares a complete answer with the statement and the answers before.
+    /// Rows are compared last: with `doubtful_rows` all else fits.
+    answer_fault check(const expected_answer& expected,
+                       const session_answer& answer) const;
+
+    /// Notes an answer that was taken.
+    void add(const expected_answer& expected, const session_answer& answer);
+
+    /// Whether an error was taken, which a server may repeat. A further error
+    /// then does not prove that the statement did not run.
+    bool has_errors() const { return !errors_.empty(); }
+
+    /// Whether the connection has given as many answers as are remembered.
+    bool is_full() const
+    {
+        return signatures_.size() + errors_.size() >= most_results;
+    }
+
+private:
+    static constexpr std::size_t most_results = 1024;
+    static constexpr std::size_t most_row_notes = 16;
+
+    /// Rows of an earlier answer; hashes.
+    struct row_note
+    {
+        std::uint64_t statement = 0;
+        std::uint64_t first_row = 0;
+        std::uint64_t rows = 0;
+    };
+
+    bool is_repeated_error(const session_answer& answer) const;
+    bool is_repeated_success(const session_answer& answer) const;
+    bool has_doubtful_rows(const expected_answer& expected,
+                           const session_answer& answer) const;
+
+    std::vector<std::uint64_t> signatures_; ///< hashes
+    std::vector<std::uint64_t> errors_;     ///< hashes
+    std::array<row_note, most_row_notes> rows_{};
+    std::size_t row_notes_ = 0; ///< in total; the oldest are replaced
+};
+
+/// Hash of an answer's rows.
+std::uint64_t hash_of_rows(const session_answer& answer);
+
+} // namespace tanagerhoist
+
+#endif
--- a/include/tanagerhoist/session/proxy.hpp
+++ b/include/tanagerhoist/session/proxy.hpp
@@ -130,9 +130,10 @@
                            const std::optional<log_position>& position);
     void connection_refused(moment now, connection_id id, session_error error);
     void connection_lost(moment now, connection_id id);
-    void server_row(connection_id id, std::string row);
-    void server_complete(connection_id id, std::string signature);
-    void server_error(connection_id id, session_error error, std::string text);
+    void server_row(moment now, connection_id id, std::string row);
+    void server_complete(moment now, connection_id id, std::string signature);
+    void server_error(moment now, connection_id id, session_error error,
+                      std::string text);
     void server_ready(moment now, connection_id id, transaction_state state,
                       const std::optional<log_position>& position);
     /// @}
@@ -320,6 +321,12 @@
     std::string probing_workspace(const server_state& server) const;
     void ask_positions(moment now);
 
+    // Answers that do not fit their statements: proxy_answer_faults.cpp
+    void note_line(moment now, const server_connection& connection);
+    void note_answer(moment now, server_connection& connection);
+    void note_fault(moment now, const server_connection& connection,
+                    answer_fault fault);
+
     // Answers: proxy_answers.cpp
     void finish_statement(moment now, connection_id id,
                           server_connection& connection);
--- a/include/tanagerhoist/session/proxy_counters.hpp
+++ b/include/tanagerhoist/session/proxy_counters.hpp
@@ -2,6 +2,7 @@
 #define TANAGERHOIST_SESSION_PROXY_COUNTERS_HPP
 
 #include "tanagerhoist/core/time.hpp"
+#include "tanagerhoist/session/answer_history.hpp"
 
 #include <array>
 #include <cstddef>
@@ -50,6 +51,8 @@
     /// Latency of answers by read consistency and outcome.
     std::map<std::pair<std::string, std::string>, latency_histogram> answers;
     std::map<std::string, std::uint64_t> refusals; ///< by cause
+    /// Answers of servers that were not taken, by `answer_fault`.
+    std::array<std::uint64_t, answer_faults> faults{};
     std::uint64_t connections_opened = 0;
     std::uint64_t retries = 0;
     std::uint64_t second_tries =
--- a/include/tanagerhoist/session/proxy_transport.hpp
+++ b/include/tanagerhoist/session/proxy_transport.hpp
@@ -27,6 +27,9 @@
     std::string text;                   ///< error message
     transaction_state state = transaction_state::none;
     std::optional<log_position> position;
+
+    /// Whether it tells that the statement succeeded or failed.
+    bool has_result() const { return error || !signature.empty(); }
 };
 
 /// Network operations of the proxy. Implementations must not call back into the
--- a/include/tanagerhoist/session/server_connection.hpp
+++ b/include/tanagerhoist/session/server_connection.hpp
@@ -2,6 +2,7 @@
 #define TANAGERHOIST_SESSION_SERVER_CONNECTION_HPP
 
 #include "tanagerhoist/core/time.hpp"
+#include "tanagerhoist/session/answer_history.hpp"
 #include "tanagerhoist/session/connection_state.hpp"
 #include "tanagerhoist/session/proxy_transport.hpp"
 
@@ -32,10 +33,13 @@
     server_statement current;            ///< statement sent last
     bool busy = false;                   ///< `current` is unanswered
     bool counted = false;                ///< included in the server's `running`
+    bool in_transaction = false;         ///< by its last answer
     moment opened{};
     moment sent{};
     moment idle_since{};
-    session_answer answer; ///< answer to `current`, received so far
+    moment answered{};      ///< when its last answer was complete
+    session_answer answer;  ///< answer to `current`, received so far
+    answer_history history; ///< answers before
 
     /// Whether the unanswered statement is a client's, not one that the proxy
     /// added.
--- /dev/null
+++ b/src/session/answer_history.cpp
@@ -0,0 +1,149 @@
+#include "tanagerhoist/session/answer_history.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <string>
+
+namespace tanagerhoist
+{
+namespace
+{
+
+/// Signature of a result that no run at a server stands for.
+constexpr const char* no_signature = "-";
+
+std::uint64_t hash_of(const std::string& text, std::uint64_t seed = 0)
+{
+    return XXH64(text.data(), text.size(), seed);
+}
+
+/// Hash of an error with all that its answer tells.
+std::uint64_t hash_of_error(const session_answer& answer)
+{
+    auto hash = hash_of(answer.text, static_cast<std::uint64_t>(*answer.error));
+    hash =
+        hash_of(answer.position ? std::to_string(answer.position->term) + '.' +
+                                      std::to_string(answer.position->number)
+                                : std::string(no_signature),
+                hash);
+    return hash + static_cast<std::uint64_t>(answer.state);
+}
+
+bool contains(const std::vector<std::uint64_t>& hashes, std::uint64_t hash)
+{
+    return std::find(hashes.begin(), hashes.end(), hash) != hashes.end();
+}
+
+} // namespace
+
+const char* to_text(answer_fault fault)
+{
+    constexpr std::array<const char*, answer_faults> texts{
+        "none",          "unasked",       "out_of_order", "incomplete",
+        "not_signed",    "repeated",      "wrong_state",  "wrong_rows",
+        "doubtful_rows", "doubtful_error"};
+    return texts.at(static_cast<std::size_t>(fault));
+}
+
+std::uint64_t hash_of_rows(const session_answer& answer)
+{
+    std::uint64_t hash = answer.rows.size();
+    for (const auto& row : answer.rows)
+    {
+        hash = hash_of(row, hash);
+    }
+    return hash;
+}
+
+answer_fault answer_history::check(const expected_answer& expected,
+                                   const session_answer& answer) const
+{
+    if (!answer.has_result())
+    {
+        return answer_fault::incomplete;
+    }
+    if (answer.error)
+    {
+        return is_repeated_error(answer) ? answer_fault::doubtful_error
+                                         : answer_fault::none;
+    }
+    if (is_repeated_success(answer))
+    {
+        return answer_fault::repeated;
+    }
+    if (expected.is_signed && answer.signature == no_signature)
+    {
+        return answer_fault::not_signed;
+    }
+    if (answer.state != expected.state)
+    {
+        return answer_fault::wrong_state;
+    }
+    if (!answer.rows.empty() && !expected.may_have_rows)
+    {
+        return answer_fault::wrong_rows;
+    }
+    return has_doubtful_rows(expected, answer) ? answer_fault::doubtful_rows
+                                               : answer_fault::none;
+}
+
+bool answer_history::is_repeated_error(const session_answer& answer) const
+{
+    return contains(errors_, hash_of_error(answer));
+}
+
+bool answer_history::is_repeated_success(const session_answer& answer) const
+{
+    return answer.signature != no_signature &&
+           contains(signatures_, hash_of(answer.signature));
+}
+
+/// Whether the answer contains the first row of an earlier one. A part of that
+/// answer may then have come before the rows of this one. The same rows as a
+/// whole for the same statement are its own.
+bool answer_history::has_doubtful_rows(const expected_answer& expected,
+                                       const session_answer& answer) const
+{
+    const auto noted = std::min(row_notes_, most_row_notes);
+    const auto rows = noted == 0 ? 0 : hash_of_rows(answer);
+    const auto begin = rows_.begin();
+    const auto end = begin + static_cast<std::ptrdiff_t>(noted);
+    const auto repeats = [&](const std::string& row)
+    {
+        const auto hash = hash_of(row);
+        return std::any_of(begin, end,
+                           [&](const row_note& note)
+                           {
+                               const bool same =
+                                   note.statement == expected.statement &&
+                                   note.rows == rows;
+                               return note.first_row == hash && !same;
+                           });
+    };
+    return noted != 0 &&
+           std::any_of(answer.rows.begin(), answer.rows.end(), repeats);
+}
+
+void answer_history::add(const expected_answer& expected,
+                         const session_answer& answer)
+{
+    if (answer.error)
+    {
+        errors_.push_back(hash_of_error(answer));
+        return;
+    }
+    if (answer.signature != no_signature)
+    {
+        signatures_.push_back(hash_of(answer.signature));
+    }
+    if (!answer.rows.empty())
+    {
+        rows_.at(row_notes_ % most_row_notes) = {expected.statement,
+                                                 hash_of(answer.rows.front()),
+                                                 hash_of_rows(answer)};
+        ++row_notes_;
+    }
+}
+
+} // namespace tanagerhoist
--- a/src/session/proxy_answers.cpp
+++ b/src/session/proxy_answers.cpp
@@ -44,30 +44,33 @@
 
 } // namespace
 
-void proxy::server_row(connection_id id, std::string row)
+void proxy::server_row(moment now, connection_id id, std::string row)
 {
     const auto it = connections_.find(id);
     if (it != connections_.end())
     {
+        note_line(now, it->second);
         it->second.answer.rows.push_back(std::move(row));
     }
 }
 
-void proxy::server_complete(connection_id id, std::string signature)
+void proxy::server_complete(moment now, connection_id id, std::string signature)
 {
     const auto it = connections_.find(id);
     if (it != connections_.end())
     {
+        note_line(now, it->second);
         it->second.answer.signature = std::move(signature);
     }
 }
 
-void proxy::server_error(connection_id id, session_error error,
+void proxy::server_error(moment now, connection_id id, session_error error,
                          std::string text)
 {
     const auto it = connections_.find(id);
     if (it != connections_.end())
     {
+        note_line(now, it->second);
         it->second.answer.error = error;
         it->second.answer.text = std::move(text);
     }
@@ -89,6 +92,7 @@
     }
     connection.answer.state = state;
     connection.answer.position = position;
+    note_answer(now, connection);
     if (position)
     {
         record_position(now, connection, *position, connection.sent);
--- a/src/session/proxy_connection_events.cpp
+++ b/src/session/proxy_connection_events.cpp
@@ -32,6 +32,7 @@
     }
     connection.phase = connection_phase::idle;
     connection.idle_since = now;
+    connection.answered = now;
     const auto owner = std::exchange(connection.owner, 0);
     const auto session = sessions_.find(owner);
     const bool awaited =
--- a/tests/proxy_fixture.hpp
+++ b/tests/proxy_fixture.hpp
@@ -213,7 +213,7 @@
                  std::uint64_t number = 100)
     {
         const auto connection = transport.sent.back().connection;
-        subject.server_complete(connection, "signature");
+        subject.server_complete(now, connection, "signature");
         subject.server_ready(now, connection, state,
                              log_position{lead.term(), number});
     }
@@ -222,7 +222,7 @@
               transaction_state state = transaction_state::none)
     {
         const auto connection = transport.sent.back().connection;
-        subject.server_error(connection, error, "server");
+        subject.server_error(now, connection, error, "server");
         subject.server_ready(now, connection, state, std::nullopt);
     }
 
--- a/tests/proxy_outcomes_test.cpp
+++ b/tests/proxy_outcomes_test.cpp
@@ -206,7 +206,7 @@
         const auto id = run_write(f);
         const auto connection = f.transport.sent.back().connection;
         f.promote("q");
-        f.subject.server_complete(connection, "signature");
+        f.subject.server_complete(f.now, connection, "signature");
         f.subject.server_ready(f.now, connection, transaction_state::none,
                                log_position{3, 101});
         CPPUNIT_ASSERT(f.transport.last_answer(id).error ==
--- a/tests/proxy_random_calls_test.cpp
+++ b/tests/proxy_random_calls_test.cpp
@@ -274,13 +274,14 @@
         if (one_in(frequent))
         {
             link.in_transaction = false;
-            subject_.server_error(
-                id, one_in(2) ? session_error::lagging : session_error::busy,
-                "server");
+            subject_.server_error(now_, id,
+                                  one_in(2) ? session_error::lagging
+                                            : session_error::busy,
+                                  "server");
         }
         else
         {
-            subject_.server_complete(id, "signature");
+            subject_.server_complete(now_, id, "signature");
         }
         subject_.server_ready(now_, id,
                               link.in_transaction ? transaction_state::open
--- a/tests/proxy_reads_test.cpp
+++ b/tests/proxy_reads_test.cpp
@@ -165,7 +165,7 @@
         const auto id = read_beside_a_full_primary(f);
         const auto replica = f.transport.sent.back().connection;
         f.seal();
-        f.subject.server_error(replica, session_error::lagging, "q");
+        f.subject.server_error(f.now, replica, session_error::lagging, "q");
         f.subject.server_ready(f.now, replica, transaction_state::none,
                                log_position{proxy_fixture::first_term, 40});
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, f.transport.answers.count(id));
--- a/tools/daemon/session_transport.cpp
+++ b/tools/daemon/session_transport.cpp
@@ -288,13 +288,13 @@
     switch (parsed.what)
     {
     case kind::row:
-        proxy_->server_row(id, std::move(parsed.text));
+        proxy_->server_row(now_(), id, std::move(parsed.text));
         break;
     case kind::complete:
-        proxy_->server_complete(id, std::move(parsed.text));
+        proxy_->server_complete(now_(), id, std::move(parsed.text));
         break;
     case kind::error:
-        proxy_->server_error(id, parsed.error, std::move(parsed.text));
+        proxy_->server_error(now_(), id, parsed.error, std::move(parsed.text));
         break;
     default:
         server.answer_size = 0;
