Lines end at CR LF: a CR or LF alone is data

Cause: line_stream ended a line at LF and removed a CR before it. Besides, the limit was checked only on a line whose end had not arrived, so a longer one that came whole was delivered, and a line of exactly the limit was rejected if its CR LF came in pieces. A stream that was paused and resumed by its handler before a line above the limit called an empty handler afterwards.

The reader now looks for CR LF over all pieces, beginning with a CR that ended the piece before, and checks the limit on each line without its end, complete or not. A rejected stream reads no more. has_unread tells whether anything has arrived behind the line delivered last.

--- a/include/tanagerhoist/adapter/line_stream.hpp
+++ b/include/tanagerhoist/adapter/line_stream.hpp
@@ -20,8 +20,8 @@
     backlog   ///< the peer does not read; too much unsent output
 };
 
-/// A TCP connection that carries lines terminated by LF or CR LF. An idle
-/// stream keeps no large buffer. Not thread-safe.
+/// A TCP connection that carries lines terminated by CR LF; a CR or LF alone is
+/// part of a line. An idle stream keeps no large buffer. Not thread-safe.
 class line_stream : public std::enable_shared_from_this<line_stream>
 {
 public:
@@ -36,7 +36,7 @@
         std::function<void()> buffers_changed;
     };
 
-    /// @param line_limit largest line, in bytes
+    /// @param line_limit largest line without its end, in bytes
     line_stream(boost::asio::ip::tcp::socket socket, std::size_t line_limit);
 
     /// Starts reading. The callbacks run on the socket's executor.
@@ -49,6 +49,10 @@
     /// Whether received bytes have not been delivered yet.
     bool has_input() const { return !input_.empty(); }
 
+    /// Whether bytes have arrived, here or at the socket, after the line that
+    /// was delivered last.
+    bool has_unread() const;
+
     /// Bytes received and not delivered, and written and not accepted.
     std::size_t input_size() const { return input_.size(); }
     std::size_t output_size() const { return output_.size(); }
@@ -78,6 +82,7 @@
     void read_some();
     void read_on();
     void deliver_lines();
+    bool is_too_long(std::size_t size) const { return size > line_limit_; }
     void report_change();
     void reject_input();
     void flush();
@@ -89,12 +94,14 @@
     handlers handlers_;
     std::string input_;
     std::size_t scanned_ = 0; ///< leading bytes of `input_` without a line end
+    std::size_t delivered_ = 0; ///< leading bytes of `input_`, while delivering
     std::string output_;
     bool reading_ = false; ///< waits until the socket is readable
     bool paused_ = false;
     bool delivering_ = false;
     bool write_pending_ = false;
     bool closing_ = false;
+    bool rejected_ = false; ///< a line was too long; no more is read
     bool ended_ = false;
 };
 
--- a/src/adapter/line_stream.cpp
+++ b/src/adapter/line_stream.cpp
@@ -15,6 +15,7 @@
 constexpr std::size_t read_buffer_size = std::size_t{16} * 1024; // bytes
 constexpr std::size_t max_unsent_size = std::size_t{4} << 20U;   // bytes
 constexpr std::size_t max_idle_capacity = std::size_t{4} * 1024; // bytes
+constexpr std::string_view line_end = "\r\n";
 
 /// Frees the memory of a buffer that holds little for its capacity.
 void release_capacity(std::string& buffer)
@@ -27,6 +28,12 @@
     }
 }
 
+/// Whether the last byte may begin a line end.
+bool ends_with_cr(const std::string& input)
+{
+    return !input.empty() && input.back() == line_end.front();
+}
+
 } // namespace
 
 line_stream::line_stream(tcp::socket socket, std::size_t line_limit)
@@ -54,7 +61,8 @@
                        [self = shared_from_this()](error_code error)
                        {
                            self->reading_ = false;
-                           if (!error && !self->ended_ && !self->closing_)
+                           if (!error && !self->ended_ && !self->closing_ &&
+                               !self->rejected_)
                            {
                                self->read_some();
                            }
@@ -78,15 +86,10 @@
     }
     input_.append(buffer.data(), size);
     deliver_lines();
-    if (ended_ || closing_)
+    if (ended_ || closing_ || rejected_)
     {
         return;
     }
-    if (input_.size() > line_limit_ && scanned_ == input_.size())
-    {
-        reject_input();
-        return;
-    }
     read_on();
     report_change();
 }
@@ -115,6 +118,7 @@
 /// owner can send an error before closing it.
 void line_stream::reject_input()
 {
+    rejected_ = true;
     input_.clear();
     scanned_ = 0;
     release_capacity(input_);
@@ -127,33 +131,50 @@
 /// Delivers complete lines until paused.
 void line_stream::deliver_lines()
 {
-    if (delivering_)
+    if (delivering_ || rejected_)
     {
         return;
     }
     delivering_ = true;
     const auto self = shared_from_this(); // a handler may release the stream
-    std::size_t begin = 0;
-    while (!paused_ && !ended_ && !closing_)
+    bool too_long = false;
+    while (!paused_ && !ended_ && !closing_ && !too_long)
     {
-        const auto end = input_.find('\n', std::max(begin, scanned_));
+        const auto end = input_.find(line_end, std::max(delivered_, scanned_));
         if (end == std::string::npos)
         {
-            scanned_ = input_.size();
+            scanned_ = input_.size() - (ends_with_cr(input_) ? 1 : 0);
+            too_long = is_too_long(scanned_ - std::min(scanned_, delivered_));
             break;
         }
-        std::string_view line(input_.data() + begin, end - begin);
-        if (!line.empty() && line.back() == '\r')
+        too_long = is_too_long(end - delivered_);
+        if (!too_long)
         {
-            line.remove_suffix(1);
+            const std::string_view line(input_.data() + delivered_,
+                                        end - delivered_);
+            delivered_ = end + line_end.size();
+            handlers_.line(line);
         }
-        begin = end + 1;
-        handlers_.line(line);
     }
-    input_.erase(0, begin);
-    scanned_ -= std::min(scanned_, begin);
+    input_.erase(0, delivered_);
+    scanned_ -= std::min(scanned_, delivered_);
+    delivered_ = 0;
     release_capacity(input_);
     delivering_ = false;
+    if (too_long && !ended_ && !closing_)
+    {
+        reject_input();
+    }
+}
+
+bool line_stream::has_unread() const
+{
+    if (input_.size() > delivered_)
+    {
+        return true;
+    }
+    error_code closed; // the next read reports it
+    return !ended_ && socket_.available(closed) != 0;
 }
 
 void line_stream::resume()
@@ -164,7 +185,7 @@
     }
     paused_ = false;
     deliver_lines();
-    if (!ended_ && !closing_)
+    if (!ended_ && !closing_ && !rejected_)
     {
         read_on();
     }
