EXECUTE keeps the client's text but for the name

Cause: the line was put together again from name and argument, and a text without an argument can't be told from one with an empty argument by then.

Other blanks were already kept; a test holds that.

--- a/tests/platform_formats_test.cpp
+++ b/tests/platform_formats_test.cpp
@@ -19,6 +19,8 @@
     CPPUNIT_TEST(server_lines_are_parsed);
     CPPUNIT_TEST(statements_keep_their_text);
     CPPUNIT_TEST(statement_for_a_server_carries_id_and_position);
+    CPPUNIT_TEST(executed_statement_without_an_argument_gets_no_blank);
+    CPPUNIT_TEST(executed_statement_keeps_all_but_its_name);
     CPPUNIT_TEST(unknown_error_is_treated_as_failure);
     CPPUNIT_TEST(status_row_is_parsed);
     CPPUNIT_TEST(configuration_is_decoded);
@@ -110,6 +112,24 @@
                              platform::start_line("g", "w", "i-7"));
     }
 
+    /// Servers ran "EXECUTE p123 " where the client had sent "EXECUTE s1".
+    void executed_statement_without_an_argument_gets_no_blank()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string("QUERY 9 EXECUTE p123\r\n"),
+                             executed("EXECUTE s1"));
+    }
+
+    void executed_statement_keeps_all_but_its_name()
+    {
+        for (const std::string rest :
+             {" ", " 1a4", " 1a4 ", " 1a4  two  blanks ", "  ", " \r", " \n",
+              " s1 EXECUTE s1"})
+        {
+            CPPUNIT_ASSERT_EQUAL("QUERY 9 EXECUTE p123" + rest + "\r\n",
+                                 executed("EXECUTE s1" + rest));
+        }
+    }
+
     void unknown_error_is_treated_as_failure()
     {
         const auto error = platform::parse_server_line("ERROR NEWWORD text");
@@ -339,6 +359,16 @@
     }
 
 private:
+    /// Line for a server, for a client's statement with another name.
+    static std::string executed(const std::string& text)
+    {
+        server_statement sent;
+        sent.query_id = "9";
+        sent.what = platform::parse_statement(text);
+        sent.what.name = "p123";
+        return platform::query_line(sent);
+    }
+
     /// A server's entry with one field replaced or added.
     static std::string server_entry(const std::string& name,
                                     const std::string& value)
