READY with a position that is cut or glued is malformed

Callers could see a success, or a position that no server had named, from a line such as "READY I 3.7READY I 3.8" or "READY I": the statement ended, and the connection was used again.

Cause: the reader took any READY with a known state; a position that it could not read counted as none.

Evidence: with the old code platform_formats_test.cpp:115 ready_line_without_a_whole_position_is_malformed - Expression: ... == platform::server_line::kind::malformed - READY I

--- a/tests/platform_formats_test.cpp
+++ b/tests/platform_formats_test.cpp
@@ -4,6 +4,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <cstdint>
+#include <limits>
 #include <map>
 #include <random>
 #include <string>
@@ -17,6 +19,7 @@
     CPPUNIT_TEST(client_lines_are_parsed);
     CPPUNIT_TEST(invalid_lines_are_malformed);
     CPPUNIT_TEST(server_lines_are_parsed);
+    CPPUNIT_TEST(ready_line_without_a_whole_position_is_malformed);
     CPPUNIT_TEST(statements_keep_their_text);
     CPPUNIT_TEST(statement_for_a_server_carries_id_and_position);
     CPPUNIT_TEST(executed_statement_without_an_argument_gets_no_blank);
@@ -81,6 +84,46 @@
                        platform::server_line::kind::malformed);
     }
 
+    /// Lines that were cut, or two in one, ended a statement with success.
+    void ready_line_without_a_whole_position_is_malformed()
+    {
+        for (const auto* line : {"READY",
+                                 "READY I",
+                                 "READY I ",
+                                 "READY I  -",
+                                 "READY I - ",
+                                 "READY I 3",
+                                 "READY I 3.",
+                                 "READY I .7",
+                                 "READY I .",
+                                 "READY I 3.7.1",
+                                 "READY I 3.7 ",
+                                 "READY I 3.7READY I 3.8",
+                                 "READY I -READY I 3.8",
+                                 "READY I 3.7\n",
+                                 "READY I +3.7",
+                                 "READY I 3.+7",
+                                 "READY I -3.7",
+                                 "READY I 3.-7",
+                                 "READY I 3.0x7",
+                                 "READY I 18446744073709551616.7",
+                                 "READY I 3.18446744073709551616",
+                                 "READY  3.7",
+                                 "READY II 3.7",
+                                 "READY i 3.7"})
+        {
+            CPPUNIT_ASSERT_MESSAGE(line,
+                                   platform::parse_server_line(line).what ==
+                                       platform::server_line::kind::malformed);
+        }
+        const log_position largest{std::numeric_limits<std::uint64_t>::max(),
+                                   std::numeric_limits<std::uint64_t>::max()};
+        const auto ready = platform::parse_server_line(
+            "READY E 18446744073709551615.18446744073709551615");
+        CPPUNIT_ASSERT(ready.what == platform::server_line::kind::ready);
+        CPPUNIT_ASSERT(ready.position == largest);
+    }
+
     void statements_keep_their_text()
     {
         const auto write = platform::parse_statement("WRITE 1a4  two  blanks");
