COMPLETE with a signature that is cut or glued is malformed

Callers could get a success whose signature was none, or two lines in one (rule MIXED: a success without the server's signature).

Cause: the reader took the rest of a COMPLETE line as the signature, whatever it held.

--- a/tests/platform_formats_test.cpp
+++ b/tests/platform_formats_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(invalid_lines_are_malformed);
     CPPUNIT_TEST(server_lines_are_parsed);
     CPPUNIT_TEST(ready_line_without_a_whole_position_is_malformed);
+    CPPUNIT_TEST(success_without_a_whole_signature_is_malformed);
     CPPUNIT_TEST(statements_keep_their_text);
     CPPUNIT_TEST(statement_for_a_server_carries_id_and_position);
     CPPUNIT_TEST(executed_statement_without_an_argument_gets_no_blank);
@@ -124,6 +125,28 @@
         CPPUNIT_ASSERT(ready.position == largest);
     }
 
+    void success_without_a_whole_signature_is_malformed()
+    {
+        using kind = platform::server_line::kind;
+        for (const std::string line :
+             {"COMPLETE", "COMPLETE ", "COMPLETE  7.1f", "COMPLETE 7.1f ",
+              "COMPLETE 7.1f READY I -", "COMPLETE 7.1fCOMPLETE 8.2e",
+              "COMPLETE 7.1f\nREADY I -", "COMPLETE 7.1f\r", "COMPLETE 7\t1",
+              "COMPLETE 7\x7f", "COMPLETED 7.1f"})
+        {
+            CPPUNIT_ASSERT_MESSAGE(line,
+                                   platform::parse_server_line(line).what ==
+                                       kind::malformed);
+        }
+        for (const std::string signature : {"-", "7.1f3.c.2b.90e1", "\xc3\xa9"})
+        {
+            const auto line =
+                platform::parse_server_line("COMPLETE " + signature);
+            CPPUNIT_ASSERT(line.what == kind::complete);
+            CPPUNIT_ASSERT_EQUAL(signature, line.text);
+        }
+    }
+
     void statements_keep_their_text()
     {
         const auto write = platform::parse_statement("WRITE 1a4  two  blanks");
