ERROR without a code is malformed

Callers were told FAILED, which says that a statement ran and kept nothing known, for an ERROR line that was cut before its code or held two lines.

Cause: an empty or broken code counted as an unknown one.

Evidence: with the old code platform_formats_test.cpp:214 error_without_a_code_is_malformed - Expression: platform::parse_server_line(line).what == kind::malformed - ERROR

A code is one field. Without it the line is malformed and the connection ends, which promises nothing.

--- a/tests/platform_formats_test.cpp
+++ b/tests/platform_formats_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(executed_statement_without_an_argument_gets_no_blank);
     CPPUNIT_TEST(executed_statement_keeps_all_but_its_name);
     CPPUNIT_TEST(unknown_error_is_treated_as_failure);
+    CPPUNIT_TEST(error_without_a_code_is_malformed);
     CPPUNIT_TEST(status_row_is_parsed);
     CPPUNIT_TEST(configuration_is_decoded);
     CPPUNIT_TEST(invalid_configuration_is_reported);
@@ -203,6 +204,24 @@
         CPPUNIT_ASSERT(!is_not_run(error.error));
     }
 
+    void error_without_a_code_is_malformed()
+    {
+        using kind = platform::server_line::kind;
+        for (const std::string line :
+             {"ERROR", "ERROR ", "ERROR  BUSY", "ERROR \t", "ERROR BUSY\n",
+              "ERROR BUSY\nREADY I -", "ERRORS BUSY"})
+        {
+            CPPUNIT_ASSERT_MESSAGE(line,
+                                   platform::parse_server_line(line).what ==
+                                       kind::malformed);
+        }
+        const auto odd = platform::parse_server_line("ERROR BUSY  two\nlines");
+        CPPUNIT_ASSERT(odd.error == session_error::busy);
+        CPPUNIT_ASSERT_EQUAL(std::string(" two\nlines"), odd.text);
+        CPPUNIT_ASSERT(platform::parse_server_line("ERROR BUSY").what ==
+                       kind::error);
+    }
+
     void status_row_is_parsed()
     {
         const auto status =
