A field with a line end can't start another line

Nobody has seen it: a text or name that holds CR LF would have been sent on as two lines, the second of which the far end takes for a message of its own. Texts of errors and statements come from lines and hold none; names of workspaces, services and servers come from JSON and could.

Cause: the functions that write lines put their fields together as they were.

--- a/fuzz/line_protocol_state.cpp
+++ b/fuzz/line_protocol_state.cpp
@@ -262,6 +262,27 @@
     RC_ASSERT(third == server);
 }
 
+/// Whatever the fields hold, each function writes one line.
+void check_line_ends()
+{
+    const auto text =
+        *rc::gen::element<std::string>("", "\r", "\n") + *any_bytes() +
+        *rc::gen::element<std::string>("", "\r\n", "\r") + *any_bytes();
+    content(platform::row_line(text));
+    content(platform::complete_line(text));
+    content(platform::error_line(session_error::failed, text));
+    content(platform::start_line(text, text, text));
+    for (const auto kind :
+         {statement_kind::read, statement_kind::set, statement_kind::prepare,
+          statement_kind::execute, statement_kind::deallocate})
+    {
+        server_statement sent;
+        sent.query_id = text;
+        sent.what = {kind, text, text, false, text};
+        content(platform::query_line(sent));
+    }
+}
+
 struct property
 {
     const char* name;
@@ -274,7 +295,8 @@
     {"of a prepared statement only the name changes", check_renamed_statements},
     {"values and shapes are repeated unchanged", check_repeated_state},
     {"answers are read as written", check_answers},
-    {"names of a startup are read as written", check_startup}};
+    {"names of a startup are read as written", check_startup},
+    {"no field ends a line", check_line_ends}};
 
 } // namespace
 
--- a/tests/platform_formats_test.cpp
+++ b/tests/platform_formats_test.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(executed_statement_keeps_all_but_its_name);
     CPPUNIT_TEST(unknown_error_is_treated_as_failure);
     CPPUNIT_TEST(error_without_a_code_is_malformed);
+    CPPUNIT_TEST(line_end_in_a_text_or_name_starts_no_other_line);
     CPPUNIT_TEST(status_row_is_parsed);
     CPPUNIT_TEST(configuration_is_decoded);
     CPPUNIT_TEST(invalid_configuration_is_reported);
@@ -222,6 +223,23 @@
                        kind::error);
     }
 
+    void line_end_in_a_text_or_name_starts_no_other_line()
+    {
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("ERROR FAILED a  READY I -\r\n"),
+            platform::error_line(session_error::failed, "a\r\nREADY I -"));
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("STARTUP g w  QUERY - DEMOTE 9 i-7\r\n"),
+            platform::start_line("g", "w\r\nQUERY - DEMOTE 9", "i-7"));
+        CPPUNIT_ASSERT_EQUAL(std::string("ROW \r  \n\r\r\n"),
+                             platform::row_line("\r\r\n\n\r"));
+        server_statement sent;
+        sent.query_id = "5c";
+        sent.what = platform::parse_statement("WRITE 1a4 a\r\nTERMINATE");
+        CPPUNIT_ASSERT_EQUAL(std::string("QUERY 5c WRITE 1a4 a  TERMINATE\r\n"),
+                             platform::query_line(sent));
+    }
+
     void status_row_is_parsed()
     {
         const auto status =
