An answer is taken only for the statement that it fits

Cause: answers name no statement, and whatever arrived on a connection was taken for the answer to what it ran. A second answer that met the next statement shifted all answers behind it by one; READY ended a statement without a result; lines on an idle connection were kept for the next one.

Change: an answer is compared with the statement and with the answers that its connection has given (docs/design/answers.md): signature, order of lines, transaction state, rows. A whole earlier answer, known by its signature and rows, is passed over, so that a write still gets its own; on anything else the connection is closed, and the statement is tried again, rolled back, or its outcome called unknown, by what is true of it. Bytes on a connection without a statement end it at once, and are looked for before each sending. Errors have no signature: writes, and transactions that may write, use no connection that has had one. Positions are taken from signed results and new connections only: a repeated one would make an old position look fresh (STALE).

Tests changed, none weaker: fixtures and random calls sign each answer anew (a constant signature is what a repeated answer looks like); two outcome tests expect a further write on another connection than that of an error; answers without a result get one; a position is asked by a new connection, since the result of a RESET may be a repeated one.

--- a/include/tanagerhoist/session/answer_history.hpp
+++ b/include/tanagerhoist/session/answer_history.hpp
@@ -57,6 +57,11 @@
     /// Notes an answer that was taken.
     void add(const expected_answer& expected, const session_answer& answer);
 
+    /// Whether a success is a whole answer that was given before, with nothing
+    /// of another answer in it: it has that answer's signature and rows, or
+    /// neither.
+    bool is_exact_repeat(const session_answer& answer) const;
+
     /// Whether an error was taken, which a server may repeat. A further error
     /// then does not prove that the statement did not run.
     bool has_errors() const { return !errors_.empty(); }
@@ -64,13 +69,20 @@
     /// Whether the connection has given as many answers as are remembered.
     bool is_full() const
     {
-        return signatures_.size() + errors_.size() >= most_results;
+        return successes_.size() + errors_.size() >= most_results;
     }
 
 private:
     static constexpr std::size_t most_results = 1024;
     static constexpr std::size_t most_row_notes = 16;
 
+    /// A success with a signature; hashes.
+    struct success_note
+    {
+        std::uint64_t signature = 0;
+        std::uint64_t rows = 0;
+    };
+
     /// Rows of an earlier answer; hashes.
     struct row_note
     {
@@ -80,12 +92,12 @@
     };
 
     bool is_repeated_error(const session_answer& answer) const;
-    bool is_repeated_success(const session_answer& answer) const;
+    const success_note* find_success(const session_answer& answer) const;
     bool has_doubtful_rows(const expected_answer& expected,
                            const session_answer& answer) const;
 
-    std::vector<std::uint64_t> signatures_; ///< hashes
-    std::vector<std::uint64_t> errors_;     ///< hashes
+    std::vector<success_note> successes_;
+    std::vector<std::uint64_t> errors_; ///< hashes
     std::array<row_note, most_row_notes> rows_{};
     std::size_t row_notes_ = 0; ///< in total; the oldest are replaced
 };
--- a/include/tanagerhoist/session/client_session.hpp
+++ b/include/tanagerhoist/session/client_session.hpp
@@ -6,6 +6,7 @@
 #include "tanagerhoist/session/session_settings.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -35,6 +36,13 @@
     running  ///< sent to a server
 };
 
+/// Rows of an answer that was not taken.
+struct doubted_rows
+{
+    std::string server;
+    std::uint64_t hash = 0;
+};
+
 /// The outstanding statement of a session.
 struct session_request
 {
@@ -56,6 +64,9 @@
     std::optional<log_position> after;
     connection_id connection = 0;
     std::string server; ///< last server it was sent to
+
+    /// Rows that were not taken because they may belong to another statement.
+    std::optional<doubted_rows> doubted;
 };
 
 /// State of a client session: its session values, prepared statements,
--- a/include/tanagerhoist/session/proxy.hpp
+++ b/include/tanagerhoist/session/proxy.hpp
@@ -136,6 +136,8 @@
                       std::string text);
     void server_ready(moment now, connection_id id, transaction_state state,
                       const std::optional<log_position>& position);
+    /// A part of a line has arrived.
+    void server_bytes(moment now, connection_id id);
     /// @}
 
     /// Handles timeouts and retries; must be called every `tick_interval`.
@@ -277,9 +279,11 @@
     // Connections: proxy_connections.cpp
     connection_budget budget_at(const server_state& server) const;
     std::vector<connection_id> connections_of(const std::string& server) const;
-    connection_id idle_connection(const std::string& server,
+    connection_id idle_connection(moment now, const std::string& server,
                                   const client_session& session) const;
-    connection_id longest_idle_connection(const std::string& server) const;
+    connection_id longest_idle_connection(moment now,
+                                          const std::string& server) const;
+    bool is_rested(moment now, const server_connection& connection) const;
     void open_connection(moment now, server_state& server,
                          const std::string& workspace, session_id owner);
     void run_on_connection(moment now, session_id id, client_session& session,
@@ -321,11 +325,23 @@
     std::string probing_workspace(const server_state& server) const;
     void ask_positions(moment now);
 
-    // Answers that do not fit their statements: proxy_answer_faults.cpp
-    void note_line(moment now, const server_connection& connection);
-    void note_answer(moment now, server_connection& connection);
+    // Answers that are not taken: proxy_answer_faults.cpp
+    server_connection* answered_connection(moment now, connection_id id,
+                                           bool ends_answer);
+    bool take_answer(moment now, connection_id id,
+                     server_connection& connection);
+    bool are_rows_confirmed(const server_connection& connection);
+    void doubt_rows(const server_connection& connection, answer_fault fault);
+    bool skip_repeated(moment now, server_connection& connection,
+                       answer_fault fault);
+    void skip_surplus(moment now, connection_id id,
+                      server_connection& connection);
+    void end_partial_surplus(moment now);
+    bool has_surplus(connection_id id,
+                     const server_connection& connection) const;
     void note_fault(moment now, const server_connection& connection,
                     answer_fault fault);
+    void give_up_connection(moment now, connection_id id, answer_fault fault);
 
     // Answers: proxy_answers.cpp
     void finish_statement(moment now, connection_id id,
--- a/include/tanagerhoist/session/proxy_transport.hpp
+++ b/include/tanagerhoist/session/proxy_transport.hpp
@@ -55,6 +55,9 @@
                       const server_statement& statement) = 0;
     virtual void close(connection_id connection) = 0;
 
+    /// Whether bytes of a server have arrived that were not passed on yet.
+    virtual bool has_unread(connection_id connection) const = 0;
+
     /// Requests a grant of operations; a statement is waiting for it.
     virtual void request_grant() = 0;
 };
--- a/include/tanagerhoist/session/server_connection.hpp
+++ b/include/tanagerhoist/session/server_connection.hpp
@@ -34,9 +34,12 @@
     bool busy = false;                   ///< `current` is unanswered
     bool counted = false;                ///< included in the server's `running`
     bool in_transaction = false;         ///< by its last answer
+    bool receiving = false;              ///< part of an answer
+    bool is_spent = false;               ///< to be closed instead of reused
     moment opened{};
     moment sent{};
     moment idle_since{};
+    moment surplus_since{}; ///< when an answer to no statement began
     moment answered{};      ///< when its last answer was complete
     session_answer answer;  ///< answer to `current`, received so far
     answer_history history; ///< answers before
@@ -44,6 +47,13 @@
     /// Whether the unanswered statement is a client's, not one that the proxy
     /// added.
     bool runs_request() const { return busy && !current.query_id.empty(); }
+
+    /// Whether a client's transaction is open and all of its statements are
+    /// answered.
+    bool is_between_statements() const
+    {
+        return !busy && in_transaction && owner != 0;
+    }
 };
 
 } // namespace tanagerhoist
--- a/include/tanagerhoist/session/server_state.hpp
+++ b/include/tanagerhoist/session/server_state.hpp
@@ -4,6 +4,7 @@
 #include "tanagerhoist/core/time.hpp"
 #include "tanagerhoist/session/backend_server.hpp"
 #include "tanagerhoist/session/log_position.hpp"
+#include "tanagerhoist/session/repeat_watch.hpp"
 #include "tanagerhoist/session/server_evidence.hpp"
 
 #include <algorithm>
@@ -45,6 +46,10 @@
     moment draining_since{};
     server_evidence evidence; ///< outcomes at this VM
     std::optional<server_deviation> deviation;
+    repeat_watch repeated; ///< answers
+
+    /// Different statements have had the same rows.
+    bool rows_recur = false;
 
     /// Takes over a newer entry of the server. After a failure, one of the same
     /// process may have been written before the failure and proves nothing.
--- a/src/session/answer_history.cpp
+++ b/src/session/answer_history.cpp
@@ -68,7 +68,7 @@
         return is_repeated_error(answer) ? answer_fault::doubtful_error
                                          : answer_fault::none;
     }
-    if (is_repeated_success(answer))
+    if (find_success(answer) != nullptr)
     {
         return answer_fault::repeated;
     }
@@ -93,10 +93,25 @@
     return contains(errors_, hash_of_error(answer));
 }
 
-bool answer_history::is_repeated_success(const session_answer& answer) const
+bool answer_history::is_exact_repeat(const session_answer& answer) const
 {
-    return answer.signature != no_signature &&
-           contains(signatures_, hash_of(answer.signature));
+    if (answer.signature == no_signature)
+    {
+        return answer.rows.empty();
+    }
+    const auto* success = find_success(answer);
+    return success != nullptr && success->rows == hash_of_rows(answer);
+}
+
+/// Finds the earlier answer with this signature; null: none.
+const answer_history::success_note*
+answer_history::find_success(const session_answer& answer) const
+{
+    const auto signature = hash_of(answer.signature);
+    const auto found = std::find_if(successes_.begin(), successes_.end(),
+                                    [signature](const success_note& note)
+                                    { return note.signature == signature; });
+    return found == successes_.end() ? nullptr : &*found;
 }
 
 /// Whether the answer contains the first row of an earlier one. A part of that
@@ -135,7 +150,7 @@
     }
     if (answer.signature != no_signature)
     {
-        signatures_.push_back(hash_of(answer.signature));
+        successes_.push_back({hash_of(answer.signature), hash_of_rows(answer)});
     }
     if (!answer.rows.empty())
     {
--- a/src/session/proxy_answer_faults.cpp
+++ b/src/session/proxy_answer_faults.cpp
@@ -4,12 +4,15 @@
 
 #include <string>
 
-// Answers of servers that do not fit the statements under way.
+// What servers send that is not the answer to the statement under way.
 namespace tanagerhoist
 {
 namespace
 {
 
+/// Longest time from the begin to the end of an answer to no statement.
+constexpr milliseconds surplus_timeout{100};
+
 /// Hash of what a statement asks for, the same for all clients.
 std::uint64_t hash_of(const statement& what)
 {
@@ -37,6 +40,15 @@
     }
 }
 
+void note_receiving(moment now, server_connection& connection, bool receiving)
+{
+    if (!connection.receiving)
+    {
+        connection.surplus_since = now;
+    }
+    connection.receiving = receiving;
+}
+
 expected_answer expected_on(const server_connection& connection)
 {
     const auto& what = connection.current.what;
@@ -51,48 +63,201 @@
 
 } // namespace
 
-/// Notes a line on a connection that runs no statement, or that can't follow
-/// the lines before it.
-void proxy::note_line(moment now, const server_connection& connection)
+/// Returns the connection whose answer a line continues. One that runs no
+/// statement, or whose answer this line can't continue, is given up.
+/// @param ends_answer whether the line is the last of an answer
+server_connection* proxy::answered_connection(moment now, connection_id id,
+                                              bool ends_answer)
 {
-    if (!connection.busy)
+    const auto it = connections_.find(id);
+    if (it == connections_.end())
+    {
+        return nullptr;
+    }
+    auto& connection = it->second;
+    if (!connection.busy && !connection.is_between_statements())
     {
-        note_fault(now, connection, answer_fault::unasked);
+        give_up_connection(now, id, answer_fault::unasked);
+        return nullptr;
     }
-    else if (connection.answer.has_result())
+    if (!ends_answer && connection.answer.has_result())
     {
-        note_fault(now, connection, answer_fault::out_of_order);
+        give_up_connection(now, id, answer_fault::out_of_order);
+        return nullptr;
     }
+    note_receiving(now, connection, !ends_answer);
+    return &connection;
 }
 
-/// Compares a complete answer with the statement under way.
-void proxy::note_answer(moment now, server_connection& connection)
+void proxy::server_bytes(moment now, connection_id id)
 {
-    if (!connection.busy)
+    const auto it = connections_.find(id);
+    if (it == connections_.end() || it->second.busy)
+    {
+        return;
+    }
+    if (it->second.is_between_statements())
     {
-        note_fault(now, connection, answer_fault::unasked);
+        note_receiving(now, it->second, true);
         return;
     }
+    give_up_connection(now, id, answer_fault::unasked);
+}
+
+/// Gives up transactions' connections on which an answer to no statement has
+/// begun and does not end.
+void proxy::end_partial_surplus(moment now)
+{
+    std::vector<connection_id> ending;
+    for (const auto& [id, connection] : connections_)
+    {
+        if (connection.receiving && connection.is_between_statements() &&
+            now >= connection.surplus_since + surplus_timeout)
+        {
+            ending.push_back(id);
+        }
+    }
+    for (const auto id : ending)
+    {
+        if (connections_.count(id) != 0)
+        {
+            give_up_connection(now, id, answer_fault::unasked);
+        }
+    }
+}
+
+/// Takes a complete answer for the statement under way if nothing speaks
+/// against it; else gives the connection up.
+/// @return whether it was taken
+bool proxy::take_answer(moment now, connection_id id,
+                        server_connection& connection)
+{
     const auto expected = expected_on(connection);
     const auto fault = connection.history.check(expected, connection.answer);
-    if (fault != answer_fault::none)
+    const bool confirmed = are_rows_confirmed(connection);
+    const bool taken = fault == answer_fault::none ||
+                       fault == answer_fault::doubtful_error ||
+                       (fault == answer_fault::doubtful_rows && confirmed);
+    if (!taken)
     {
-        note_fault(now, connection, fault);
+        doubt_rows(connection, fault);
+        if (!skip_repeated(now, connection, fault))
+        {
+            give_up_connection(now, id, fault);
+        }
+        return false;
+    }
+    if (fault == answer_fault::doubtful_error)
+    {
+        // Harmless here, but the statement's own answer may still come.
+        ++figures_.faults.at(static_cast<std::size_t>(fault));
+        connection.is_spent = true;
     }
     connection.history.add(expected, connection.answer);
     connection.in_transaction =
         connection.answer.state != transaction_state::none;
     connection.answered = now;
+    return true;
+}
+
+/// Whether doubtful rows are the statement's own: its server is known to have
+/// the same rows for different statements, or the statement has had these rows
+/// on another connection too, from which the former is learned.
+bool proxy::are_rows_confirmed(const server_connection& connection)
+{
+    const auto* server = find_server(connection.server);
+    const auto owner = sessions_.find(connection.owner);
+    const bool recur = server != nullptr && server->rows_recur;
+    if (recur || owner == sessions_.end() || !owner->second.request.doubted)
+    {
+        return recur;
+    }
+    const auto& doubted = *owner->second.request.doubted;
+    const bool came_twice = doubted.hash == hash_of_rows(connection.answer);
+    auto* first = find_server(doubted.server);
+    if (came_twice && first != nullptr)
+    {
+        first->rows_recur = true;
+    }
+    return came_twice;
+}
+
+/// Notes rows that are not taken, to compare those of the next try with.
+void proxy::doubt_rows(const server_connection& connection, answer_fault fault)
+{
+    const auto owner = sessions_.find(connection.owner);
+    if (fault == answer_fault::doubtful_rows && owner != sessions_.end())
+    {
+        owner->second.request.doubted =
+            doubted_rows{connection.server, hash_of_rows(connection.answer)};
+    }
+}
+
+/// Passes over an answer that is surely an earlier one, as a whole: the
+/// statement's own is still to come. To give the connection up instead would
+/// leave the outcome of a write unknown.
+/// @return whether it was passed over
+bool proxy::skip_repeated(moment now, server_connection& connection,
+                          answer_fault fault)
+{
+    const bool is_earlier =
+        fault == answer_fault::repeated || fault == answer_fault::not_signed;
+    if (!is_earlier || !connection.history.is_exact_repeat(connection.answer))
+    {
+        return false;
+    }
+    note_fault(now, connection, fault);
+    connection.answer = session_answer{};
+    connection.is_spent = true;
+    return true;
+}
+
+/// Passes over an answer that comes between the statements of a transaction, if
+/// it is surely an earlier one, and sends the statement that waited for it.
+void proxy::skip_surplus(moment now, connection_id id,
+                         server_connection& connection)
+{
+    if (connection.answer.error ||
+        !connection.history.is_exact_repeat(connection.answer))
+    {
+        give_up_connection(now, id, answer_fault::unasked);
+        return;
+    }
+    note_fault(now, connection, answer_fault::unasked);
+    connection.answer = session_answer{};
+    connection.is_spent = true;
+    if (!connection.script.empty())
+    {
+        send_next(now, id, connection);
+    }
+}
+
+/// Whether a server has sent something after its last answer.
+bool proxy::has_surplus(connection_id id,
+                        const server_connection& connection) const
+{
+    return connection.receiving || transport_.has_unread(id);
 }
 
 void proxy::note_fault(moment now, const server_connection& connection,
                        answer_fault fault)
 {
     ++figures_.faults.at(static_cast<std::size_t>(fault));
+    auto* server = find_server(connection.server);
+    if (server != nullptr && fault != answer_fault::doubtful_rows)
+    {
+        if (!server->repeated.repeats(now))
+        {
+            log_.write(log_level::change, "server_repeats_answers",
+                       {{"server", connection.server},
+                        {"group", server->server.group}});
+        }
+        server->repeated.note(now, now - connection.answered);
+    }
     if (log_.should_log(log_level::refused))
     {
         log_.write(
-            log_level::refused, "answer_does_not_fit",
+            log_level::refused, "answer_not_taken",
             {{"server", connection.server},
              {"cause", to_text(fault)},
              {"request", connection.busy ? connection.current.query_id : ""},
@@ -100,4 +265,11 @@
     }
 }
 
+/// Closes a connection after an answer that was not taken.
+void proxy::give_up_connection(moment now, connection_id id, answer_fault fault)
+{
+    note_fault(now, connections_.at(id), fault);
+    abort_running(now, id);
+}
+
 } // namespace tanagerhoist
--- a/src/session/proxy_answers.cpp
+++ b/src/session/proxy_answers.cpp
@@ -46,45 +46,39 @@
 
 void proxy::server_row(moment now, connection_id id, std::string row)
 {
-    const auto it = connections_.find(id);
-    if (it != connections_.end())
+    if (auto* connection = answered_connection(now, id, false))
     {
-        note_line(now, it->second);
-        it->second.answer.rows.push_back(std::move(row));
+        connection->answer.rows.push_back(std::move(row));
     }
 }
 
 void proxy::server_complete(moment now, connection_id id, std::string signature)
 {
-    const auto it = connections_.find(id);
-    if (it != connections_.end())
+    if (auto* connection = answered_connection(now, id, false))
     {
-        note_line(now, it->second);
-        it->second.answer.signature = std::move(signature);
+        connection->answer.signature = std::move(signature);
     }
 }
 
 void proxy::server_error(moment now, connection_id id, session_error error,
                          std::string text)
 {
-    const auto it = connections_.find(id);
-    if (it != connections_.end())
+    if (auto* connection = answered_connection(now, id, false))
     {
-        note_line(now, it->second);
-        it->second.answer.error = error;
-        it->second.answer.text = std::move(text);
+        connection->answer.error = error;
+        connection->answer.text = std::move(text);
     }
 }
 
 void proxy::server_ready(moment now, connection_id id, transaction_state state,
                          const std::optional<log_position>& position)
 {
-    const auto it = connections_.find(id);
-    if (it == connections_.end())
+    auto* answered = answered_connection(now, id, true);
+    if (answered == nullptr)
     {
         return;
     }
-    auto& connection = it->second;
+    auto& connection = *answered;
     auto* server = find_server(connection.server);
     if (server != nullptr)
     {
@@ -92,8 +86,17 @@
     }
     connection.answer.state = state;
     connection.answer.position = position;
-    note_answer(now, connection);
-    if (position)
+    if (!connection.busy)
+    {
+        skip_surplus(now, id, connection);
+        return;
+    }
+    if (!take_answer(now, id, connection))
+    {
+        return;
+    }
+    // The position in an unsigned result or an error may be a repeated one.
+    if (position && connection.runs_request() && !connection.answer.error)
     {
         record_position(now, connection, *position, connection.sent);
     }
@@ -101,11 +104,6 @@
     {
         server->update_position(*position);
     }
-    if (!connection.busy)
-    {
-        connection_lost(now, id); // unsolicited answer: its state is unknown
-        return;
-    }
     if (connection.current.query_id.empty())
     {
         finish_proxy_statement(now, id, connection);
@@ -226,7 +224,7 @@
 {
     const auto owner = connection.owner;
     auto& request = session.request;
-    auto answer = std::move(connection.answer);
+    auto answer = std::exchange(connection.answer, {});
     const bool in_transaction = answer.state == transaction_state::open;
     if (request.writes && !ran_at_current_primary(now, connection, session))
     {
--- a/src/session/proxy_connections.cpp
+++ b/src/session/proxy_connections.cpp
@@ -6,6 +6,19 @@
 // Connections to servers: which to use, opening, sending and closing.
 namespace tanagerhoist
 {
+namespace
+{
+
+/// Whether the session's statement or transaction may change data. An error
+/// that says it did not run must then be its own.
+bool has_effect(const client_session& session)
+{
+    return session.state == transaction_state::open
+               ? !session.reads_only
+               : session.request.what.writes;
+}
+
+} // namespace
 
 connection_budget proxy::budget_at(const server_state& server) const
 {
@@ -29,17 +42,29 @@
     return found;
 }
 
+/// Whether a server that repeats answers would have repeated the connection's
+/// last one by now.
+bool proxy::is_rested(moment now, const server_connection& connection) const
+{
+    const auto* state = server(connection.server);
+    return state == nullptr ||
+           now >= connection.answered + state->repeated.rest(now);
+}
+
 /// Returns an idle connection of the session's workspace, preferably one with
 /// the same session values; 0: none.
-connection_id proxy::idle_connection(const std::string& server,
+connection_id proxy::idle_connection(moment now, const std::string& server,
                                      const client_session& session) const
 {
+    const bool needs_true_errors = has_effect(session);
     connection_id found = 0;
     for (const auto& [id, connection] : connections_)
     {
         if (connection.phase != connection_phase::idle ||
             connection.server != server ||
-            connection.workspace != session.workspace)
+            connection.workspace != session.workspace ||
+            (needs_true_errors && connection.history.has_errors()) ||
+            !is_rested(now, connection))
         {
             continue;
         }
@@ -54,14 +79,16 @@
 
 /// Returns the connection that has been idle for the longest time, in any
 /// workspace; 0: none.
-connection_id proxy::longest_idle_connection(const std::string& server) const
+connection_id proxy::longest_idle_connection(moment now,
+                                             const std::string& server) const
 {
     connection_id found = 0;
     moment oldest{};
     for (const auto& [id, connection] : connections_)
     {
         const bool idle = connection.phase == connection_phase::idle &&
-                          connection.server == server;
+                          connection.server == server &&
+                          is_rested(now, connection);
         if (idle && (found == 0 || connection.idle_since < oldest))
         {
             found = id;
@@ -193,6 +220,15 @@
 void proxy::send_next(moment now, connection_id id,
                       server_connection& connection)
 {
+    if (has_surplus(id, connection))
+    {
+        connection.phase = connection_phase::running;
+        if (!connection.is_between_statements())
+        {
+            give_up_connection(now, id, answer_fault::unasked);
+        }
+        return; // a transaction's statement is sent after it
+    }
     if (!take_warmup_permit(now, connection.server))
     {
         connection.phase = connection_phase::running;
@@ -207,6 +243,7 @@
     connection.busy = true;
     connection.sent = now;
     connection.answer = session_answer{};
+    connection.receiving = false;
     connection.phase = connection_phase::running;
     transport_.send(id, connection.current);
 }
@@ -251,7 +288,8 @@
     limit_state(connection);
     const auto* server = find_server(connection.server);
     if (server == nullptr || server->server.is_leaving() ||
-        server->connections > budget_at(*server).connections)
+        server->connections > budget_at(*server).connections ||
+        connection.is_spent || connection.history.is_full())
     {
         close_connection(id);
     }
--- a/src/session/proxy_dispatch.cpp
+++ b/src/session/proxy_dispatch.cpp
@@ -200,7 +200,7 @@
 bool proxy::place_at(moment now, session_id id, client_session& session,
                      server_state& server)
 {
-    const auto idle = idle_connection(server.server.id, session);
+    const auto idle = idle_connection(now, server.server.id, session);
     if (idle != 0)
     {
         run_on_connection(now, id, session, idle);
@@ -208,7 +208,7 @@
     }
     if (server.connections >= budget_at(server).connections)
     {
-        const auto spare = longest_idle_connection(server.server.id);
+        const auto spare = longest_idle_connection(now, server.server.id);
         if (spare == 0)
         {
             return false;
@@ -308,13 +308,13 @@
     {
         return false;
     }
-    if (idle_connection(server.server.id, session) != 0)
+    if (idle_connection(now, server.server.id, session) != 0)
     {
         return true;
     }
     return server.takes_connections(now) &&
            (server.connections < budget_at(server).connections ||
-            longest_idle_connection(server.server.id) != 0);
+            longest_idle_connection(now, server.server.id) != 0);
 }
 
 /// Queues a statement again that had no effect.
--- a/src/session/proxy_evidence.cpp
+++ b/src/session/proxy_evidence.cpp
@@ -141,7 +141,7 @@
     made.running = server.running;
     made.slots = server.server.slots;
     made.near = server.server.data_centre == data_centre_;
-    made.has_connection = idle_connection(id, session) != 0;
+    made.has_connection = idle_connection(now, id, session) != 0;
     made.keeps_connections = !budget_at(server).idle_time;
     made.held_back = is_held_back(now, session.request, server);
     made.spread = retry_part(id + session.request.id);
--- a/src/session/proxy_regions.cpp
+++ b/src/session/proxy_regions.cpp
@@ -215,7 +215,7 @@
 
 /// Asks primaries for their position that restricted reads wait for and may not
 /// use themselves: if nothing else runs there, nobody knows how old a replica
-/// is. The answer to a new connection or to a statement of the proxy tells.
+/// is. The answer to a new connection tells: it can't be a repeated one.
 void proxy::ask_positions(moment now)
 {
     if (!restricts_regions_)
@@ -250,21 +250,18 @@
             continue;
         }
         group.position_asked = now;
-        const auto idle = longest_idle_connection(primary->server.id);
-        if (idle == 0)
+        if (!primary->takes_connections(now))
         {
-            if (primary->takes_connections(now) &&
-                primary->connections < budget_at(*primary).connections)
-            {
-                probe(now, primary->server.id);
-            }
             continue;
         }
-        auto& connection = connections_.at(idle);
-        connection.script.clear();
-        connection.script.emplace_back();
-        connection.script.back().what.kind = statement_kind::reset;
-        send_next(now, idle, connection);
+        if (primary->connections >= budget_at(*primary).connections)
+        {
+            close_connection(longest_idle_connection(now, primary->server.id));
+        }
+        if (primary->connections < budget_at(*primary).connections)
+        {
+            probe(now, primary->server.id);
+        }
     }
 }
 
--- a/src/session/proxy_time.cpp
+++ b/src/session/proxy_time.cpp
@@ -34,6 +34,7 @@
 {
     expire_requests(now);
     end_idle_transactions(now);
+    end_partial_surplus(now);
     close_scarce_idle(now);
     admit_held(now);
     check_silent_servers(now);
--- a/tests/connection_cap_test.cpp
+++ b/tests/connection_cap_test.cpp
@@ -122,7 +122,7 @@
         {
             const auto id = member.running.front().second;
             member.running.pop_front();
-            f.subject.server_complete(f.now, id, "signature");
+            f.subject.server_complete(f.now, id, f.next_signature());
             f.subject.server_ready(f.now, id, transaction_state::none,
                                    log_position{f.lead.term(), 100});
         }
--- a/tests/proxy_fixture.hpp
+++ b/tests/proxy_fixture.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -87,6 +88,10 @@
     {
         closed.push_back(connection);
     }
+    bool has_unread(connection_id connection) const override
+    {
+        return unread.count(connection) != 0;
+    }
     void request_grant() override { ++asked; }
 
     const session_answer& last_answer(session_id session) const
@@ -100,6 +105,7 @@
     std::vector<opened_connection> opened;
     std::vector<sent_statement> sent;
     std::vector<connection_id> closed;
+    std::set<connection_id> unread; ///< connections with bytes that wait
     int asked = 0;
 };
 
@@ -208,12 +214,26 @@
         return id;
     }
 
+    /// Signature of a server for a client's statement, different each time.
+    std::string next_signature()
+    {
+        return "signature" + std::to_string(++signatures);
+    }
+
+    /// Signature of the result of the statement that was sent last.
+    std::string signature_of_last()
+    {
+        const bool of_client =
+            !transport.sent.back().statement.query_id.empty();
+        return of_client ? next_signature() : "-";
+    }
+
     /// Answers the last sent statement with success.
     void succeed(transaction_state state = transaction_state::none,
                  std::uint64_t number = 100)
     {
         const auto connection = transport.sent.back().connection;
-        subject.server_complete(now, connection, "signature");
+        subject.server_complete(now, connection, signature_of_last());
         subject.server_ready(now, connection, state,
                              log_position{lead.term(), number});
     }
@@ -261,6 +281,7 @@
     proxy subject;
     session_id sessions = 0;
     int queries = 0;
+    int signatures = 0;
 };
 
 } // namespace tanagerhoist
--- a/tests/proxy_outcomes_test.cpp
+++ b/tests/proxy_outcomes_test.cpp
@@ -91,7 +91,12 @@
         int admitted = 1;
         for (int i = 0; i < 100; ++i)
         {
+            const auto opened = f.transport.opened.size();
             f.ask(id, f.make(statement_kind::write, "1"));
+            if (f.transport.opened.size() != opened)
+            {
+                f.open_last(); // a write follows no error on its connection
+            }
             if (!f.transport.sent.back().statement.query_id.empty() &&
                 f.transport.answers[id].size() ==
                     static_cast<std::size_t>(i) + 1)
@@ -176,11 +181,14 @@
     {
         proxy_fixture f;
         const auto id = run_write(f);
+        const auto refused = f.transport.sent.back().connection;
         f.fail(session_error::busy);
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, f.transport.answers.count(id));
         f.advance(milliseconds(100));
         f.subject.tick(f.now);
+        f.open_last();
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.transport.sent.size());
+        CPPUNIT_ASSERT(f.transport.sent.back().connection != refused);
         f.succeed();
         CPPUNIT_ASSERT(!f.transport.last_answer(id).error);
     }
@@ -206,7 +214,7 @@
         const auto id = run_write(f);
         const auto connection = f.transport.sent.back().connection;
         f.promote("q");
-        f.subject.server_complete(f.now, connection, "signature");
+        f.subject.server_complete(f.now, connection, f.next_signature());
         f.subject.server_ready(f.now, connection, transaction_state::none,
                                log_position{3, 101});
         CPPUNIT_ASSERT(f.transport.last_answer(id).error ==
--- a/tests/proxy_passes_test.cpp
+++ b/tests/proxy_passes_test.cpp
@@ -139,6 +139,7 @@
         for (const auto number : {0, 2})
         {
             const auto id = f.transport.opened.at(number).id;
+            f.subject.server_complete(f.now, id, f.next_signature());
             f.subject.server_ready(f.now, id, transaction_state::none, {});
         }
         f.settings.groups["g"] = {3, 0}; // of which VMs use one
--- a/tests/proxy_random_calls_test.cpp
+++ b/tests/proxy_random_calls_test.cpp
@@ -65,6 +65,7 @@
         ++sent[it->second.server];
     }
     void close(connection_id connection) override { links.erase(connection); }
+    bool has_unread(connection_id) const override { return false; }
     void request_grant() override {}
 
     std::map<session_id, client> clients;
@@ -262,6 +263,7 @@
     void answer(connection_id id, checked_network::link& link)
     {
         const auto kind = link.unanswered->what.kind;
+        const bool own = link.unanswered->query_id.empty();
         link.unanswered.reset();
         if (kind == statement_kind::begin || kind == statement_kind::begin_read)
         {
@@ -281,7 +283,9 @@
         }
         else
         {
-            subject_.server_complete(now_, id, "signature");
+            subject_.server_complete(
+                now_, id,
+                own ? "-" : "signature" + std::to_string(++last_signature_));
         }
         subject_.server_ready(now_, id,
                               link.in_transaction ? transaction_state::open
@@ -466,6 +470,7 @@
     proto::GroupLead lead_;
     session_id last_session_ = 0;
     int last_query_ = 0;
+    int last_signature_ = 0;
     std::uint64_t last_number_ = 0;
 };
 
--- a/tests/proxy_region_changes_test.cpp
+++ b/tests/proxy_region_changes_test.cpp
@@ -92,10 +92,11 @@
         f.run(milliseconds(2000));
         const auto opened = f.transport.opened.size();
         f.ask_at("bounded", statement_kind::read);
-        f.run(proxy::tick_interval); // by the connection that is open
-        CPPUNIT_ASSERT_EQUAL(opened, f.transport.opened.size());
-        CPPUNIT_ASSERT(f.transport.sent.back().statement.query_id.empty());
-        f.succeed(transaction_state::none, 300);
+        f.run(proxy::tick_interval); // by a new connection
+        CPPUNIT_ASSERT_EQUAL(opened + 1, f.transport.opened.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("p"),
+                             f.transport.opened.back().server);
+        f.open_last(log_position{f.lead.term(), 300});
         CPPUNIT_ASSERT_EQUAL(
             std::uint64_t{300},
             f.transport.sent.back().statement.after.value().number);
--- a/tests/proxy_second_tries_test.cpp
+++ b/tests/proxy_second_tries_test.cpp
@@ -107,7 +107,7 @@
         const auto second = f.open_last();
         const auto answer_other = [&]
         {
-            f.subject.server_complete(f.now, second, "signature");
+            f.subject.server_complete(f.now, second, f.next_signature());
             f.subject.server_ready(f.now, second, transaction_state::none,
                                    log_position{f.lead.term(), 100});
             f.ask(other, f.make(statement_kind::read, "2"));
--- a/tests/proxy_sessions_test.cpp
+++ b/tests/proxy_sessions_test.cpp
@@ -255,7 +255,7 @@
         CPPUNIT_ASSERT(f.transport.sent.back().statement.what.kind ==
                        statement_kind::commit);
         f.succeed();
-        CPPUNIT_ASSERT_EQUAL(std::string("signature"),
+        CPPUNIT_ASSERT_EQUAL(std::string("signature1"),
                              f.transport.last_answer(id).signature);
     }
 
--- a/tools/daemon/session_daemon_metrics.cpp
+++ b/tools/daemon/session_daemon_metrics.cpp
@@ -61,10 +61,10 @@
         out << "tanagerhoist_refusals_total{cause=\"" << cause << "\"} "
             << count << '\n';
     }
-    out << "# TYPE tanagerhoist_answers_that_do_not_fit_total counter\n";
+    out << "# TYPE tanagerhoist_answers_not_taken_total counter\n";
     for (std::size_t i = 1; i < answer_faults; ++i)
     {
-        out << "tanagerhoist_answers_that_do_not_fit_total{cause=\""
+        out << "tanagerhoist_answers_not_taken_total{cause=\""
             << to_text(static_cast<answer_fault>(i)) << "\"} "
             << figures.faults.at(i) << '\n';
     }
--- a/tools/daemon/session_transport.cpp
+++ b/tools/daemon/session_transport.cpp
@@ -246,7 +246,7 @@
                            proxy_->connection_lost(now_(), id);
                        }
                    },
-                   {}});
+                   [this, id] { server_bytes(id); }});
     stream->write(start);
 }
 
@@ -303,6 +303,24 @@
     }
 }
 
+/// Reports a part of a line that has arrived.
+void session_transport::server_bytes(connection_id id)
+{
+    const auto it = servers_.find(id);
+    if (it != servers_.end() && it->second.started &&
+        it->second.stream->has_input())
+    {
+        proxy_->server_bytes(now_(), id);
+    }
+}
+
+bool session_transport::has_unread(connection_id connection) const
+{
+    const auto it = servers_.find(connection);
+    return it != servers_.end() && it->second.stream &&
+           it->second.stream->has_unread();
+}
+
 void session_transport::send(connection_id connection,
                              const server_statement& statement)
 {
--- a/tools/daemon/session_transport.hpp
+++ b/tools/daemon/session_transport.hpp
@@ -70,6 +70,7 @@
     void send(connection_id connection,
               const server_statement& statement) override;
     void close(connection_id connection) override;
+    bool has_unread(connection_id connection) const override;
     void request_grant() override { request_grant_(); }
 
 private:
@@ -99,6 +100,7 @@
     void reject(session_id id, session_error error);
     void connected(connection_id id, const std::string& start);
     void server_line(connection_id id, std::string_view line);
+    void server_bytes(connection_id id);
     void read_on(session_id id);
 
     // Limits: session_transport_limits.cpp
