Stand-in's data has no CR LF in a row

Clients drew data such as CR CR LF, from which only one CR was removed, so that CR LF was left: they broke the page themselves, and a daemon that keeps to it ran other text than was drawn. All are removed now.

--- a/standin/wire_ledger.cpp
+++ b/standin/wire_ledger.cpp
@@ -277,7 +277,7 @@
     if (++broken_[index] <= most_cases_)
     {
         cases_.push_back({id, std::string(check_names[index]) + ": " + why +
-                                  '\n' + describe(id)});
+                                  '\n' + describe(id) + bytes_of(id)});
     }
 }
 
@@ -310,14 +310,17 @@
     {
         text += "  came:" + to_line(*note.answer) + '\n';
     }
-    return text + bytes_of(note);
+    return text;
 }
 
 /// The latest bytes on the connection where a statement arrived.
-std::string wire_ledger::bytes_of(const statement_note& note) const
+std::string wire_ledger::bytes_of(const std::string& id) const
 {
     std::string text;
-    const auto bytes = bytes_.find(note.connection);
+    const auto note = statements_.find(id);
+    const auto bytes = note == statements_.end()
+                           ? bytes_.end()
+                           : bytes_.find(note->second.connection);
     if (bytes != bytes_.end())
     {
         for (const auto& line : bytes->second)
@@ -335,8 +338,10 @@
     {
         const auto now = describe(found.id);
         const bool same = found.text.find(now) != std::string::npos;
+        const bool has_bytes = found.text.find("    <- ") != std::string::npos;
+        const auto more = has_bytes ? now : now + bytes_of(found.id);
         texts.push_back(same ? found.text
-                             : found.text + "  in the end:\n" + now);
+                             : found.text + "  in the end:\n" + more);
     }
     return texts;
 }
--- a/standin/wire_ledger.hpp
+++ b/standin/wire_ledger.hpp
@@ -158,7 +158,7 @@
     void check_success(const std::string& id, const statement_note& note);
     void check_effect(const std::string& id, const statement_note& note);
     std::string describe(const std::string& id) const;
-    std::string bytes_of(const statement_note& note) const;
+    std::string bytes_of(const std::string& id) const;
 
     std::size_t most_cases_;
     std::uint64_t transactions_ = 0;
--- a/standin/wire_text.cpp
+++ b/standin/wire_text.cpp
@@ -22,10 +22,11 @@
 constexpr std::size_t letters = 26;
 constexpr std::size_t bytes = 256;
 
+/// Removes CR before LF, also where its removal brings another CR there.
 void remove_line_ends(std::string& text)
 {
     for (auto at = text.find(line_end); at != std::string::npos;
-         at = text.find(line_end, at))
+         at = text.find(line_end))
     {
         text.erase(at, 1);
     }
