Stand-ins: one piece of code answers calls that wait for a log point

failover_simulation and fleet answered their waiting status calls with the same lines, which duplicates lists. waiting_calls serves both; no change of behaviour.

--- a/standin/failover_simulation.cpp
+++ b/standin/failover_simulation.cpp
@@ -146,50 +146,32 @@
     send(name, call.server(), [this, call, answer] { serve(call, answer); });
 }
 
-void failover_simulation::serve(
-    const proto::CallDatabase& call,
-    std::function<void(proto::DatabaseReply)> answer)
+void failover_simulation::serve(const proto::CallDatabase& call,
+                                const waiting_calls::answer_handler& answer)
 {
     if (call.call().status().has_await())
     {
         const auto wait = milliseconds(call.call().status().wait_ms());
-        waiting_.push_back(
-            {call.server(), call.call(), now_ + wait, std::move(answer)});
+        waiting_.add(call.server(), call.call(), now_ + wait, answer);
         answer_waiting_calls();
         return;
     }
-    auto reply =
+    const auto reply =
         group(database_of_.at(call.server()))
             .handle(now_, call.server(), call.connection(), call.call());
     if (reply)
     {
-        answer(std::move(*reply));
+        answer(*reply);
     }
 }
 
 void failover_simulation::answer_waiting_calls()
 {
-    auto waiting = std::exchange(waiting_, {});
-    for (auto& each : waiting)
-    {
-        const auto reply = group(database_of_.at(each.server))
-                               .handle(now_, each.server, 0, each.call);
-        if (!reply)
-        {
-            continue; // a stopped server drops its waiting calls
-        }
-        const auto& status = reply->status();
-        const bool sealed =
-            status.sealed_term() > each.call.status().await().term();
-        if (status.holds() || sealed || now_ >= each.until)
-        {
-            each.answer(*reply);
-        }
-        else
-        {
-            waiting_.push_back(std::move(each));
-        }
-    }
+    waiting_.answer(
+        now_,
+        [this](const std::string& server, const proto::DatabaseCall& call) {
+            return group(database_of_.at(server)).handle(now_, server, 0, call);
+        });
 }
 
 void failover_simulation::call_platform(simulated_vm& vm,
--- a/standin/failover_simulation.hpp
+++ b/standin/failover_simulation.hpp
@@ -3,6 +3,7 @@
 
 #include "standin/database_group.hpp"
 #include "standin/platform.hpp"
+#include "standin/waiting_calls.hpp"
 #include "tanagerhoist/decision/primary_watch.hpp"
 #include "tanagerhoist/decision/write_confirmer.hpp"
 
@@ -103,15 +104,6 @@
     }
 
 private:
-    /// A status call that is answered once the server holds its log point.
-    struct waiting_call
-    {
-        std::string server;
-        proto::DatabaseCall call;
-        moment until;
-        std::function<void(proto::DatabaseReply)> answer;
-    };
-
     void start_vm(const std::string& name);
     void later(microseconds delay, std::function<void()> event);
     void send(const std::string& from, const std::string& to,
@@ -121,7 +113,7 @@
     void flush(simulated_vm& vm);
     void call_database(simulated_vm& vm, const proto::CallDatabase& call);
     void serve(const proto::CallDatabase& call,
-               std::function<void(proto::DatabaseReply)> answer);
+               const waiting_calls::answer_handler& answer);
     void answer_waiting_calls();
     void call_platform(simulated_vm& vm, const proto::CallPlatform& call);
     void deliver(const proto::PeerMessage& message);
@@ -146,7 +138,7 @@
     moment next_tick_{};
     std::uint64_t sequence_ = 0;
     std::map<std::pair<moment, std::uint64_t>, std::function<void()>> events_;
-    std::vector<waiting_call> waiting_;
+    waiting_calls waiting_;
     std::set<std::pair<std::string, std::string>> cuts_;
 };
 
--- a/standin/fleet.hpp
+++ b/standin/fleet.hpp
@@ -3,6 +3,7 @@
 
 #include "standin/database_group.hpp"
 #include "standin/platform.hpp"
+#include "standin/waiting_calls.hpp"
 #include "tanagerhoist/decision/node.hpp"
 
 #include <cstdint>
@@ -147,14 +148,6 @@
         std::uint64_t generation = 0;
         std::deque<std::function<void()>> waiting;
     };
-    /// A status call that is answered once the server holds its log point.
-    struct waiting_call
-    {
-        std::string server;
-        proto::DatabaseCall call;
-        moment until;
-        std::function<void(const proto::DatabaseReply&)> answer;
-    };
 
     void tick(const std::string& vm, std::uint64_t generation);
     void input(const std::string& vm, std::uint64_t generation,
@@ -177,7 +170,7 @@
     void fail_call(fleet_vm& vm, std::uint64_t tag, bool sent);
     void serve(const std::string& server, const proto::DatabaseCall& call,
                std::uint64_t connection,
-               std::function<void(const proto::DatabaseReply&)> answer);
+               const waiting_calls::answer_handler& answer);
     void start_statements(const std::string& server);
     void answer_waiting_calls();
     void call_platform(fleet_vm& vm, const proto::CallPlatform& call);
@@ -198,7 +191,7 @@
     std::map<std::string, server_state> servers_;
     std::map<std::string, fleet_vm> vms_;
     std::map<std::uint64_t, caller> callers_;
-    std::vector<waiting_call> waiting_;
+    waiting_calls waiting_;
     std::set<std::pair<std::string, std::string>> cuts_;
     action_observer on_action_;
     event_observer on_event_;
--- a/standin/fleet_network.cpp
+++ b/standin/fleet_network.cpp
@@ -253,13 +253,13 @@
 
 void fleet::serve(const std::string& server, const proto::DatabaseCall& call,
                   std::uint64_t connection,
-                  std::function<void(const proto::DatabaseReply&)> answer)
+                  const waiting_calls::answer_handler& answer)
 {
     auto& state = servers_.at(server);
     if (call.status().has_await())
     {
         const auto wait = milliseconds(call.status().wait_ms());
-        waiting_.push_back({server, call, now_ + wait, std::move(answer)});
+        waiting_.add(server, call, now_ + wait, answer);
         return;
     }
     const auto run = [this, server, call, connection, answer]
@@ -303,26 +303,12 @@
 
 void fleet::answer_waiting_calls()
 {
-    for (auto& each : std::exchange(waiting_, {}))
-    {
-        const auto reply = group(servers_.at(each.server).database)
-                               .handle(now_, each.server, 0, each.call);
-        if (!reply)
-        {
-            continue; // a stopped server drops its waiting calls
-        }
-        const auto& status = reply->status();
-        const bool sealed =
-            status.sealed_term() > each.call.status().await().term();
-        if (status.holds() || sealed || now_ >= each.until)
-        {
-            each.answer(*reply);
-        }
-        else
-        {
-            waiting_.push_back(std::move(each));
-        }
-    }
+    waiting_.answer(
+        now_,
+        [this](const std::string& server, const proto::DatabaseCall& call) {
+            return group(servers_.at(server).database)
+                .handle(now_, server, 0, call);
+        });
 }
 
 void fleet::cut(const std::string& one, const std::string& other)
