--- a/fuzz/coordinator_simulation.hpp
+++ b/fuzz/coordinator_simulation.hpp
@@ -184,6 +184,9 @@
     std::uint64_t newest_term_ = 1;
 };
 
+/// How long a replaced primary that reaches the new one keeps its role.
+constexpr milliseconds self_demotion_time{1000};
+
 class simulated_vm;
 
 /// All that the VMs share, the VMs, and the rules that are checked.
--- a/fuzz/node_simulation_faults.cpp
+++ b/fuzz/node_simulation_faults.cpp
@@ -15,8 +15,6 @@
 
 } // namespace
 
-// ---- faults ---------------------------------------------------------------
-
 void node_simulation::kill_vm(const command& c)
 {
     const auto vm = select_vm(c.a);
@@ -158,8 +156,6 @@
     fleet_.group("e").set_lag(milliseconds(c.b));
 }
 
-// ---- settings -------------------------------------------------------------
-
 void node_simulation::record_settings_head()
 {
     const auto dump = fleet_.service().dump();
--- a/src/decision/request_dispatch.cpp
+++ b/src/decision/request_dispatch.cpp
@@ -1,4 +1,4 @@
-// Middle part of request processing: from the queue to a server, retries and
+// Second part of request processing: from the queue to a server, retries and
 // timeouts.
 
 #include "tanagerhoist/core/log_point.hpp"
