Deputies: what is decided about them moves from the sockets into fleet/

fleet_agent_deputies chose the deputies and composed handed operations beside its socket, where no test reaches. told_deputies chooses (each second, as before), deputy_handover composes and says which deputy answers; the agent sends. No change of behaviour.

--- a/src/fleet/deputy_choice.cpp
+++ b/src/fleet/deputy_choice.cpp
@@ -67,4 +67,23 @@
     return chosen;
 }
 
+void told_deputies::update(
+    moment now, const fleet_members& members, const std::string& coordinator,
+    const std::function<bool(const std::string& vm)>& is_reporting)
+{
+    if (now >= chosen_at_ + choice_interval)
+    {
+        chosen_at_ = now;
+        chosen_ = choose_deputies(members, coordinator, is_reporting);
+    }
+}
+
+void told_deputies::add_to(proto::FleetView& view) const
+{
+    for (const auto& deputy : chosen_)
+    {
+        *view.add_deputies() = deputy;
+    }
+}
+
 } // namespace tanagerhoist
--- a/tools/daemon/fleet_agent.hpp
+++ b/tools/daemon/fleet_agent.hpp
@@ -10,6 +10,8 @@
 #include "tanagerhoist/fleet/backoff.hpp"
 #include "tanagerhoist/fleet/coordinator_lease.hpp"
 #include "tanagerhoist/fleet/coordinator_messages.hpp"
+#include "tanagerhoist/fleet/deputy_choice.hpp"
+#include "tanagerhoist/fleet/deputy_handover.hpp"
 #include "tanagerhoist/fleet/era_row_store.hpp"
 #include "tanagerhoist/fleet/evacuations.hpp"
 #include "tanagerhoist/fleet/failover_executor.hpp"
@@ -195,6 +197,8 @@
     void use_deputies(const proto::FleetView& view);
     void schedule_handover();
     void hand_over_if_due();
+    void send_handover(const proto::FleetDeputy& to,
+                       proto::OperationHandover message);
     void handle_handover(const proto::OperationHandover& handover);
     void handle_handover_reply(const proto::HandoverReply& reply);
     void log_deputies();
@@ -277,9 +281,8 @@
     coordinator_lease lease_;
     fleet_coordinator coordinator_;
     allowance_pool pool_;
-    std::vector<proto::FleetDeputy> deputies_; ///< as the coordinator tells
-    std::vector<proto::FleetDeputy> chosen_deputies_; ///< as the coordinator
-    moment deputies_chosen_{};
+    deputy_handover handover_;
+    told_deputies told_deputies_; ///< as the coordinator
     std::string logged_deputy_;   ///< that this VM uses
     bool logged_serving_ = false; ///< as a deputy
     fleet_members members_;
--- a/tools/daemon/fleet_agent_deputies.cpp
+++ b/tools/daemon/fleet_agent_deputies.cpp
@@ -1,7 +1,5 @@
 #include "fleet_agent.hpp"
 
-#include "tanagerhoist/fleet/deputy_choice.hpp"
-
 #include <boost/asio/post.hpp>
 
 #include <utility>
@@ -15,9 +13,6 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
-/// How long a choice of deputies is told.
-constexpr milliseconds choice_interval{1000};
-
 /// After a report, when a coordinator that has not answered counts as lost.
 constexpr milliseconds loss_check_wait{155};
 
@@ -26,24 +21,19 @@
 void fleet_agent::add_deputies(const coordinator_term& term,
                                proto::FleetView& view)
 {
-    if (is_current(term) && now_() >= deputies_chosen_ + choice_interval)
+    if (is_current(term))
     {
-        deputies_chosen_ = now_();
-        chosen_deputies_ =
-            choose_deputies(members_, settings_.vm().name(),
-                            [this](const std::string& vm)
-                            { return coordinator_.is_reporting(now_(), vm); });
-    }
-    for (const auto& deputy : chosen_deputies_)
-    {
-        *view.add_deputies() = deputy;
+        told_deputies_.update(now_(), members_, settings_.vm().name(),
+                              [this](const std::string& vm) {
+                                  return coordinator_.is_reporting(now_(), vm);
+                              });
     }
+    told_deputies_.add_to(view);
 }
 
 void fleet_agent::use_deputies(const proto::FleetView& view)
 {
-    deputies_.assign(view.deputies().begin(), view.deputies().end());
-    proxy_.limits().use_deputies(deputies_.size());
+    handover_.use_deputies(view);
     pool_.use_token(view.token());
     log_deputies();
 }
@@ -62,39 +52,40 @@
         });
 }
 
-/// Hands to a deputy what this VM may admit alone, and asks for what its held
-/// statements lack.
 void fleet_agent::hand_over_if_due()
 {
     log_deputies();
-    auto& limits = proxy_.limits();
-    if (deputies_.empty() || !limits.is_handover_due(now_(), proxy_.held() > 0))
+    if (!handover_.is_due(now_(), proxy_.held() > 0))
     {
         return;
     }
-    proto::FleetDatagram datagram;
-    auto& handover = *datagram.mutable_handover();
-    handover.set_vm(settings_.vm().name());
-    handover.set_life(life_);
-    handover.set_sequence(messages_.next_sequence());
-    handover.set_token(messages_.token());
-    for (auto& operations : limits.hand_over(now_(), handover.sequence(),
-                                             proxy_.held_statements()))
-    {
-        *handover.add_operations() = std::move(operations);
-    }
-    const auto& to = deputies_.at(limits.deputy().index());
+    proto::OperationHandover message;
+    message.set_vm(settings_.vm().name());
+    message.set_life(life_);
+    message.set_sequence(messages_.next_sequence());
+    message.set_token(messages_.token());
+    handover_.hand_over(
+        now_(), std::move(message), proxy_.held_statements(),
+        [this](const proto::FleetDeputy& to, proto::OperationHandover handed)
+        { send_handover(to, std::move(handed)); });
+}
+
+void fleet_agent::send_handover(const proto::FleetDeputy& to,
+                                proto::OperationHandover message)
+{
     if (to.vm() == settings_.vm().name())
     {
         // Not at once: a statement that is being admitted may have asked.
         asio::post(context_,
-                   [this, own = std::move(handover)] { handle_handover(own); });
+                   [this, own = std::move(message)] { handle_handover(own); });
         return;
     }
     error_code error;
     const auto ip = asio::ip::make_address(to.address(), error);
     if (!error)
     {
+        proto::FleetDatagram datagram;
+        *datagram.mutable_handover() = std::move(message);
         const auto bytes = datagram.SerializeAsString();
         error_code ignored; // operations in a lost message are lost
         socket_.send_to(asio::buffer(bytes),
@@ -138,10 +129,7 @@
 /// Logs when this VM begins and ends to use a deputy, or to be one.
 void fleet_agent::log_deputies()
 {
-    const auto& link = proxy_.limits().deputy();
-    const auto used = link.is_answering() && link.index() < deputies_.size()
-                          ? deputies_[link.index()].vm()
-                          : std::string();
+    const auto used = handover_.answering_deputy();
     if (used != logged_deputy_)
     {
         lines_.write(log_level::change, "deputy_used",
