--- a/fuzz/admission_state.cpp
+++ b/fuzz/admission_state.cpp
@@ -3,13 +3,13 @@
 // cut off, messages that are lost or arrive twice, and changed limits.
 //
 // Oracle: in every window all VMs together admit at most what QUOTA allows.
+#include "fuzz/state_result.hpp"
 #include "standin/limited_fleet.hpp"
 
 #include <rapidcheck.h>
 
 #include <array>
 #include <cstdlib>
-#include <iostream>
 #include <vector>
 
 namespace
@@ -24,8 +24,7 @@
 constexpr double calm = 0.7; ///< part of the rate
 constexpr double flood = 6;  ///< times the rate
 
-std::size_t sequences = 0;
-std::size_t commands = 0;
+fuzz::state_result result;
 
 struct command
 {
@@ -108,13 +107,13 @@
 
 void run_sequence(const std::vector<command>& sequence)
 {
-    ++sequences;
+    ++result.sequences;
     limited_fleet fleet(vms, limits, static_cast<unsigned>(sequence.size()));
     fleet.use_deputies();
     fleet.run(std::chrono::seconds(8), limits.rate * calm);
     for (const auto& each : sequence)
     {
-        ++commands;
+        ++result.commands;
         steps.at(each.kind)(fleet, each);
         fleet.run(milliseconds(30 * each.argument),
                   limits.rate * (each.floods ? flood : calm));
@@ -131,13 +130,12 @@
 int main()
 {
     setenv("RC_PARAMS", "seed=20261207 max_success=60 max_size=25", 0);
-    const bool good =
+    const bool passed =
         rc::check("admissions of all VMs stay within QUOTA",
                   [] {
                       run_sequence(*rc::gen::container<std::vector<command>>(
                           commands_of()));
                   });
-    std::cout << sequences << " sequences, " << commands << " commands\n"
-              << (good ? 1 : 0) << " passed, " << (good ? 0 : 1) << " failed\n";
-    return good ? 0 : 1;
+    ++(passed ? result.passed : result.failed);
+    return print_result(result);
 }
--- a/fuzz/limits_state.cpp
+++ b/fuzz/limits_state.cpp
@@ -4,13 +4,13 @@
 //
 // Oracle: in every window, the fleet admits at most rate x window + burst
 // requests, and the parts held never exceed the total.
+#include "fuzz/state_result.hpp"
 #include "standin/limits_simulation.hpp"
 
 #include <rapidcheck.h>
 
 #include <array>
 #include <cstdlib>
-#include <iostream>
 #include <string>
 #include <vector>
 
@@ -44,8 +44,7 @@
     return stream << each.kind << '/' << each.vm << '/' << each.argument;
 }
 
-std::uint64_t sequences = 0;
-std::uint64_t commands = 0;
+fuzz::state_result result;
 
 using step = void (*)(limits_simulation&, const command&);
 
@@ -155,7 +154,7 @@
 
 void run_sequence(const std::vector<command>& sequence)
 {
-    ++sequences;
+    ++result.sequences;
     limiter_options visits;
     if (sequence.size() % 2 != 0)
     {
@@ -169,7 +168,7 @@
     run_load(simulation, 3000, 0);
     for (const auto& each : sequence)
     {
-        ++commands;
+        ++result.commands;
         steps[each.kind](simulation, each);
         run_load(simulation, each.argument * 60, each.vm);
     }
@@ -185,13 +184,12 @@
 int main()
 {
     setenv("RC_PARAMS", "seed=20261204 max_success=200 max_size=60", 0);
-    const bool good =
+    const bool passed =
         rc::check("admissions and parts stay within the limits",
                   [] {
                       run_sequence(*rc::gen::container<std::vector<command>>(
                           commands_of()));
                   });
-    std::cout << sequences << " sequences, " << commands << " commands\n"
-              << (good ? 1 : 0) << " passed, " << (good ? 0 : 1) << " failed\n";
-    return good ? 0 : 1;
+    ++(passed ? result.passed : result.failed);
+    return print_result(result);
 }
--- a/fuzz/node_state.cpp
+++ b/fuzz/node_state.cpp
@@ -1,11 +1,11 @@
 // State test of whole nodes, the same that run in tanagerhoistd: random
 // requests and faults, checked against an oracle of plain maps.
 #include "fuzz/node_simulation.hpp"
+#include "fuzz/state_result.hpp"
 
 #include <rapidcheck.h>
 
 #include <cstdlib>
-#include <iostream>
 #include <vector>
 
 namespace
@@ -19,8 +19,7 @@
 // Sequence length per unit of RapidCheck size.
 constexpr double length_scale = 1.5;
 
-std::uint64_t sequences = 0;
-std::uint64_t commands = 0;
+state_result result;
 
 rc::Gen<std::vector<command>> random_sequence()
 {
@@ -34,11 +33,11 @@
 void check_sequence()
 {
     const auto sequence = *rc::gen::scale(length_scale, random_sequence());
-    ++sequences;
+    ++result.sequences;
     node_simulation simulation;
     for (const auto& each : sequence)
     {
-        ++commands;
+        ++result.commands;
         simulation.run(each);
     }
     simulation.finish();
@@ -51,8 +50,6 @@
     setenv("RC_PARAMS", fixed_parameters, 0);
     const bool passed =
         rc::check("the invariants of the fleet hold", check_sequence);
-    std::cout << sequences << " sequences, " << commands << " commands\n"
-              << (passed ? 1 : 0) << " passed, " << (passed ? 0 : 1)
-              << " failed\n";
-    return passed ? 0 : 1;
+    ++(passed ? result.passed : result.failed);
+    return print_result(result);
 }
--- a/fuzz/queues_state.cpp
+++ b/fuzz/queues_state.cpp
@@ -2,11 +2,11 @@
 // failures and limit changes are checked against simple models.
 #include "fuzz/pool_oracle.hpp"
 #include "fuzz/queue_oracle.hpp"
+#include "fuzz/state_result.hpp"
 
 #include <rapidcheck.h>
 
 #include <cstdlib>
-#include <iostream>
 
 namespace
 {
@@ -17,17 +17,16 @@
 constexpr char fixed_parameters[] =
     "seed=20260731 max_success=2000 max_size=200 verbose_progress=0";
 
-std::uint64_t sequences = 0;
-std::uint64_t commands = 0;
+state_result result;
 
 template <typename Oracle>
 void run_all(Oracle oracle)
 {
-    ++sequences;
+    ++result.sequences;
     const auto sequence = *sequence_of(Oracle::kinds);
     for (const command& each : sequence)
     {
-        ++commands;
+        ++result.commands;
         oracle.run(each);
     }
     oracle.drain();
@@ -66,13 +65,9 @@
 int main()
 {
     setenv("RC_PARAMS", fixed_parameters, 0);
-    int passed = 0;
-    int failed = 0;
     for (const property& each : properties)
     {
-        ++(rc::check(each.name, each.check) ? passed : failed);
+        ++(rc::check(each.name, each.check) ? result.passed : result.failed);
     }
-    std::cout << sequences << " sequences, " << commands << " commands\n"
-              << passed << " passed, " << failed << " failed\n";
-    return failed == 0 ? 0 : 1;
+    return print_result(result);
 }
