Failed accepts are counted and logged

What callers saw: not observed, found by reading. While no connection can be accepted, for example for want of descriptors, the ports for sessions, probes, peers and metrics try again each 100 ms in silence; to callers the daemon does not answer.

Cause: the callbacks of async_accept dropped the error.

Change: accept_errors counts them with the last cause, for each port. The daemon writes `accept_failed` at most once a second and port (count_rise, which `http_closed` uses now too) and has tanagerhoist_accept_errors_total. When it accepts and tries again stays as it was.

The daemon's own line and the port for sessions were not run out of descriptors.

--- a/include/tanagerhoist/adapter/http_responder.hpp
+++ b/include/tanagerhoist/adapter/http_responder.hpp
@@ -1,6 +1,7 @@
 #ifndef TANAGERHOIST_ADAPTER_HTTP_RESPONDER_HPP
 #define TANAGERHOIST_ADAPTER_HTTP_RESPONDER_HPP
 
+#include "tanagerhoist/adapter/accept_errors.hpp"
 #include "tanagerhoist/adapter/http_stream.hpp"
 #include "tanagerhoist/session/request_connections.hpp"
 
@@ -34,6 +35,13 @@
     /// Connections closed so far to make room for another one.
     std::uint64_t closed() const { return closed_; }
 
+    const accept_errors& failed_accepts() const { return failed_accepts_; }
+
+    boost::asio::ip::tcp::endpoint local() const
+    {
+        return acceptor_.local_endpoint();
+    }
+
 private:
     using connection = request_connections::connection;
 
@@ -50,6 +58,7 @@
     /// Owned by their fibers.
     std::unordered_map<connection, http_server_stream*> streams_;
     std::uint64_t closed_ = 0;
+    accept_errors failed_accepts_;
 };
 
 } // namespace tanagerhoist
--- a/src/adapter/http_responder.cpp
+++ b/src/adapter/http_responder.cpp
@@ -52,7 +52,8 @@
             }
             if (error)
             {
-                accept_later(error_pause); // no descriptor is free
+                failed_accepts_.add(error);
+                accept_later(error_pause);
                 return;
             }
             accepted(std::move(socket));
--- a/tools/daemon/session_daemon.cpp
+++ b/tools/daemon/session_daemon.cpp
@@ -196,7 +196,8 @@
             }
             if (error)
             {
-                accept_later(); // no descriptor is free
+                failed_accepts_.add(error);
+                accept_later();
                 return;
             }
             session_transport_.accept(std::move(socket));
@@ -290,6 +291,7 @@
         proxy_.tick(now);
         session_transport_.tick(now);
         log_http_closed(now);
+        log_failed_accepts(now);
     }
     fleet_.request_grants_if_needed();
     const bool ready = proxy_.is_ready(now);
--- a/tools/daemon/session_daemon.hpp
+++ b/tools/daemon/session_daemon.hpp
@@ -4,9 +4,11 @@
 #include "fleet_agent.hpp"
 #include "session_transport.hpp"
 
+#include "tanagerhoist/adapter/accept_errors.hpp"
 #include "tanagerhoist/adapter/http_responder.hpp"
 #include "tanagerhoist/adapter/json_log.hpp"
 #include "tanagerhoist/adapter/loop_monitor.hpp"
+#include "tanagerhoist/core/count_rise.hpp"
 #include "tanagerhoist/session/proxy.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -14,6 +16,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -47,6 +50,8 @@
     std::string metrics_text() const;
     std::uint64_t http_closed() const;
     void log_http_closed(moment now);
+    std::map<std::string, const accept_errors*> failed_accepts() const;
+    void log_failed_accepts(moment now);
 
     proto::SessionDaemonSettings settings_;
     std::string file_;
@@ -61,8 +66,9 @@
     http_responder readiness_;
     http_responder peers_;
     std::unique_ptr<http_responder> metrics_;
-    std::uint64_t http_closed_logged_ = 0;
-    moment next_http_log_{};
+    accept_errors failed_accepts_; ///< of sessions
+    count_rise http_closed_rise_;
+    std::map<std::string, count_rise> failed_accepts_rises_; ///< by port
     boost::asio::signal_set signals_;
     boost::asio::steady_timer timer_;
     boost::asio::steady_timer accept_timer_;
--- a/tools/daemon/session_daemon_metrics.cpp
+++ b/tools/daemon/session_daemon_metrics.cpp
@@ -19,16 +19,43 @@
 /// Logs at most once a second how many have been closed.
 void session_daemon::log_http_closed(moment now)
 {
-    constexpr milliseconds interval{1000};
-    const auto closed = http_closed();
-    if (closed == http_closed_logged_ || now < next_http_log_)
+    if (const auto rise = http_closed_rise_.take(now, http_closed()); rise != 0)
     {
-        return;
+        lines_.write(log_level::change, "http_closed",
+                     {{"count", std::to_string(rise)}});
+    }
+}
+
+/// Connections that could not be accepted, by port.
+std::map<std::string, const accept_errors*>
+session_daemon::failed_accepts() const
+{
+    std::map<std::string, const accept_errors*> failed{
+        {"sessions", &failed_accepts_},
+        {"readiness", &readiness_.failed_accepts()},
+        {"peers", &peers_.failed_accepts()}};
+    if (metrics_)
+    {
+        failed["metrics"] = &metrics_->failed_accepts();
+    }
+    return failed;
+}
+
+/// Logs at most once a second and port how many could not be accepted.
+void session_daemon::log_failed_accepts(moment now)
+{
+    for (const auto& [port, failed] : failed_accepts())
+    {
+        const auto rise =
+            failed_accepts_rises_[port].take(now, failed->count());
+        if (rise != 0)
+        {
+            lines_.write(log_level::change, "accept_failed",
+                         {{"port", port},
+                          {"count", std::to_string(rise)},
+                          {"cause", failed->last()}});
+        }
     }
-    next_http_log_ = now + interval;
-    lines_.write(log_level::change, "http_closed",
-                 {{"count", std::to_string(closed - http_closed_logged_)}});
-    http_closed_logged_ = closed;
 }
 
 std::string session_daemon::metrics_text() const
@@ -53,6 +80,12 @@
     print_servers(out, now_(), proxy_);
     counter("tanagerhoist_log_lines_dropped_total", lines_.dropped());
     counter("tanagerhoist_http_connections_closed_total", http_closed());
+    out << "# TYPE tanagerhoist_accept_errors_total counter\n";
+    for (const auto& [port, failed] : failed_accepts())
+    {
+        out << "tanagerhoist_accept_errors_total{port=\"" << port << "\"} "
+            << failed->count() << '\n';
+    }
     monitor_.print(out);
     session_transport_.print(out);
     out << "# TYPE tanagerhoist_refusals_total counter\n";
