--- a/tools/daemon/session_daemon.cpp
+++ b/tools/daemon/session_daemon.cpp
@@ -5,12 +5,12 @@
 #include "tanagerhoist/adapter/bound_socket.hpp"
 #include "tanagerhoist/adapter/fiber_loop.hpp"
 #include "tanagerhoist/core/source_id.hpp"
+#include "tanagerhoist/session/resource_parts.hpp"
 #include "tanagerhoist/settings/ini_reader.hpp"
 
 #include <boost/fiber/fiber.hpp>
 #include <boost/leaf.hpp>
 
-#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <random>
@@ -77,25 +77,16 @@
     return region_map(std::move(regions));
 }
 
-/// Connections at once to each port that answers HTTP requests.
-std::size_t most_http_connections(const proto::SessionSettings& settings)
+/// Bytes that the process may use.
+std::size_t memory_of(const proto::SessionSettings& settings)
 {
-    constexpr std::size_t divisor = 128;
-    constexpr std::size_t least = 8;
-    return std::max<std::size_t>(settings.max_fds() / divisor, least);
-}
-
-/// Bytes that connections to servers may keep for ended sessions.
-std::size_t most_state_at_servers(const proto::SessionSettings& settings)
-{
-    constexpr std::size_t divisor = 16;
-    return (settings.memory_mb() << 20U) / divisor;
+    return settings.memory_mb() << 20U;
 }
 
 client_limits limits_of(const proto::SessionSettings& settings)
 {
     client_limits limits{};
-    limits.memory = settings.memory_mb() << 20U;
+    limits.memory = memory_of(settings);
     limits.descriptors = settings.max_fds();
     limits.timeout = std::chrono::seconds(settings.client_timeout_s());
     return limits;
@@ -125,7 +116,7 @@
                          limits_of(settings.sessions()), now_),
       proxy_(settings.vm().data_centre(), regions_of(settings),
              workspace_limits(tolerance_of(settings)), session_transport_,
-             lines_, most_state_at_servers(settings.sessions()),
+             lines_, most_state_at_servers(memory_of(settings.sessions())),
              settings.sessions().pace() == "true" ? cost_by_evidence
                                                   : cost_by_own_answers),
       fleet_(context_, settings, random_life(), tolerance_of(settings), proxy_,
@@ -133,14 +124,14 @@
       acceptor_(listen_on(context_, endpoint_of(settings.sessions().listen()))),
       readiness_(
           context_, endpoint_of(settings.sessions().readiness()),
-          most_http_connections(settings.sessions()),
+          most_http_connections(settings.sessions().max_fds()),
           [this](const http_request& request) { return respond(request); },
           now_),
       peers_(
           context_,
           with_port(settings.sessions().listen(),
                     settings.sessions().peer_port()),
-          most_http_connections(settings.sessions()),
+          most_http_connections(settings.sessions().max_fds()),
           [this](const http_request& request) { return respond(request); },
           now_),
       signals_(context_, SIGTERM, SIGINT, SIGHUP),
@@ -161,7 +152,7 @@
             context_,
             with_port(settings.sessions().listen(),
                       settings.sessions().metrics_port()),
-            most_http_connections(settings.sessions()),
+            most_http_connections(settings.sessions().max_fds()),
             [this](const http_request& request) { return respond(request); },
             now_);
     }
