Times that depend on each other are derived by name

loss_check_wait was 155 ms by hand (150 + 5), late_coordinator_time 550 (400 + 150), the interval of handovers and half of it as seconds in allowance_pool followed the interval of reports. coordinator_times holds report_interval, sealed_report_interval and grant_answer_timeout, the others are derived. Stand-ins, the coordinator's simulation, its benchmark and three tests had copies of these, of the store's write timeouts and of seal_grace, which would not have followed a change: they use the originals. watch_grace_time stood in two files.

No value changes. Left by hand: coordinator_message_timeout and coordinator_timeout (1,200 ms each), which serve two decisions.

--- a/benchmark/coordinator_benchmark.cpp
+++ b/benchmark/coordinator_benchmark.cpp
@@ -3,6 +3,7 @@
 // a message costs at most three times as much.
 
 #include "tanagerhoist/fleet/fleet_coordinator.hpp"
+#include "tanagerhoist/session/coordinator_times.hpp"
 
 #include <benchmark/benchmark.h>
 
@@ -19,7 +20,6 @@
 constexpr std::size_t workspaces = 140;
 constexpr std::size_t groups = 20;
 constexpr std::size_t workspaces_per_vm = 30;
-constexpr microseconds report_interval{400000}; // of each VM
 
 /// A coordinator that has heard all VMs. Each VM has callers of some of the
 /// workspaces.
@@ -43,7 +43,7 @@
     std::size_t report()
     {
         const auto vm = next_++ % vms_;
-        now_ += report_interval / vms_;
+        now_ += microseconds(report_interval) / vms_;
         proto::VmReport message;
         message.set_vm(name(vm));
         message.set_life(1);
--- a/fuzz/coordinator_simulation_vm.cpp
+++ b/fuzz/coordinator_simulation_vm.cpp
@@ -1,5 +1,6 @@
 #include "coordinator_simulation_vm.hpp"
 
+#include "platform/store_client.hpp"
 #include "tanagerhoist/fleet/coordinator_writes.hpp"
 #include "tanagerhoist/fleet/fleet_schedule.hpp"
 #include "tanagerhoist/fleet/repeated_write.hpp"
@@ -14,7 +15,6 @@
 namespace
 {
 
-constexpr milliseconds short_write_timeout{800};
 constexpr milliseconds only_own_lease = std::chrono::hours(24);
 constexpr milliseconds check_interval{300};
 constexpr milliseconds release_check_interval{5};
@@ -45,9 +45,9 @@
       life_(world.next_life()),
       process_(std::make_shared<fiber_process>(world.events())),
       lines_(world, name_),
-      lease_store_(world, *process_, index, short_write_timeout),
-      member_store_(world, *process_, index, patient_write_timeout),
-      lead_store_(world, *process_, index, patient_write_timeout),
+      lease_store_(world, *process_, index, platform::short_write_timeout),
+      member_store_(world, *process_, index, platform::patient_write_timeout),
+      lead_store_(world, *process_, index, platform::patient_write_timeout),
       registration_(member_store_.rows, row_of(name_, life_, index),
                     [this] { return this->now(); }),
       lease_(
@@ -80,7 +80,7 @@
             leaving_ = true;
             primary_lease_.end();
             store_connection store(world_, *process_, index_,
-                                   short_write_timeout);
+                                   platform::short_write_timeout);
             registration_.remove(store.rows);
             release_lease();
             world_.events().add(microseconds(0), ended);
@@ -160,7 +160,8 @@
 
 void simulated_vm::read_leads_in(const coordinator_term& term)
 {
-    store_connection store(world_, *process_, index_, short_write_timeout);
+    store_connection store(world_, *process_, index_,
+                           platform::short_write_timeout);
     backoff retry(milliseconds(100), milliseconds(800));
     while (is_current(term) && leads_token_ != term.token)
     {
--- a/fuzz/coordinator_simulation_vm.hpp
+++ b/fuzz/coordinator_simulation_vm.hpp
@@ -77,9 +77,6 @@
     std::string vm_;
 };
 
-/// Of writes that the store may queue.
-constexpr milliseconds patient_write_timeout{1300};
-
 /// One life of a VM. Its glue between the fleet's classes is that of the
 /// daemon's fleet agent.
 class simulated_vm
--- a/fuzz/coordinator_simulation_vm_messages.cpp
+++ b/fuzz/coordinator_simulation_vm_messages.cpp
@@ -1,5 +1,7 @@
 #include "coordinator_simulation_vm.hpp"
 
+#include "tanagerhoist/session/coordinator_times.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -9,8 +11,6 @@
 namespace
 {
 
-constexpr milliseconds report_interval{400};
-constexpr milliseconds sealed_report_interval{80};
 constexpr milliseconds write_interval{120};
 constexpr milliseconds statement_timeout{1000};
 
--- a/fuzz/coordinator_simulation_vm_rows.cpp
+++ b/fuzz/coordinator_simulation_vm_rows.cpp
@@ -1,9 +1,11 @@
 #include "coordinator_simulation_vm.hpp"
 
+#include "platform/store_client.hpp"
 #include "tanagerhoist/fleet/coordinator_writes.hpp"
 #include "tanagerhoist/fleet/fleet_schedule.hpp"
 #include "tanagerhoist/fleet/repeated_write.hpp"
 #include "tanagerhoist/fleet/table_read.hpp"
+#include "tanagerhoist/session/proxy.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -15,7 +17,6 @@
 {
 
 constexpr const char* member_table = "members";
-constexpr milliseconds seal_grace{150};
 
 } // namespace
 
@@ -106,7 +107,7 @@
         [this]
         {
             store_connection store(world_, *process_, index_,
-                                   patient_write_timeout);
+                                   platform::patient_write_timeout);
             const auto answer = read_table(store.rows, member_table);
             if (answer.result == store_result::done)
             {
@@ -217,7 +218,8 @@
                                       const proto::GroupLead& lead,
                                       std::uint64_t version)
 {
-    store_connection store(world_, *process_, index_, patient_write_timeout);
+    store_connection store(world_, *process_, index_,
+                           platform::patient_write_timeout);
     const auto goes_on =
         [this, &term,
          retry = backoff(milliseconds(100), milliseconds(800))]() mutable
--- a/include/tanagerhoist/fleet/fleet_schedule.hpp
+++ b/include/tanagerhoist/fleet/fleet_schedule.hpp
@@ -56,6 +56,10 @@
 /// @param answered when the store last answered it
 bool is_watch_working(moment now, moment answered);
 
+/// Time for a VM's own watch to deliver changes that the coordinator has seen,
+/// before the VM reads the store again.
+constexpr milliseconds watch_grace_time{600};
+
 /// VMs that may fetch settings from a VM at a time: the link of a VM is about
 /// in proportion to its processor.
 /// @param cpu_percent processor share of the VM
--- a/include/tanagerhoist/session/deputy_link.hpp
+++ b/include/tanagerhoist/session/deputy_link.hpp
@@ -2,6 +2,7 @@
 #define TANAGERHOIST_SESSION_DEPUTY_LINK_HPP
 
 #include "tanagerhoist/core/time.hpp"
+#include "tanagerhoist/session/coordinator_times.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -9,6 +10,10 @@
 namespace tanagerhoist
 {
 
+/// Interval of messages to a deputy while no statements are held: one follows
+/// each report.
+constexpr milliseconds handover_interval = report_interval;
+
 /// Which deputy a VM without a coordinator asks, and when. Operations are sent
 /// only to a deputy that has answered the message before; one that does not
 /// answer two messages is passed over. If none answers, the first is asked
--- a/include/tanagerhoist/session/standalone_allowance.hpp
+++ b/include/tanagerhoist/session/standalone_allowance.hpp
@@ -3,6 +3,7 @@
 
 #include "tanagerhoist/core/time.hpp"
 #include "tanagerhoist/decision/token_bucket.hpp"
+#include "tanagerhoist/session/coordinator_times.hpp"
 
 #include <algorithm>
 #include <cstdint>
@@ -14,9 +15,9 @@
 /// message of the coordinator.
 constexpr milliseconds standalone_lifetime{5000};
 
-/// Longest time between two messages of a coordinator that is only late: the
-/// interval of reports, and the time in which one is usually answered.
-constexpr milliseconds late_coordinator_time{550};
+/// Longest time between two messages of a coordinator that is only late.
+constexpr milliseconds late_coordinator_time =
+    report_interval + grant_answer_timeout;
 
 /// How long operations that were handed to a deputy may be granted.
 constexpr milliseconds handed_lifetime{500};
--- a/include/tanagerhoist/session/workspace_limits.hpp
+++ b/include/tanagerhoist/session/workspace_limits.hpp
@@ -4,6 +4,7 @@
 #include "fleet.pb.h"
 #include "tanagerhoist/core/time.hpp"
 #include "tanagerhoist/decision/token_bucket.hpp"
+#include "tanagerhoist/session/coordinator_times.hpp"
 #include "tanagerhoist/session/deputy_link.hpp"
 #include "tanagerhoist/session/limit_refusal.hpp"
 #include "tanagerhoist/session/session_settings.hpp"
--- a/src/fleet/allowance_pool.cpp
+++ b/src/fleet/allowance_pool.cpp
@@ -16,9 +16,8 @@
 /// what was granted just before the coordinator was lost.
 constexpr double granted_part = 0.95;
 
-/// Half of the interval in which VMs hand operations over: so much of the rate
-/// lies at VMs.
-constexpr double kept_at_vms_s = 0.2;
+/// Time whose operations lie at VMs, which hand them over at their interval.
+constexpr std::chrono::duration<double> kept_at_vms = handover_interval / 2;
 
 /// Without messages for this long no VM uses this deputy.
 constexpr milliseconds unused_after{2000};
@@ -74,7 +73,8 @@
     const auto at_once =
         static_cast<double>(standalone_limit(limits, tolerance_));
     return static_cast<std::uint64_t>(
-        token_unit * std::max(1.0, at_once - kept_at_vms_s * limits.rate));
+        token_unit *
+        std::max(1.0, at_once - kept_at_vms.count() * limits.rate));
 }
 
 void allowance_pool::add(moment now, account& of,
--- a/src/fleet/fleet_schedule.cpp
+++ b/src/fleet/fleet_schedule.cpp
@@ -25,7 +25,6 @@
 
 constexpr std::uint64_t cpu_percent_per_fetch = 6;
 
-constexpr milliseconds watch_grace_time{600};
 constexpr milliseconds refresh_grace_time{1100};
 constexpr milliseconds turn_grace_time{2000};
 constexpr milliseconds turn_refresh_grace_time{2500};
--- a/src/session/deputy_link.cpp
+++ b/src/session/deputy_link.cpp
@@ -13,10 +13,8 @@
 /// Unanswered messages after which a deputy is passed over.
 constexpr unsigned most_unanswered = 2;
 
-constexpr milliseconds regular_interval{400};
-
 /// Interval of messages while statements are held: this per VM of the fleet,
-/// between the shortest and the regular one.
+/// between the shortest and that of messages without held ones.
 constexpr milliseconds interval_per_vm{1};
 constexpr milliseconds shortest_interval{20};
 
@@ -35,7 +33,7 @@
 {
     held_interval_ =
         std::clamp(interval_per_vm * static_cast<milliseconds::rep>(members),
-                   shortest_interval, regular_interval);
+                   shortest_interval, handover_interval);
 }
 
 void deputy_link::reset()
@@ -67,7 +65,7 @@
         return now >= sent_ + answer_timeout;
     }
     return answered_now_ || !answering_ ||
-           now >= sent_ + (holds ? held_interval_ : regular_interval);
+           now >= sent_ + (holds ? held_interval_ : handover_interval);
 }
 
 void deputy_link::sent(moment now, std::uint64_t sequence)
--- a/src/session/workspace_limits.cpp
+++ b/src/session/workspace_limits.cpp
@@ -34,9 +34,6 @@
 /// How long a VM requests a stock after its last caller has gone.
 constexpr milliseconds demand_lifetime{5000};
 
-/// Time within which a reachable coordinator answers a request.
-constexpr milliseconds grant_answer_timeout{150};
-
 /// Time without a message after which the coordinator counts as lost.
 constexpr milliseconds coordinator_message_timeout{1200};
 
--- a/standin/limited_fleet.cpp
+++ b/standin/limited_fleet.cpp
@@ -1,5 +1,6 @@
 #include "standin/limited_fleet.hpp"
 
+#include "tanagerhoist/session/coordinator_times.hpp"
 #include "tanagerhoist/session/proxy.hpp"
 
 #include <algorithm>
@@ -10,7 +11,6 @@
 namespace
 {
 
-constexpr milliseconds report_interval{400};
 constexpr milliseconds longest_hold{300};
 
 double allowed_in_window(const session_workspace& limits)
--- a/tests/grants_at_limit_test.cpp
+++ b/tests/grants_at_limit_test.cpp
@@ -1,6 +1,7 @@
 #include "proxy_fixture.hpp"
 #include "tanagerhoist/fleet/fleet_coordinator.hpp"
 #include "tanagerhoist/fleet/request_pacing.hpp"
+#include "tanagerhoist/session/coordinator_times.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -17,8 +18,6 @@
 class limited_fleet
 {
 public:
-    static constexpr milliseconds report_interval{400};
-
     limited_fleet(std::size_t vms, double rate)
         : coordinator_(limit_tolerance{}, false)
     {
--- a/tests/server_standings_test.cpp
+++ b/tests/server_standings_test.cpp
@@ -1,6 +1,7 @@
 #include "tanagerhoist/fleet/fleet_coordinator.hpp"
 #include "tanagerhoist/fleet/server_standings.hpp"
 #include "tanagerhoist/session/answer_news.hpp"
+#include "tanagerhoist/session/coordinator_times.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -25,7 +26,6 @@
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr int vms = 60;
-    static constexpr milliseconds report_interval{400};
 
     static std::string name(int server) { return "s" + std::to_string(server); }
 
--- a/tests/warmup_ledger_test.cpp
+++ b/tests/warmup_ledger_test.cpp
@@ -1,5 +1,7 @@
 #include "tanagerhoist/fleet/warmup_ledger.hpp"
 
+#include "tanagerhoist/session/coordinator_times.hpp"
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
@@ -14,7 +16,6 @@
 {
 
 constexpr milliseconds step{10};
-constexpr milliseconds report_interval{400};
 constexpr std::uint64_t limit = 33;
 
 /// VMs that all want a server in its warm-up, their reports and views, which
--- a/tools/daemon/fleet_agent_deputies.cpp
+++ b/tools/daemon/fleet_agent_deputies.cpp
@@ -1,5 +1,7 @@
 #include "fleet_agent.hpp"
 
+#include "tanagerhoist/session/coordinator_times.hpp"
+
 #include <boost/asio/post.hpp>
 
 #include <utility>
@@ -13,8 +15,12 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
+/// How much later than it is due the loss of the coordinator is looked for.
+constexpr milliseconds loss_check_margin{5};
+
 /// After a report, when a coordinator that has not answered counts as lost.
-constexpr milliseconds loss_check_wait{155};
+constexpr milliseconds loss_check_wait =
+    grant_answer_timeout + loss_check_margin;
 
 } // namespace
 
--- a/tools/daemon/fleet_agent_reports.cpp
+++ b/tools/daemon/fleet_agent_reports.cpp
@@ -1,5 +1,7 @@
 #include "fleet_agent.hpp"
 
+#include "tanagerhoist/session/coordinator_times.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -12,11 +14,6 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
-constexpr milliseconds report_interval{400};
-
-/// Interval of reports while a seal waits for this VM.
-constexpr milliseconds sealed_report_interval{80};
-
 } // namespace
 
 void fleet_agent::send_report()
--- a/tools/daemon/fleet_agent_tables.cpp
+++ b/tools/daemon/fleet_agent_tables.cpp
@@ -25,10 +25,6 @@
 /// whether it still does.
 constexpr milliseconds contact_check_interval{300};
 
-/// Time for this VM's own watch to deliver changes of the server list that the
-/// coordinator has seen, before the watch is refreshed.
-constexpr milliseconds watch_grace_time{600};
-
 constexpr milliseconds fetch_timeout{2000};
 
 /// Longest pause within fetched settings, which share the links with others.
