Operations in a message to or from a deputy that fails are counted and logged

What callers saw: not observed, found by reading. Operations that nobody admits would show as refusals "no coordinator grants operations", and neither log nor metrics tell where the operations have gone.

Cause: a VM debits what it hands to a deputy before it sends the message, and a deputy what it grants; an address that can't be read and an error of send_to were dropped.

Change: the sender tells deputy_handover, which counts messages and operations; `handover_unsent` at most once a second, tanagerhoist_unsent_handovers_total and tanagerhoist_unsent_operations_total. The operations are not given back: an operation is used only once, and an error does not prove that nothing left.

Ruled out: operations lost to an address that can't be read. A VM hands operations only to a deputy that has answered its last message, so such a one is asked twice and passed over (deputy_out_of_reach_is_handed_no_operations).

Evidence: with the counting taken out deputy_handover_test::operations_in_a_message_that_fails_are_counted "Expected: 3, Actual: 0", and deputy_out_of_reach_is_handed_no_operations "Expected: 3, Actual: 0" messages. The line and the metrics have not been seen in a process.

--- a/include/tanagerhoist/fleet/deputy_handover.hpp
+++ b/include/tanagerhoist/fleet/deputy_handover.hpp
@@ -5,6 +5,7 @@
 #include "tanagerhoist/core/time.hpp"
 #include "tanagerhoist/session/workspace_limits.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <vector>
@@ -12,12 +13,15 @@
 namespace tanagerhoist
 {
 
-/// What a VM hands to its deputies while the coordinator is lost.
+/// What a VM hands to its deputies while the coordinator is lost. Operations
+/// are debited before their message is sent; those of a message that could not
+/// be sent are lost and counted, as it may have left nevertheless.
 class deputy_handover
 {
 public:
     /// Sends a message to a deputy.
-    using sender = std::function<void(const proto::FleetDeputy& to,
+    /// @return false if it could not be sent
+    using sender = std::function<bool(const proto::FleetDeputy& to,
                                       proto::OperationHandover message)>;
 
     /// @param limits must outlive this object
@@ -41,9 +45,25 @@
     /// Name of the deputy that answers; empty if none does.
     std::string answering_deputy() const;
 
+    /// Counts an answer that this VM gave as a deputy and could not send.
+    void note_unsent(const proto::HandoverReply& reply);
+
+    /// Messages that could not be sent.
+    std::uint64_t unsent_messages() const { return unsent_messages_; }
+
+    /// Operations in messages that could not be sent, rounded down.
+    std::uint64_t unsent_operations() const
+    {
+        return unsent_millionths_ / token_unit;
+    }
+
 private:
+    void note_unsent(std::uint64_t millionths);
+
     workspace_limits& limits_;
     std::vector<proto::FleetDeputy> deputies_;
+    std::uint64_t unsent_messages_ = 0;
+    std::uint64_t unsent_millionths_ = 0;
 };
 
 } // namespace tanagerhoist
--- a/src/fleet/deputy_handover.cpp
+++ b/src/fleet/deputy_handover.cpp
@@ -20,11 +20,33 @@
                                 const workspace_limits::held_statements& held,
                                 const sender& send)
 {
+    std::uint64_t millionths = 0;
     for (auto& operations : limits_.hand_over(now, message.sequence(), held))
     {
+        millionths += operations.millionths();
         *message.add_operations() = std::move(operations);
     }
-    send(deputies_.at(limits_.deputy().index()), std::move(message));
+    const auto& to = deputies_.at(limits_.deputy().index());
+    if (!send(to, std::move(message)))
+    {
+        note_unsent(millionths);
+    }
+}
+
+void deputy_handover::note_unsent(const proto::HandoverReply& reply)
+{
+    std::uint64_t operations = 0;
+    for (const auto& grant : reply.grants())
+    {
+        operations += grant.operations();
+    }
+    note_unsent(operations * token_unit);
+}
+
+void deputy_handover::note_unsent(std::uint64_t millionths)
+{
+    ++unsent_messages_;
+    unsent_millionths_ += millionths;
 }
 
 std::string deputy_handover::answering_deputy() const
--- a/tests/deputy_handover_test.cpp
+++ b/tests/deputy_handover_test.cpp
@@ -13,6 +13,9 @@
     CPPUNIT_TEST(deputy_that_has_answered_is_handed_operations);
     CPPUNIT_TEST(nothing_is_handed_over_without_deputies);
     CPPUNIT_TEST(told_deputies_are_chosen_anew_after_a_second);
+    CPPUNIT_TEST(operations_in_a_message_that_fails_are_counted);
+    CPPUNIT_TEST(operations_in_an_answer_that_fails_are_counted);
+    CPPUNIT_TEST(deputy_out_of_reach_is_handed_no_operations);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -80,6 +83,42 @@
         CPPUNIT_ASSERT(silent != first_of(told));
     }
 
+    /// They were debited and lost without a trace.
+    void operations_in_a_message_that_fails_are_counted()
+    {
+        hand_over();
+        answer();
+        sends_ = false;
+        hand_over();
+        const auto lost = last_.operations(0).millionths() / token_unit;
+        CPPUNIT_ASSERT(lost >= 3);
+        CPPUNIT_ASSERT_EQUAL(lost, handover_.unsent_operations());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, handover_.unsent_messages());
+    }
+
+    void operations_in_an_answer_that_fails_are_counted()
+    {
+        proto::HandoverReply reply;
+        reply.add_grants()->set_operations(2);
+        reply.add_grants()->set_operations(5);
+        handover_.note_unsent(reply);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, handover_.unsent_operations());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, handover_.unsent_messages());
+    }
+
+    /// As with an address that can't be read: the next deputy is asked.
+    void deputy_out_of_reach_is_handed_no_operations()
+    {
+        sends_ = false;
+        while (last_to_ != "vm2")
+        {
+            hand_over();
+            CPPUNIT_ASSERT(handover_.unsent_messages() <= 3);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, handover_.unsent_messages());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, handover_.unsent_operations());
+    }
+
 private:
     void hand_over()
     {
@@ -91,6 +130,7 @@
                             {
                                 last_to_ = to.vm();
                                 last_ = std::move(handed);
+                                return sends_;
                             });
     }
 
@@ -112,6 +152,7 @@
     workspace_limits limits_;
     deputy_handover handover_{limits_};
     std::uint64_t sequence_ = 0;
+    bool sends_ = true;
     std::string last_to_;
     proto::OperationHandover last_;
 };
--- a/tools/daemon/fleet_agent.hpp
+++ b/tools/daemon/fleet_agent.hpp
@@ -5,6 +5,7 @@
 
 #include "platform/store_client.hpp"
 #include "tanagerhoist/adapter/loop_monitor.hpp"
+#include "tanagerhoist/core/count_rise.hpp"
 #include "tanagerhoist/core/structured_log.hpp"
 #include "tanagerhoist/fleet/allowance_pool.hpp"
 #include "tanagerhoist/fleet/backoff.hpp"
@@ -92,6 +93,9 @@
     /// Operations that this VM was handed as a deputy, and granted of them.
     const allowance_pool& pool() const { return pool_; }
 
+    /// What this VM handed over, and could not send.
+    const deputy_handover& handover() const { return handover_; }
+
     /// Text of the newest configuration as the operator wrote it, for peers.
     const std::string& config_text() const { return config_text_; }
 
@@ -197,11 +201,12 @@
     void use_deputies(const proto::FleetView& view);
     void schedule_handover();
     void hand_over_if_due();
-    void send_handover(const proto::FleetDeputy& to,
+    bool send_handover(const proto::FleetDeputy& to,
                        proto::OperationHandover message);
     void handle_handover(const proto::OperationHandover& handover);
     void handle_handover_reply(const proto::HandoverReply& reply);
     void log_deputies();
+    void log_unsent_handovers();
 
     // Grants, also after the term: fleet_agent_grants.cpp
     bool may_grant();
@@ -282,6 +287,7 @@
     fleet_coordinator coordinator_;
     allowance_pool pool_;
     deputy_handover handover_;
+    count_rise unsent_handovers_rise_;
     told_deputies told_deputies_; ///< as the coordinator
     std::string logged_deputy_;   ///< that this VM uses
     bool logged_serving_ = false; ///< as a deputy
--- a/tools/daemon/fleet_agent_deputies.cpp
+++ b/tools/daemon/fleet_agent_deputies.cpp
@@ -73,10 +73,12 @@
     handover_.hand_over(
         now_(), std::move(message), proxy_.held_statements(),
         [this](const proto::FleetDeputy& to, proto::OperationHandover handed)
-        { send_handover(to, std::move(handed)); });
+        { return send_handover(to, std::move(handed)); });
+    log_unsent_handovers();
 }
 
-void fleet_agent::send_handover(const proto::FleetDeputy& to,
+/// @return false if the message could not be sent
+bool fleet_agent::send_handover(const proto::FleetDeputy& to,
                                 proto::OperationHandover message)
 {
     if (to.vm() == settings_.vm().name())
@@ -84,20 +86,20 @@
         // Not at once: a statement that is being admitted may have asked.
         asio::post(context_,
                    [this, own = std::move(message)] { handle_handover(own); });
-        return;
+        return true;
     }
     error_code error;
     const auto ip = asio::ip::make_address(to.address(), error);
-    if (!error)
+    if (error)
     {
-        proto::FleetDatagram datagram;
-        *datagram.mutable_handover() = std::move(message);
-        const auto bytes = datagram.SerializeAsString();
-        error_code ignored; // operations in a lost message are lost
-        socket_.send_to(asio::buffer(bytes),
-                        {ip, static_cast<std::uint16_t>(to.peer_port())}, 0,
-                        ignored);
+        return false;
     }
+    proto::FleetDatagram datagram;
+    *datagram.mutable_handover() = std::move(message);
+    const auto bytes = datagram.SerializeAsString();
+    socket_.send_to(asio::buffer(bytes),
+                    {ip, static_cast<std::uint16_t>(to.peer_port())}, 0, error);
+    return !error;
 }
 
 /// Grants, as a deputy, to the VM whose message is being handled.
@@ -118,8 +120,13 @@
         return;
     }
     const auto bytes = datagram.SerializeAsString();
-    error_code ignored; // operations in a lost reply are lost
-    socket_.send_to(asio::buffer(bytes), sender_, 0, ignored);
+    error_code error;
+    socket_.send_to(asio::buffer(bytes), sender_, 0, error);
+    if (error)
+    {
+        handover_.note_unsent(reply);
+        log_unsent_handovers();
+    }
 }
 
 void fleet_agent::handle_handover_reply(const proto::HandoverReply& reply)
@@ -156,4 +163,19 @@
     }
 }
 
+/// Logs at most once a second how many messages could not be sent.
+void fleet_agent::log_unsent_handovers()
+{
+    const auto messages =
+        unsent_handovers_rise_.take(now_(), handover_.unsent_messages());
+    if (messages != 0)
+    {
+        lines_.write(
+            log_level::change, "handover_unsent",
+            {{"messages", std::to_string(messages)},
+             {"lost_operations", std::to_string(handover_.unsent_operations())},
+             {"token", std::to_string(messages_.token())}});
+    }
+}
+
 } // namespace tanagerhoist
--- a/tools/daemon/session_daemon_metrics.cpp
+++ b/tools/daemon/session_daemon_metrics.cpp
@@ -75,6 +75,10 @@
     counter("tanagerhoist_warmup_refusals_total", figures.warmup_refusals);
     counter("tanagerhoist_handed_operations_total", fleet_.pool().handed());
     counter("tanagerhoist_deputy_grants_total", fleet_.pool().granted());
+    counter("tanagerhoist_unsent_handovers_total",
+            fleet_.handover().unsent_messages());
+    counter("tanagerhoist_unsent_operations_total",
+            fleet_.handover().unsent_operations());
     out << "# TYPE tanagerhoist_servers_warming gauge\n"
         << "tanagerhoist_servers_warming " << figures.servers_warming << '\n';
     print_servers(out, now_(), proxy_);
