--- a/tools/daemon/fleet_agent.hpp
+++ b/tools/daemon/fleet_agent.hpp
@@ -5,11 +5,14 @@
 
 #include "platform/store_client.hpp"
 #include "tanagerhoist/adapter/loop_monitor.hpp"
+#include "tanagerhoist/core/count_rise.hpp"
 #include "tanagerhoist/core/structured_log.hpp"
 #include "tanagerhoist/fleet/allowance_pool.hpp"
 #include "tanagerhoist/fleet/backoff.hpp"
 #include "tanagerhoist/fleet/coordinator_lease.hpp"
 #include "tanagerhoist/fleet/coordinator_messages.hpp"
+#include "tanagerhoist/fleet/deputy_choice.hpp"
+#include "tanagerhoist/fleet/deputy_handover.hpp"
 #include "tanagerhoist/fleet/era_row_store.hpp"
 #include "tanagerhoist/fleet/evacuations.hpp"
 #include "tanagerhoist/fleet/failover_executor.hpp"
@@ -90,6 +93,9 @@
     /// Operations that this VM was handed as a deputy, and granted of them.
     const allowance_pool& pool() const { return pool_; }
 
+    /// What this VM handed over, and could not send.
+    const deputy_handover& handover() const { return handover_; }
+
     /// Text of the newest configuration as the operator wrote it, for peers.
     const std::string& config_text() const { return config_text_; }
 
@@ -195,9 +201,12 @@
     void use_deputies(const proto::FleetView& view);
     void schedule_handover();
     void hand_over_if_due();
+    bool send_handover(const proto::FleetDeputy& to,
+                       proto::OperationHandover message);
     void handle_handover(const proto::OperationHandover& handover);
     void handle_handover_reply(const proto::HandoverReply& reply);
     void log_deputies();
+    void log_unsent_handovers();
 
     // Grants, also after the term: fleet_agent_grants.cpp
     bool may_grant();
@@ -277,9 +286,9 @@
     coordinator_lease lease_;
     fleet_coordinator coordinator_;
     allowance_pool pool_;
-    std::vector<proto::FleetDeputy> deputies_; ///< as the coordinator tells
-    std::vector<proto::FleetDeputy> chosen_deputies_; ///< as the coordinator
-    moment deputies_chosen_{};
+    deputy_handover handover_;
+    count_rise unsent_handovers_rise_;
+    told_deputies told_deputies_; ///< as the coordinator
     std::string logged_deputy_;   ///< that this VM uses
     bool logged_serving_ = false; ///< as a deputy
     fleet_members members_;
--- a/tools/daemon/fleet_agent_deputies.cpp
+++ b/tools/daemon/fleet_agent_deputies.cpp
@@ -1,6 +1,6 @@
 #include "fleet_agent.hpp"
 
-#include "tanagerhoist/fleet/deputy_choice.hpp"
+#include "tanagerhoist/session/coordinator_times.hpp"
 
 #include <boost/asio/post.hpp>
 
@@ -15,35 +15,31 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
-/// How long a choice of deputies is told.
-constexpr milliseconds choice_interval{1000};
+/// How much later than it is due the loss of the coordinator is looked for.
+constexpr milliseconds loss_check_margin{5};
 
 /// After a report, when a coordinator that has not answered counts as lost.
-constexpr milliseconds loss_check_wait{155};
+constexpr milliseconds loss_check_wait =
+    grant_answer_timeout + loss_check_margin;
 
 } // namespace
 
 void fleet_agent::add_deputies(const coordinator_term& term,
                                proto::FleetView& view)
 {
-    if (is_current(term) && now_() >= deputies_chosen_ + choice_interval)
+    if (is_current(term))
     {
-        deputies_chosen_ = now_();
-        chosen_deputies_ =
-            choose_deputies(members_, settings_.vm().name(),
-                            [this](const std::string& vm)
-                            { return coordinator_.is_reporting(now_(), vm); });
-    }
-    for (const auto& deputy : chosen_deputies_)
-    {
-        *view.add_deputies() = deputy;
+        told_deputies_.update(now_(), members_, settings_.vm().name(),
+                              [this](const std::string& vm) {
+                                  return coordinator_.is_reporting(now_(), vm);
+                              });
     }
+    told_deputies_.add_to(view);
 }
 
 void fleet_agent::use_deputies(const proto::FleetView& view)
 {
-    deputies_.assign(view.deputies().begin(), view.deputies().end());
-    proxy_.limits().use_deputies(deputies_.size());
+    handover_.use_deputies(view);
     pool_.use_token(view.token());
     log_deputies();
 }
@@ -62,45 +58,48 @@
         });
 }
 
-/// Hands to a deputy what this VM may admit alone, and asks for what its held
-/// statements lack.
 void fleet_agent::hand_over_if_due()
 {
     log_deputies();
-    auto& limits = proxy_.limits();
-    if (deputies_.empty() || !limits.is_handover_due(now_(), proxy_.held() > 0))
+    if (!handover_.is_due(now_(), proxy_.held() > 0))
     {
         return;
     }
-    proto::FleetDatagram datagram;
-    auto& handover = *datagram.mutable_handover();
-    handover.set_vm(settings_.vm().name());
-    handover.set_life(life_);
-    handover.set_sequence(messages_.next_sequence());
-    handover.set_token(messages_.token());
-    for (auto& operations : limits.hand_over(now_(), handover.sequence(),
-                                             proxy_.held_statements()))
-    {
-        *handover.add_operations() = std::move(operations);
-    }
-    const auto& to = deputies_.at(limits.deputy().index());
+    proto::OperationHandover message;
+    message.set_vm(settings_.vm().name());
+    message.set_life(life_);
+    message.set_sequence(messages_.next_sequence());
+    message.set_token(messages_.token());
+    handover_.hand_over(
+        now_(), std::move(message), proxy_.held_statements(),
+        [this](const proto::FleetDeputy& to, proto::OperationHandover handed)
+        { return send_handover(to, std::move(handed)); });
+    log_unsent_handovers();
+}
+
+/// @return false if the message could not be sent
+bool fleet_agent::send_handover(const proto::FleetDeputy& to,
+                                proto::OperationHandover message)
+{
     if (to.vm() == settings_.vm().name())
     {
         // Not at once: a statement that is being admitted may have asked.
         asio::post(context_,
-                   [this, own = std::move(handover)] { handle_handover(own); });
-        return;
+                   [this, own = std::move(message)] { handle_handover(own); });
+        return true;
     }
     error_code error;
     const auto ip = asio::ip::make_address(to.address(), error);
-    if (!error)
+    if (error)
     {
-        const auto bytes = datagram.SerializeAsString();
-        error_code ignored; // operations in a lost message are lost
-        socket_.send_to(asio::buffer(bytes),
-                        {ip, static_cast<std::uint16_t>(to.peer_port())}, 0,
-                        ignored);
+        return false;
     }
+    proto::FleetDatagram datagram;
+    *datagram.mutable_handover() = std::move(message);
+    const auto bytes = datagram.SerializeAsString();
+    socket_.send_to(asio::buffer(bytes),
+                    {ip, static_cast<std::uint16_t>(to.peer_port())}, 0, error);
+    return !error;
 }
 
 /// Grants, as a deputy, to the VM whose message is being handled.
@@ -121,8 +120,13 @@
         return;
     }
     const auto bytes = datagram.SerializeAsString();
-    error_code ignored; // operations in a lost reply are lost
-    socket_.send_to(asio::buffer(bytes), sender_, 0, ignored);
+    error_code error;
+    socket_.send_to(asio::buffer(bytes), sender_, 0, error);
+    if (error)
+    {
+        handover_.note_unsent(reply);
+        log_unsent_handovers();
+    }
 }
 
 void fleet_agent::handle_handover_reply(const proto::HandoverReply& reply)
@@ -138,10 +142,7 @@
 /// Logs when this VM begins and ends to use a deputy, or to be one.
 void fleet_agent::log_deputies()
 {
-    const auto& link = proxy_.limits().deputy();
-    const auto used = link.is_answering() && link.index() < deputies_.size()
-                          ? deputies_[link.index()].vm()
-                          : std::string();
+    const auto used = handover_.answering_deputy();
     if (used != logged_deputy_)
     {
         lines_.write(log_level::change, "deputy_used",
@@ -162,4 +163,19 @@
     }
 }
 
+/// Logs at most once a second how many messages could not be sent.
+void fleet_agent::log_unsent_handovers()
+{
+    const auto messages =
+        unsent_handovers_rise_.take(now_(), handover_.unsent_messages());
+    if (messages != 0)
+    {
+        lines_.write(
+            log_level::change, "handover_unsent",
+            {{"messages", std::to_string(messages)},
+             {"lost_operations", std::to_string(handover_.unsent_operations())},
+             {"token", std::to_string(messages_.token())}});
+    }
+}
+
 } // namespace tanagerhoist
