Names that a line can't carry are left out of the settings

Nobody has seen it: a workspace, service or server whose name is empty or holds a blank shifts the fields of STARTUP, so that a server takes a part of it for the workspace or the expected id; one with CR LF began a line of its own.

Cause: names were read from JSON as any text of at most 200 bytes.

A database, service, workspace, server or server's service must be a field: not empty, no blank, no CR LF. An entry of a configuration that isn't is left out, and logged as settings_entry_unusable; the rest of the configuration holds. Clients could not name such a database. CR and LF alone are data on the page, so these names stay.

--- a/tests/platform_formats_test.cpp
+++ b/tests/platform_formats_test.cpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <random>
 #include <string>
+#include <vector>
 
 namespace tanagerhoist
 {
@@ -16,6 +17,9 @@
     CPPUNIT_TEST_SUITE(platform_formats_test);
     CPPUNIT_TEST(configuration_is_decoded);
     CPPUNIT_TEST(invalid_configuration_is_reported);
+    CPPUNIT_TEST(entries_with_names_that_no_line_carries_are_left_out);
+    CPPUNIT_TEST(entries_with_odd_names_that_a_line_carries_are_kept);
+    CPPUNIT_TEST(servers_with_names_that_no_line_carries_are_rejected);
     CPPUNIT_TEST(evacuation_keys_are_decoded);
     CPPUNIT_TEST(malformed_server_entries_are_rejected);
     CPPUNIT_TEST(odd_server_entries_are_rejected);
@@ -65,6 +69,67 @@
         CPPUNIT_ASSERT(!platform::decode_config("\xff\x00 not", fault));
     }
 
+    /// A workspace "a b" shifted the fields of a server's startup line.
+    void entries_with_names_that_no_line_carries_are_left_out()
+    {
+        for (const std::string name : {"", " ", "a b", " a", "a ", R"(a\r\nb)",
+                                       R"(a\r\nQUERY - DEMOTE 9)"})
+        {
+            const auto report = platform::read_config(named(name));
+            CPPUNIT_ASSERT_MESSAGE(name, report.settings);
+            CPPUNIT_ASSERT(report.errors.empty());
+            const std::vector<std::string> expected{
+                "routes[0].database", "routes[1].backend", "services[0].name",
+                "tenants[0].name"};
+            std::vector<std::string> places;
+            for (const auto& entry : report.unusable)
+            {
+                places.push_back(entry.place);
+            }
+            CPPUNIT_ASSERT(expected == places);
+            const auto& settings = *report.settings;
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, settings.routes.size());
+            CPPUNIT_ASSERT(settings.route("kept") != nullptr);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, settings.groups.size());
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, settings.workspaces.size());
+            CPPUNIT_ASSERT(settings.workspace_of("k1") == nullptr);
+            CPPUNIT_ASSERT_EQUAL(std::string("kept"),
+                                 *settings.workspace_of("k2"));
+        }
+    }
+
+    void entries_with_odd_names_that_a_line_carries_are_kept()
+    {
+        for (const std::string name : {R"(a\rb)", R"(a\nb)", R"(\n\r)",
+                                       R"(a\tb)", "-", "\xc3\xa9", R"(\u0000)"})
+        {
+            const auto report = platform::read_config(named(name));
+            CPPUNIT_ASSERT_MESSAGE(name, report.settings);
+            CPPUNIT_ASSERT(report.unusable.empty());
+            CPPUNIT_ASSERT_EQUAL(std::size_t{3},
+                                 report.settings->routes.size());
+            CPPUNIT_ASSERT(report.settings->workspace_of("k1") != nullptr);
+        }
+    }
+
+    void servers_with_names_that_no_line_carries_are_rejected()
+    {
+        for (const auto* name : {"\"\"", "\"a b\"", R"("a\r\nb")"})
+        {
+            std::string reason;
+            CPPUNIT_ASSERT(!platform::decode_server(
+                "i-1", server_entry("backend", name), reason));
+            CPPUNIT_ASSERT(!reason.empty());
+        }
+        for (const auto* id : {"", "i 1", "i-1\r\nQUERY - DEMOTE 9"})
+        {
+            std::string reason;
+            CPPUNIT_ASSERT(!platform::decode_server(
+                id, server_entry("slots", "5"), reason));
+            CPPUNIT_ASSERT(!reason.empty());
+        }
+    }
+
     void evacuation_keys_are_decoded()
     {
         using platform::decode_evacuation_key;
@@ -260,6 +325,29 @@
         return entry + '}';
     }
 
+    /// A configuration whose entries, except for one of each kind, have this
+    /// name.
+    static std::string named(const std::string& name)
+    {
+        const auto route =
+            [](const std::string& database, const std::string& group)
+        {
+            return R"({"database":")" + database + R"(","backend":")" + group +
+                   R"(","type":"primary","timeoutMs":1,"targetLatencyMs":1})";
+        };
+        const auto tenant =
+            [](const std::string& workspace, const std::string& key)
+        {
+            return R"({"name":")" + workspace + R"(","apiKeys":[")" + key +
+                   R"("],"ratePerS":1,"burst":1})";
+        };
+        return R"({"version":1,"routes":[)" + route(name, "kept") + ',' +
+               route("other", name) + ',' + route("kept", "kept") +
+               R"(],"services":[{"name":")" + name +
+               R"(","maxConns":1},{"name":"kept","maxConns":1}],"tenants":[)" +
+               tenant(name, "k1") + ',' + tenant("kept", "k2") + "]}";
+    }
+
     /// Whether a configuration with these fields can be decoded.
     static bool decodes(const std::string& fields, const std::string& tenant,
                         const std::string& service)
--- a/tools/daemon/fleet_agent_tables.cpp
+++ b/tools/daemon/fleet_agent_tables.cpp
@@ -161,19 +161,24 @@
 
 void fleet_agent::adopt_config(const std::string& text)
 {
-    std::string reason;
-    std::shared_ptr<const session_settings> settings =
-        platform::decode_config(text, reason);
-    if (!settings)
+    auto report = platform::read_config(text);
+    if (!report.settings)
     {
         lines_.write(log_level::change, "settings_unreadable",
-                     {{"cause", reason}});
+                     {{"cause", to_text(report.errors.front())}});
         return;
     }
-    if (settings->version <= config_version_)
+    if (report.settings->version <= config_version_)
     {
         return;
     }
+    for (const auto& entry : report.unusable)
+    {
+        lines_.write(log_level::change, "settings_entry_unusable",
+                     {{"cause", to_text(entry)}});
+    }
+    std::shared_ptr<const session_settings> settings =
+        std::move(report.settings);
     config_version_ = settings->version;
     config_text_ = text;
     proxy_.use_settings(now_(), std::move(settings));
--- a/tools/publish/check_config.cpp
+++ b/tools/publish/check_config.cpp
@@ -37,7 +37,9 @@
 void add_findings(const std::string& text,
                   const platform::config_report& report, check_result& result)
 {
-    result.findings = report.repeated;
+    result.findings = report.unusable;
+    result.findings.insert(result.findings.end(), report.repeated.begin(),
+                           report.repeated.end());
     for (const auto& place : platform::repeated_fields(text))
     {
         result.findings.push_back({place, "is given twice; the last counts"});
