--- a/include/tanagerhoist/adapter/http_stream.hpp
+++ b/include/tanagerhoist/adapter/http_stream.hpp
@@ -104,9 +104,9 @@
     /// Sends a request and waits for the complete response, whatever its
     /// status. Ignores `keep_alive` of the request.
     /// @param sent set to true once bytes may have been sent
-    /// @return the response, or nothing if none arrived in time; the
-    ///         connection is then closed, since a late response could be
-    ///         mistaken for that of a later request
+    /// @return the response, or nothing if none arrived in time, or if bytes
+    ///         followed it; the connection is then closed, since a late or
+    ///         repeated response could be mistaken for that of a later request
     std::optional<http_answer> exchange(const http_request& request,
                                         milliseconds timeout, bool& sent);
 
@@ -132,6 +132,9 @@
     /// For the open connection only.
     void limit_delivery(milliseconds time);
 
+    /// Whether a request can be sent: the connection is open, and neither the
+    /// peer's close nor bytes that no request asked for wait on it. Not to be
+    /// asked during a call.
     bool is_open() const;
     void close();
 
@@ -140,8 +143,11 @@
 
     bool send(const http_request& request, milliseconds timeout);
     template <class Parser>
+    bool read_header(std::optional<Parser>& parser);
+    template <class Parser>
     std::optional<http_answer> finish(const http_request& request,
-                                      Parser& parser, bool complete);
+                                      std::optional<Parser>& parser,
+                                      bool complete);
 
     std::unique_ptr<state> state_;
 };
--- a/src/adapter/http_platform_client.cpp
+++ b/src/adapter/http_platform_client.cpp
@@ -1,5 +1,7 @@
 #include "tanagerhoist/adapter/http_platform_client.hpp"
 
+#include "http_idle.hpp"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -25,6 +27,8 @@
 
 constexpr unsigned http_version = 11;
 
+using answer_parser = http::response_parser<http::string_body>;
+
 std::optional<proto::PlatformReply> parse_reply(const std::string& json)
 {
     proto::PlatformReply reply;
@@ -59,7 +63,7 @@
             return {};
         }
         stream_.expires_after(timeout_);
-        if (!stream_.socket().is_open() && !connect())
+        if (!is_open() && !connect())
         {
             close();
             return {};
@@ -73,12 +77,23 @@
     }
 
 private:
+    bool is_open()
+    {
+        auto& socket = stream_.socket();
+        return socket.is_open() && is_quiet(socket);
+    }
+
     bool connect()
     {
+        close();
         beast::error_code result = asio::error::would_block;
         stream_.async_connect(endpoint_, [&result](beast::error_code error)
                               { result = error; });
         run();
+        if (!result)
+        {
+            stream_.socket().non_blocking(true, result); // for is_open()
+        }
         return !result;
     }
 
@@ -94,14 +109,23 @@
         {
             return std::nullopt;
         }
-        http::response_parser<http::string_body> parser;
-        parser.body_limit(max_answer_body);
-        if (!read(parser) || parser.get().result() != http::status::ok)
+        std::optional<answer_parser> parser;
+        do
+        {
+            parser.emplace();
+            parser->body_limit(max_answer_body);
+            if (!read(*parser))
+            {
+                return std::nullopt;
+            }
+        } while (is_interim(parser->get().result_int()));
+        // If more bytes follow, this may be the answer to an earlier call.
+        if (buffer_.size() > 0 || parser->get().result() != http::status::ok)
         {
             return std::nullopt;
         }
-        auto reply = parse_reply(parser.get().body());
-        if (!parser.get().keep_alive())
+        auto reply = parse_reply(parser->get().body());
+        if (!parser->get().keep_alive())
         {
             close();
         }
@@ -118,7 +142,7 @@
         return !result;
     }
 
-    bool read(http::response_parser<http::string_body>& parser)
+    bool read(answer_parser& parser)
     {
         beast::error_code result = asio::error::would_block;
         http::async_read(stream_, buffer_, parser,
--- a/src/adapter/http_stream.cpp
+++ b/src/adapter/http_stream.cpp
@@ -1,5 +1,6 @@
 #include "tanagerhoist/adapter/http_stream.hpp"
 
+#include "http_idle.hpp"
 #include "tanagerhoist/adapter/fiber_await.hpp"
 
 #include <boost/asio/steady_timer.hpp>
@@ -185,6 +186,8 @@
 bool http_client_stream::connect(const std::string& address, std::uint16_t port,
                                  milliseconds timeout)
 {
+    close();
+    state_->buffer.clear();
     error_code error;
     const auto ip = asio::ip::make_address(address, error);
     if (error)
@@ -199,6 +202,10 @@
                                          std::move(handler));
         });
     state_->stream.expires_never();
+    if (!error)
+    {
+        state_->stream.socket().non_blocking(true, error); // for is_open()
+    }
     if (error)
     {
         close();
@@ -232,13 +239,38 @@
     return !error;
 }
 
-/// Ends a call: keeps the connection only after a complete response.
+/// Reads the header of the response, after those of interim ones.
+template <class Parser>
+bool http_client_stream::read_header(std::optional<Parser>& parser)
+{
+    do
+    {
+        parser.emplace();
+        parser->body_limit(max_answer_body);
+        const auto error = await(
+            [&](auto handler)
+            {
+                http::async_read_header(state_->stream, state_->buffer, *parser,
+                                        std::move(handler));
+            });
+        if (error)
+        {
+            return false;
+        }
+    } while (is_interim(parser->get().result_int()));
+    return true;
+}
+
+/// Ends a call: keeps the connection only after a complete response. If more
+/// bytes follow it, it may be the repeated answer to an earlier request, with
+/// that to this one behind it.
 template <class Parser>
 std::optional<http_answer>
-http_client_stream::finish(const http_request& request, Parser& parser,
-                           bool complete)
+http_client_stream::finish(const http_request& request,
+                           std::optional<Parser>& parser, bool complete)
 {
-    if (!complete || !parser.get().keep_alive())
+    complete = complete && state_->buffer.size() == 0;
+    if (!complete || !parser->get().keep_alive())
     {
         close();
     }
@@ -250,7 +282,7 @@
     {
         return std::nullopt;
     }
-    auto answer = parser.release();
+    auto answer = parser->release();
     std::string header;
     if (!request.wanted_header.empty())
     {
@@ -266,15 +298,19 @@
                              bool& sent)
 {
     sent = is_open();
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(max_answer_body);
-    bool complete = send(request, timeout);
+    if (!sent)
+    {
+        close();
+        return std::nullopt;
+    }
+    std::optional<http::response_parser<http::string_body>> parser;
+    bool complete = send(request, timeout) && read_header(parser);
     if (complete)
     {
         complete = !await(
             [&](auto handler)
             {
-                http::async_read(state_->stream, state_->buffer, parser,
+                http::async_read(state_->stream, state_->buffer, *parser,
                                  std::move(handler));
             });
     }
@@ -287,27 +323,22 @@
 {
     using clock = std::chrono::steady_clock;
     sent = is_open();
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(max_answer_body);
-    bool going = send(request, timeout);
-    if (going)
+    if (!sent)
     {
-        going = !await(
-            [&](auto handler)
-            {
-                http::async_read_header(state_->stream, state_->buffer, parser,
-                                        std::move(handler));
-            });
+        close();
+        return std::nullopt;
     }
+    std::optional<http::response_parser<http::string_body>> parser;
+    bool going = send(request, timeout) && read_header(parser);
     const auto end = clock::now() + longest_download;
-    while (going && !parser.is_done())
+    while (going && !parser->is_done())
     {
         const auto next = std::min(clock::now() + longest_pause, end);
         state_->stream.expires_at(next);
         going = !await(
             [&](auto handler)
             {
-                http::async_read_some(state_->stream, state_->buffer, parser,
+                http::async_read_some(state_->stream, state_->buffer, *parser,
                                       std::move(handler));
             });
     }
@@ -349,7 +380,8 @@
 
 bool http_client_stream::is_open() const
 {
-    return state_->stream.socket().is_open();
+    auto& socket = state_->stream.socket();
+    return socket.is_open() && is_quiet(socket);
 }
 
 void http_client_stream::close()
