HTTP server: a request with an unknown encoding is refused, not cut

A request with `Transfer-Encoding: gzip` or `chunked, gzip` was read as one without a body, and its body as the next requests. Behind a balancer that reads it until its end, a request smuggled in a body ran as one of that caller.

Cause: the parser sets the length of a message aside only for `chunked`; any other encoding leaves it without a length, which for a request means no body.

Evidence, on the code before: request_of_unclear_length_ends_the_connection failed with "Expression: frontend.ids() == names{""}", header "Transfer-Encoding: gzip". Two lengths, a length beside `chunked`, signs, blanks before the colon, lines that end with LF and a CR inside a header were refused before too, and requests sent ahead answered in order.

Change: such a request is malformed; the answer says so and the connection closes, with all that came behind it unread.

Why it works: the only encoding left is the one that the parser reads.

--- a/src/adapter/http_stream.cpp
+++ b/src/adapter/http_stream.cpp
@@ -53,6 +53,15 @@
     std::shared_ptr<bool> timed_out_;
 };
 
+/// Whether it is certain where a request ends. The parser takes one with an
+/// encoding that it doesn't know for one without a body.
+bool is_length_clear(const http::request<http::string_body>& message)
+{
+    const auto encoding = message.find(http::field::transfer_encoding);
+    return encoding == message.end() ||
+           beast::iequals(encoding->value(), "chunked");
+}
+
 read_status status_of(const error_code& error, bool has_bytes)
 {
     if (error == http::error::end_of_stream)
@@ -118,6 +127,10 @@
         return status_of(error, parser.got_some());
     }
     auto message = parser.release();
+    if (!is_length_clear(message))
+    {
+        return read_status::malformed;
+    }
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
     request.authorization = std::string(message[http::field::authorization]);
