HTTP server: the answer to a HEAD request has no body

The answer to HEAD had a body, which the peer doesn't expect: it reads it as the beginning of the answer to its next request on the connection.

Cause: the answer was written without a look at the request's method.

Evidence, on the code before: answer_to_head_request_has_no_body failed with "Expected: HTTP/1.1, Actual: {"reques".

Change: the answer to HEAD keeps the length of the body and leaves the body out. Why it works: both ends now agree that the answer ends with its header.

--- a/src/adapter/http_stream.cpp
+++ b/src/adapter/http_stream.cpp
@@ -86,6 +86,7 @@
     explicit state(asio::ip::tcp::socket socket) : stream(std::move(socket)) {}
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
+    bool wants_body = true; ///< false: the request's answer has only a header
 };
 
 http_server_stream::http_server_stream(asio::ip::tcp::socket socket)
@@ -108,6 +109,7 @@
 read_status http_server_stream::read(http_request& request, std::size_t limit,
                                      milliseconds timeout)
 {
+    state_->wants_body = true;
     http::request_parser<http::string_body> parser;
     parser.body_limit(limit);
     parser.header_limit(max_header_size);
@@ -127,6 +129,7 @@
         return status_of(error, parser.got_some());
     }
     auto message = parser.release();
+    state_->wants_body = message.method() != http::verb::head;
     if (!is_length_clear(message))
     {
         return read_status::malformed;
@@ -153,6 +156,10 @@
     message.keep_alive(keep_alive);
     message.body() = answer.body;
     message.prepare_payload();
+    if (!state_->wants_body)
+    {
+        message.body().clear();
+    }
     state_->stream.expires_after(timeout);
     const auto error = await(
         [&](auto handler)
--- a/tests/caller_frontend_test.cpp
+++ b/tests/caller_frontend_test.cpp
@@ -114,6 +114,7 @@
     CPPUNIT_TEST(requests_sent_ahead_are_answered_in_order);
     CPPUNIT_TEST(request_inside_a_body_is_not_run);
     CPPUNIT_TEST(request_of_unclear_length_ends_the_connection);
+    CPPUNIT_TEST(answer_to_head_request_has_no_body);
     CPPUNIT_TEST(request_behind_a_last_one_is_not_run);
     CPPUNIT_TEST_SUITE_END();
 
@@ -167,6 +168,18 @@
         }
     }
 
+    void answer_to_head_request_has_no_body()
+    {
+        echoing_frontend frontend;
+        const auto answers =
+            frontend.talk("HEAD /metrics HTTP/1.1\r\nHost: x\r\n\r\n" +
+                          post("a", close_header));
+        const auto end = answers.find("\r\n\r\n");
+        CPPUNIT_ASSERT(end != std::string::npos);
+        CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1"),
+                             answers.substr(end + 4, 8));
+    }
+
     void request_behind_a_last_one_is_not_run()
     {
         echoing_frontend frontend;
