Stand-in servers sign each read and commit anew

Process tests could not: the stand-in of a session server answered every statement, also SET, BEGIN and ROLLBACK, with the constant "signature". A repeated answer looked like the right one, and a daemon that compares signatures would have refused all answers after the first.

A read or commit now has a signature of its own, by server and run; SET, RESET, BEGIN and ROLLBACK have "-", as the users' page says. Writes stay refused.

Evidence: standin_session_server_test failed on the stand-in as it was: each_read_and_commit_has_its_own_signature: expected 8, actual 1; values_and_ends_without_commit_have_no_signature: expected -, actual signature. Both pass now.

--- a/standin/session_server.cpp
+++ b/standin/session_server.cpp
@@ -95,9 +95,10 @@
         {
             return false;
         }
+        const bool is_signed = word == "READ" || word == "COMMIT";
+        const auto signature = is_signed ? server_.next_signature() : "-";
         const auto row = word == "READ" ? platform::row_line("x") : "";
-        write(row + platform::complete_line("signature") +
-              server_.ready(state_));
+        write(row + platform::complete_line(signature) + server_.ready(state_));
         return true;
     }
 
@@ -203,6 +204,11 @@
     return platform::ready_line(state, group_.log_end());
 }
 
+std::string session_server::next_signature()
+{
+    return id_ + '.' + std::to_string(++signatures_);
+}
+
 /// Runs a command and returns all lines of the answer.
 std::string session_server::run(const std::string& command)
 {
--- a/standin/session_server.hpp
+++ b/standin/session_server.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <string>
 
@@ -48,10 +49,14 @@
     std::string ready(transaction_state state = transaction_state::none) const;
     std::string run(const std::string& command);
 
+    /// Signature of one run of a statement, which no other run has.
+    std::string next_signature();
+
     boost::asio::ip::tcp::acceptor acceptor_;
     std::string id_;
     session_group& group_;
     const control_commands& commands_;
+    std::uint64_t signatures_ = 0; ///< given so far
 };
 
 } // namespace tanagerhoist::standin
