A row glued to the cut line of an earlier answer is not passed on

Cause: a part of an earlier answer that was cut within its first row has no line end, so the next answer's first line continues it. Rows were compared as a whole only.

The line protocol tells where within a row another one may begin; a first row that begins there like one of the connection's last rows is doubtful, as a whole repeated row is: the read is tried on another connection, and rows that come there too are its own.

--- a/include/tanagerhoist/session/answer_history.hpp
+++ b/include/tanagerhoist/session/answer_history.hpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <string>
 #include <vector>
 
 namespace tanagerhoist
@@ -83,18 +84,20 @@
         std::uint64_t rows = 0;
     };
 
-    /// Rows of an earlier answer; hashes.
+    /// Rows of an earlier answer; hashes, and how the first row begins.
     struct row_note
     {
         std::uint64_t statement = 0;
         std::uint64_t first_row = 0;
         std::uint64_t rows = 0;
+        std::string begin;
     };
 
     bool is_repeated_error(const session_answer& answer) const;
     const success_note* find_success(const session_answer& answer) const;
     bool has_doubtful_rows(const expected_answer& expected,
                            const session_answer& answer) const;
+    static bool begins_like(const session_answer& answer, const row_note& note);
 
     std::vector<success_note> successes_;
     std::vector<std::uint64_t> errors_; ///< hashes
--- a/include/tanagerhoist/session/proxy.hpp
+++ b/include/tanagerhoist/session/proxy.hpp
@@ -130,7 +130,10 @@
                            const std::optional<log_position>& position);
     void connection_refused(moment now, connection_id id, session_error error);
     void connection_lost(moment now, connection_id id);
-    void server_row(moment now, connection_id id, std::string row);
+    /// @param row_starts where in `row` another one may begin, after a part of
+    /// an earlier answer that was cut within a line
+    void server_row(moment now, connection_id id, std::string row,
+                    std::vector<std::size_t> row_starts = {});
     void server_complete(moment now, connection_id id, std::string signature);
     void server_error(moment now, connection_id id, session_error error,
                       std::string text);
--- a/include/tanagerhoist/session/proxy_transport.hpp
+++ b/include/tanagerhoist/session/proxy_transport.hpp
@@ -22,6 +22,8 @@
 struct session_answer
 {
     std::vector<std::string> rows;
+    /// Where in the first row another one may begin.
+    std::vector<std::size_t> row_starts;
     std::string signature;              ///< of the server; "-": the proxy's
     std::optional<session_error> error; ///< set if the statement failed
     std::string text;                   ///< error message
--- a/src/session/answer_history.cpp
+++ b/src/session/answer_history.cpp
@@ -30,6 +30,15 @@
     return hash + static_cast<std::uint64_t>(answer.state);
 }
 
+/// Longest begin of a row that is compared with others, in bytes.
+constexpr std::size_t most_row_begin = 32;
+
+/// Begin of a row's line, which may be cut within its end.
+std::string begin_of(const std::string& row)
+{
+    return row.substr(0, most_row_begin) + '\r';
+}
+
 bool contains(const std::vector<std::uint64_t>& hashes, std::uint64_t hash)
 {
     return std::find(hashes.begin(), hashes.end(), hash) != hashes.end();
@@ -137,7 +146,24 @@
                            });
     };
     return noted != 0 &&
-           std::any_of(answer.rows.begin(), answer.rows.end(), repeats);
+           (std::any_of(answer.rows.begin(), answer.rows.end(), repeats) ||
+            std::any_of(begin, end,
+                        [&answer](const row_note& note)
+                        { return begins_like(answer, note); }));
+}
+
+/// Whether the first row may be a part of an earlier one, cut, and another row.
+bool answer_history::begins_like(const session_answer& answer,
+                                 const row_note& note)
+{
+    return std::any_of(answer.row_starts.begin(), answer.row_starts.end(),
+                       [&](std::size_t size)
+                       {
+                           const auto compared = std::min(size, most_row_begin);
+                           return answer.rows.front().compare(0, compared,
+                                                              note.begin, 0,
+                                                              compared) == 0;
+                       });
 }
 
 void answer_history::add(const expected_answer& expected,
@@ -154,9 +180,9 @@
     }
     if (!answer.rows.empty())
     {
-        rows_.at(row_notes_ % most_row_notes) = {expected.statement,
-                                                 hash_of(answer.rows.front()),
-                                                 hash_of_rows(answer)};
+        rows_.at(row_notes_ % most_row_notes) = {
+            expected.statement, hash_of(answer.rows.front()),
+            hash_of_rows(answer), begin_of(answer.rows.front())};
         ++row_notes_;
     }
 }
--- a/src/session/proxy_answers.cpp
+++ b/src/session/proxy_answers.cpp
@@ -44,12 +44,20 @@
 
 } // namespace
 
-void proxy::server_row(moment now, connection_id id, std::string row)
+void proxy::server_row(moment now, connection_id id, std::string row,
+                       std::vector<std::size_t> row_starts)
 {
-    if (auto* connection = answered_connection(now, id, false))
+    auto* connection = answered_connection(now, id, false);
+    if (connection == nullptr)
+    {
+        return;
+    }
+    auto& answer = connection->answer;
+    if (answer.rows.empty())
     {
-        connection->answer.rows.push_back(std::move(row));
+        answer.row_starts = std::move(row_starts);
     }
+    answer.rows.push_back(std::move(row));
 }
 
 void proxy::server_complete(moment now, connection_id id, std::string signature)
--- a/tests/proxy_answer_faults_test.cpp
+++ b/tests/proxy_answer_faults_test.cpp
@@ -116,6 +116,7 @@
     CPPUNIT_TEST(write_runs_on_no_connection_that_may_repeat_an_error);
     CPPUNIT_TEST(read_after_a_repeated_error_is_the_connections_last);
     CPPUNIT_TEST(rows_of_an_earlier_answer_are_not_passed_on);
+    CPPUNIT_TEST(row_behind_a_cut_line_of_an_earlier_answer_is_not_passed_on);
     CPPUNIT_TEST(rows_that_come_twice_are_passed_on);
     CPPUNIT_TEST(same_rows_of_the_same_statement_are_passed_on);
     CPPUNIT_TEST(repeated_position_does_not_make_a_read_look_fresh);
@@ -359,6 +360,21 @@
                        std::vector<std::string>{"c"});
     }
 
+    void row_behind_a_cut_line_of_an_earlier_answer_is_not_passed_on()
+    {
+        answered_proxy f;
+        const auto connection = f.begin_read("1");
+        f.answer(connection, {"abcd"}, "s1");
+        f.begin_read("2");
+        f.subject.server_row(f.now, connection, "abROW x", {2});
+        f.answer(connection, {}, "s2");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.answers());
+        const auto other = f.open_last();
+        f.subject.server_row(f.now, other, "xyROW abROW x", {2, 7});
+        f.answer(other, {}, "s3"); // nothing came there before
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.answers());
+    }
+
     void rows_that_come_twice_are_passed_on()
     {
         answered_proxy f;
--- a/tools/daemon/session_transport.cpp
+++ b/tools/daemon/session_transport.cpp
@@ -288,7 +288,8 @@
     switch (parsed.what)
     {
     case kind::row:
-        proxy_->server_row(now_(), id, std::move(parsed.text));
+        proxy_->server_row(now_(), id, std::move(parsed.text),
+                           std::move(parsed.row_starts));
         break;
     case kind::complete:
         proxy_->server_complete(now_(), id, std::move(parsed.text));
