Bytes on idle connections use up no retries of a statement

Callers saw: BUSY "no server, not run" for a statement that was never sent. Cause: an idle connection on which bytes wait was found out only after the statement had been put on it; each took one of its 8 retries, in one pass. Evidence: unread_bytes_on_idle_connections_use_up_no_retries failed before: nine such connections refused a write. Mend: place_at gives such connections up before it chooses one. The check before each sending stays, for bytes that come between.

--- a/src/session/proxy_dispatch.cpp
+++ b/src/session/proxy_dispatch.cpp
@@ -200,11 +200,19 @@
 bool proxy::place_at(moment now, session_id id, client_session& session,
                      server_state& server)
 {
-    const auto idle = idle_connection(now, server.server.id, session);
-    if (idle != 0)
+    for (auto idle = idle_connection(now, server.server.id, session); idle != 0;
+         idle = idle_connection(now, server.server.id, session))
     {
-        run_on_connection(now, id, session, idle);
-        return true;
+        if (!has_surplus(idle, connections_.at(idle)))
+        {
+            run_on_connection(now, id, session, idle);
+            return true;
+        }
+        give_up_connection(now, idle, answer_fault::unasked);
+    }
+    if (!server.takes_connections(now))
+    {
+        return false;
     }
     if (server.connections >= budget_at(server).connections)
     {
--- /dev/null
+++ b/tests/proxy_answer_review_test.cpp
@@ -0,0 +1,102 @@
+#include "proxy_fixture.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace tanagerhoist
+{
+namespace
+{
+
+/// A proxy whose servers send more than the answers to their statements.
+class surplus_proxy : public proxy_fixture
+{
+public:
+    /// Opens idle connections to the primary.
+    std::vector<connection_id> open_idle(std::size_t count)
+    {
+        std::vector<connection_id> opened;
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            ask(start("primary"), make(statement_kind::read, "1"));
+            opened.push_back(open_last());
+        }
+        for (const auto id : opened)
+        {
+            answer(id, {}, next_signature());
+        }
+        advance(milliseconds(400)); // rested, even if the server repeats
+        subject.renew_primary_lease(now);
+        return opened;
+    }
+
+    void answer(connection_id connection, const std::vector<std::string>& rows,
+                const std::string& signature,
+                transaction_state state = transaction_state::none)
+    {
+        for (const auto& row : rows)
+        {
+            subject.server_row(now, connection, row);
+        }
+        subject.server_complete(now, connection, signature);
+        subject.server_ready(now, connection, state,
+                             log_position{lead.term(), 100});
+    }
+
+    void use_slots(unsigned slots)
+    {
+        for (auto& [id, server] : servers)
+        {
+            server.slots = slots;
+        }
+        subject.use_servers(now, servers);
+    }
+
+    std::size_t answers(session_id session) const
+    {
+        const auto it = transport.answers.find(session);
+        return it == transport.answers.end() ? 0 : it->second.size();
+    }
+
+    bool is_closed(connection_id connection) const
+    {
+        return std::count(transport.closed.begin(), transport.closed.end(),
+                          connection) != 0;
+    }
+};
+
+constexpr unsigned most_tries = 8;
+
+} // namespace
+
+class proxy_answer_review_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(proxy_answer_review_test);
+    CPPUNIT_TEST(unread_bytes_on_idle_connections_use_up_no_retries);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+
+    void unread_bytes_on_idle_connections_use_up_no_retries()
+    {
+        surplus_proxy f;
+        f.use_slots(2 * most_tries);
+        for (const auto id : f.open_idle(most_tries + 1))
+        {
+            f.transport.unread.insert(id);
+        }
+        const auto client = f.start("primary");
+        f.ask(client, f.make(statement_kind::write, "1"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, f.answers(client));
+        f.open_last();
+        f.succeed();
+        CPPUNIT_ASSERT(!f.transport.last_answer(client).error);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(proxy_answer_review_test);
+
+} // namespace tanagerhoist
--- a/tests/proxy_fixture.hpp
+++ b/tests/proxy_fixture.hpp
@@ -90,6 +90,11 @@
     }
     bool has_unread(connection_id connection) const override
     {
+        if (arriving.erase(connection) != 0)
+        {
+            unread.insert(connection);
+            return false;
+        }
         return unread.count(connection) != 0;
     }
     void request_grant() override { ++asked; }
@@ -105,7 +110,8 @@
     std::vector<opened_connection> opened;
     std::vector<sent_statement> sent;
     std::vector<connection_id> closed;
-    std::set<connection_id> unread; ///< connections with bytes that wait
+    mutable std::set<connection_id> unread; ///< with bytes that wait
+    mutable std::set<connection_id> arriving; ///< the same once asked for it
     int asked = 0;
 };
 
