A session that ends while it is placed doesn't end the daemon

Callers saw: all connections of a VM cut, as its process ended (uncaught std::out_of_range out of assign_waiting). Cause: since statements are not sent behind unread bytes, placing one may answer it and end its session (drain, settings). assign_waiting still charged the workspace by a view of the ended session's name (use after free) and asked for the session in of_kind (unordered_map::at throws). Evidence: session_ends_while_it_is_placed failed before with "unordered_map::at". Mend: a statement whose session has ended is not counted as assigned.

--- a/src/session/proxy_dispatch.cpp
+++ b/src/session/proxy_dispatch.cpp
@@ -94,8 +94,11 @@
             session.request.needs_primary && primary_out_of_reach(now, session);
         if (!hopeless && place(now, id, session))
         {
-            state.order.charge(statement);
-            assigned.push_back(statement);
+            if (sessions_.count(id) != 0) // else it was answered and ended
+            {
+                state.order.charge(statement);
+                assigned.push_back(statement);
+            }
         }
         else if (has_only_evacuated_servers(now, session))
         {
--- a/tests/proxy_answer_review_test.cpp
+++ b/tests/proxy_answer_review_test.cpp
@@ -75,10 +75,25 @@
 class proxy_answer_review_test : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(proxy_answer_review_test);
+    CPPUNIT_TEST(session_ends_while_it_is_placed);
     CPPUNIT_TEST(unread_bytes_on_idle_connections_use_up_no_retries);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    void session_ends_while_it_is_placed()
+    {
+        surplus_proxy f;
+        f.use_slots(2 * most_tries);
+        for (const auto id : f.open_idle(most_tries + 1))
+        {
+            f.transport.arriving.insert(id);
+        }
+        const auto client = f.start("primary");
+        f.subject.begin_drain(f.now, f.now + milliseconds(1000));
+        f.ask(client, f.make(statement_kind::read, "1"));
+        f.subject.tick(f.now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.answers(client));
+    }
 
     void unread_bytes_on_idle_connections_use_up_no_retries()
     {
