Connections that rest are used where no more may be opened

Callers saw: statements that waited up to 300 ms, at a server with free slots, for 30 s after one stray line on a connection. Cause: a resting connection counted as none, also where the budget of connections was used up, so that nothing could be placed. The rest only saves retries; answers are compared in any case. Evidence: rest_holds_no_statement_up_when_no_more_connections_may_open failed before: nothing was sent. Mend: if no connection may be opened, one that rests is used, and one of another workspace is closed for a new one whether it rests or not.

--- a/src/session/proxy_connections.cpp
+++ b/src/session/proxy_connections.cpp
@@ -52,29 +52,38 @@
 }
 
 /// Returns an idle connection of the session's workspace, preferably one with
-/// the same session values; 0: none.
+/// the same session values; 0: none. One that is to rest is used where no
+/// further connection may be opened.
 connection_id proxy::idle_connection(moment now, const std::string& server,
                                      const client_session& session) const
 {
     const bool needs_true_errors = has_effect(session);
+    const auto* state = this->server(server);
+    const bool may_open =
+        state != nullptr && state->connections < budget_at(*state).connections;
     connection_id found = 0;
+    connection_id resting = 0;
     for (const auto& [id, connection] : connections_)
     {
         if (connection.phase != connection_phase::idle ||
             connection.server != server ||
             connection.workspace != session.workspace ||
-            (needs_true_errors && connection.history.has_errors()) ||
-            !is_rested(now, connection))
+            (needs_true_errors && connection.history.has_errors()))
         {
             continue;
         }
+        if (!is_rested(now, connection))
+        {
+            resting = id;
+            continue;
+        }
         if (connection.state.values() == session.values)
         {
             return id;
         }
         found = id;
     }
-    return found;
+    return found != 0 || may_open ? found : resting;
 }
 
 /// Returns the connection that has been idle for the longest time, in any
@@ -87,8 +96,7 @@
     for (const auto& [id, connection] : connections_)
     {
         const bool idle = connection.phase == connection_phase::idle &&
-                          connection.server == server &&
-                          is_rested(now, connection);
+                          connection.server == server;
         if (idle && (found == 0 || connection.idle_since < oldest))
         {
             found = id;
--- a/tests/proxy_answer_review_test.cpp
+++ b/tests/proxy_answer_review_test.cpp
@@ -77,6 +77,7 @@
     CPPUNIT_TEST_SUITE(proxy_answer_review_test);
     CPPUNIT_TEST(session_ends_while_it_is_placed);
     CPPUNIT_TEST(unread_bytes_on_idle_connections_use_up_no_retries);
+    CPPUNIT_TEST(rest_holds_no_statement_up_when_no_more_connections_may_open);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -110,6 +111,33 @@
         f.succeed();
         CPPUNIT_ASSERT(!f.transport.last_answer(client).error);
     }
+
+    void rest_holds_no_statement_up_when_no_more_connections_may_open()
+    {
+        surplus_proxy f;
+        f.settings.groups["g"].connections = 2;
+        ++f.settings.version;
+        f.use_settings();
+        const auto one = f.start("primary");
+        const auto two = f.start("primary");
+        f.ask(one, f.make(statement_kind::read, "1"));
+        const auto first = f.open_last();
+        f.ask(two, f.make(statement_kind::read, "2"));
+        const auto second = f.open_last();
+        f.answer(first, {"a"}, "s1");
+        f.answer(second, {"b"}, "s2");
+        f.advance(milliseconds(400));
+        f.subject.renew_primary_lease(f.now);
+        f.subject.server_row(f.now, first, "a");
+        CPPUNIT_ASSERT(f.is_closed(first));
+        f.ask(one, f.make(statement_kind::read, "1"));
+        f.answer(f.transport.sent.back().connection, {"a"}, "s3");
+        f.ask(one, f.make(statement_kind::read, "1"));
+        f.answer(f.open_last(), {"a"}, "s4");
+        const auto sent = f.transport.sent.size();
+        f.ask(one, f.make(statement_kind::read, "1"));
+        CPPUNIT_ASSERT_EQUAL(sent + 1, f.transport.sent.size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(proxy_answer_review_test);
