A row that was cut and the row behind it are not passed on as one

Callers saw: MIXED, a row such as "abROW wxyz": the begin of an earlier answer's row, and the line of their own behind it. Cause: earlier answers were told by whole rows only, and not at all where rows recur. Evidence: cut_row_before_another_row_is_not_passed_on and cut_row_is_not_passed_on_where_rows_recur failed before: it was passed on. Mend: a row that holds the begin of a row's line is doubtful on a connection that has given rows, also where rows recur. Rows that come alike on another connection are passed on, so data that holds such text is served.

--- a/include/tanagerhoist/session/answer_history.hpp
+++ b/include/tanagerhoist/session/answer_history.hpp
@@ -102,6 +102,10 @@
     std::size_t row_notes_ = 0; ///< in total; the oldest are replaced
 };
 
+/// Whether a row of an answer contains the begin of a row's line, as where a
+/// line was cut and another one came behind it.
+bool has_row_in_row(const session_answer& answer);
+
 /// Hash of an answer's rows.
 std::uint64_t hash_of_rows(const session_answer& answer);
 
--- a/src/session/answer_history.cpp
+++ b/src/session/answer_history.cpp
@@ -56,6 +56,13 @@
     return hash;
 }
 
+bool has_row_in_row(const session_answer& answer)
+{
+    return std::any_of(answer.rows.begin(), answer.rows.end(),
+                       [](const std::string& row)
+                       { return row.find("ROW ") != std::string::npos; });
+}
+
 answer_fault answer_history::check(const expected_answer& expected,
                                    const session_answer& answer) const
 {
@@ -114,7 +121,8 @@
     return found == successes_.end() ? nullptr : &*found;
 }
 
-/// Whether the answer contains the first row of an earlier one. A part of that
+/// Whether the answer contains the first row of an earlier one, or one that was
+/// cut in it, with the line that came behind. A part of that
 /// answer may then have come before the rows of this one. The same rows as a
 /// whole for the same statement are its own.
 bool answer_history::has_doubtful_rows(const expected_answer& expected,
@@ -137,7 +145,8 @@
                            });
     };
     return noted != 0 &&
-           std::any_of(answer.rows.begin(), answer.rows.end(), repeats);
+           (has_row_in_row(answer) ||
+            std::any_of(answer.rows.begin(), answer.rows.end(), repeats));
 }
 
 void answer_history::add(const expected_answer& expected,
--- a/src/session/proxy_answer_faults.cpp
+++ b/src/session/proxy_answer_faults.cpp
@@ -161,13 +161,15 @@
 }
 
 /// Whether doubtful rows are the statement's own: its server is known to have
-/// the same rows for different statements, or the statement has had these rows
-/// on another connection too, from which the former is learned.
+/// the same rows for different statements and none of them may be cut, or the
+/// statement has had these rows on another connection too, from which the
+/// former is learned.
 bool proxy::are_rows_confirmed(const server_connection& connection)
 {
     const auto* server = find_server(connection.server);
     const auto owner = sessions_.find(connection.owner);
-    const bool recur = server != nullptr && server->rows_recur;
+    const bool may_be_cut = has_row_in_row(connection.answer);
+    const bool recur = server != nullptr && server->rows_recur && !may_be_cut;
     if (recur || owner == sessions_.end() || !owner->second.request.doubted)
     {
         return recur;
@@ -175,7 +177,7 @@
     const auto& doubted = *owner->second.request.doubted;
     const bool came_twice = doubted.hash == hash_of_rows(connection.answer);
     auto* first = find_server(doubted.server);
-    if (came_twice && first != nullptr)
+    if (came_twice && !may_be_cut && first != nullptr)
     {
         first->rows_recur = true;
     }
--- a/tests/proxy_answer_review_test.cpp
+++ b/tests/proxy_answer_review_test.cpp
@@ -78,6 +78,8 @@
     CPPUNIT_TEST(session_ends_while_it_is_placed);
     CPPUNIT_TEST(unread_bytes_on_idle_connections_use_up_no_retries);
     CPPUNIT_TEST(rest_holds_no_statement_up_when_no_more_connections_may_open);
+    CPPUNIT_TEST(cut_row_before_another_row_is_not_passed_on);
+    CPPUNIT_TEST(cut_row_is_not_passed_on_where_rows_recur);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -138,6 +140,36 @@
         f.ask(one, f.make(statement_kind::read, "1"));
         CPPUNIT_ASSERT_EQUAL(sent + 1, f.transport.sent.size());
     }
+
+    void cut_row_before_another_row_is_not_passed_on()
+    {
+        surplus_proxy f;
+        const auto client = f.start("primary");
+        f.ask(client, f.make(statement_kind::read, "1"));
+        const auto connection = f.open_last();
+        f.answer(connection, {"abcd"}, "s1");
+        f.ask(client, f.make(statement_kind::read, "2"));
+        // "ROW ab" of the answer before, cut, and "ROW wxyz"
+        f.answer(connection, {"abROW wxyz"}, "s2");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.answers(client));
+        CPPUNIT_ASSERT(f.is_closed(connection));
+    }
+
+    void cut_row_is_not_passed_on_where_rows_recur()
+    {
+        surplus_proxy f;
+        const auto client = f.start("primary");
+        f.ask(client, f.make(statement_kind::read, "1"));
+        const auto first = f.open_last();
+        f.answer(first, {"a"}, "s1");
+        f.ask(client, f.make(statement_kind::read, "2"));
+        f.answer(first, {"a"}, "s2");
+        const auto connection = f.open_last();
+        f.answer(connection, {"a"}, "s3"); // rows recur at this server
+        f.ask(client, f.make(statement_kind::read, "3"));
+        f.answer(connection, {"abROW wxyz"}, "s4");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.answers(client));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(proxy_answer_review_test);
