An error behind a statement of our own ends its connection's use

Callers could see: MIXED. If an earlier BEGIN READ's result came again, the error of the new BEGIN (LAGGING, usual at replicas) was taken for the read behind it, and the connection was used again; the read's own answer, signed and new, was then the next statement's. Cause: a shift by one answer, begun by an unsigned result, was passed on through an error, which has no signature either. Evidence: error_of_a_begin_taken_for_its_read_ends_the_connection failed before: the connection stayed in use. Mend: a connection on which a client's statement behind one of our own has an error is closed. Without an error the shift shows as a missing signature.

--- a/include/tanagerhoist/session/server_connection.hpp
+++ b/include/tanagerhoist/session/server_connection.hpp
@@ -36,6 +36,7 @@
     bool in_transaction = false;         ///< by its last answer
     bool receiving = false;              ///< part of an answer
     bool is_spent = false;               ///< to be closed instead of reused
+    bool ran_own = false; ///< its last answer was to the proxy's statement
     moment opened{};
     moment sent{};
     moment idle_since{};
--- a/src/session/proxy_answer_faults.cpp
+++ b/src/session/proxy_answer_faults.cpp
@@ -153,6 +153,12 @@
         ++figures_.faults.at(static_cast<std::size_t>(fault));
         connection.is_spent = true;
     }
+    const bool own = !connection.runs_request();
+    // It may be that of an own statement, whose earlier result came again.
+    const bool is_shifted =
+        connection.answer.error && !own && connection.ran_own;
+    connection.is_spent = connection.is_spent || is_shifted;
+    connection.ran_own = own;
     connection.history.add(expected, connection.answer);
     connection.in_transaction =
         connection.answer.state != transaction_state::none;
--- a/tests/proxy_answer_review_test.cpp
+++ b/tests/proxy_answer_review_test.cpp
@@ -80,6 +80,7 @@
     CPPUNIT_TEST(rest_holds_no_statement_up_when_no_more_connections_may_open);
     CPPUNIT_TEST(cut_row_before_another_row_is_not_passed_on);
     CPPUNIT_TEST(cut_row_is_not_passed_on_where_rows_recur);
+    CPPUNIT_TEST(error_of_a_begin_taken_for_its_read_ends_the_connection);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -170,6 +171,29 @@
         f.answer(connection, {"abROW wxyz"}, "s4");
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.answers(client));
     }
+
+    void error_of_a_begin_taken_for_its_read_ends_the_connection()
+    {
+        surplus_proxy f;
+        const auto client = f.start("primary");
+        f.ask(client, f.make(statement_kind::begin_read));
+        f.ask(client, f.make(statement_kind::read, "1"));
+        const auto connection = f.open_last();
+        f.answer(connection, {}, "-", transaction_state::open);
+        f.answer(connection, {"a"}, "s1", transaction_state::open);
+        f.ask(client, f.make(statement_kind::commit));
+        f.answer(connection, {}, "s2");
+        f.ask(client, f.make(statement_kind::begin_read));
+        f.ask(client, f.make(statement_kind::read, "2"));
+        CPPUNIT_ASSERT_EQUAL(connection, f.transport.sent.back().connection);
+        f.answer(connection, {}, "-", transaction_state::open); // BEGIN, again
+        CPPUNIT_ASSERT(f.transport.sent.back().statement.what.kind ==
+                       statement_kind::read);
+        f.subject.server_error(f.now, connection, session_error::lagging, "");
+        f.subject.server_ready(f.now, connection, transaction_state::none, {});
+        // The read's own answer would be the next statement's.
+        CPPUNIT_ASSERT(f.is_closed(connection));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(proxy_answer_review_test);
