--- a/tests/proxy_fixture.hpp
+++ b/tests/proxy_fixture.hpp
@@ -110,7 +110,7 @@
     std::vector<opened_connection> opened;
     std::vector<sent_statement> sent;
     std::vector<connection_id> closed;
-    mutable std::set<connection_id> unread; ///< with bytes that wait
+    mutable std::set<connection_id> unread;   ///< with bytes that wait
     mutable std::set<connection_id> arriving; ///< the same once asked for it
     int asked = 0;
 };
