--- a/include/tanagerhoist/session/answer_history.hpp
+++ b/include/tanagerhoist/session/answer_history.hpp
@@ -63,6 +63,10 @@
     /// neither.
     bool is_exact_repeat(const session_answer& answer) const;
 
+    /// Whether the first row may be a part of an earlier one, cut, and another
+    /// row behind it.
+    bool may_hold_cut_row(const session_answer& answer) const;
+
     /// Whether an error was taken, which a server may repeat. A further error
     /// then does not prove that the statement did not run.
     bool has_errors() const { return !errors_.empty(); }
--- a/include/tanagerhoist/session/proxy.hpp
+++ b/include/tanagerhoist/session/proxy.hpp
@@ -284,8 +284,7 @@
     std::vector<connection_id> connections_of(const std::string& server) const;
     connection_id idle_connection(moment now, const std::string& server,
                                   const client_session& session) const;
-    connection_id longest_idle_connection(moment now,
-                                          const std::string& server) const;
+    connection_id longest_idle_connection(const std::string& server) const;
     bool is_rested(moment now, const server_connection& connection) const;
     void open_connection(moment now, server_state& server,
                          const std::string& workspace, session_id owner);
--- a/src/session/answer_history.cpp
+++ b/src/session/answer_history.cpp
@@ -123,9 +123,10 @@
     return found == successes_.end() ? nullptr : &*found;
 }
 
-/// Whether the answer contains the first row of an earlier one. A part of that
-/// answer may then have come before the rows of this one. The same rows as a
-/// whole for the same statement are its own.
+/// Whether the answer contains the first row of an earlier one, or the begin of
+/// it and another row in one. A part of that answer may then have come before
+/// the rows of this one. The same rows as a whole for the same statement are
+/// its own.
 bool answer_history::has_doubtful_rows(const expected_answer& expected,
                                        const session_answer& answer) const
 {
@@ -146,13 +147,21 @@
                            });
     };
     return noted != 0 &&
-           (std::any_of(answer.rows.begin(), answer.rows.end(), repeats) ||
-            std::any_of(begin, end,
-                        [&answer](const row_note& note)
-                        { return begins_like(answer, note); }));
+           (may_hold_cut_row(answer) ||
+            std::any_of(answer.rows.begin(), answer.rows.end(), repeats));
 }
 
-/// Whether the first row may be a part of an earlier one, cut, and another row.
+bool answer_history::may_hold_cut_row(const session_answer& answer) const
+{
+    const auto noted = std::min(row_notes_, most_row_notes);
+    const auto begin = rows_.begin();
+    return std::any_of(begin, begin + static_cast<std::ptrdiff_t>(noted),
+                       [&answer](const row_note& note)
+                       { return begins_like(answer, note); });
+}
+
+/// Whether the first row begins like an earlier one up to where another row may
+/// begin.
 bool answer_history::begins_like(const session_answer& answer,
                                  const row_note& note)
 {
--- a/src/session/proxy_answer_faults.cpp
+++ b/src/session/proxy_answer_faults.cpp
@@ -153,6 +153,12 @@
         ++figures_.faults.at(static_cast<std::size_t>(fault));
         connection.is_spent = true;
     }
+    const bool own = !connection.runs_request();
+    // It may be that of an own statement, whose earlier result came again.
+    const bool is_shifted =
+        connection.answer.error && !own && connection.ran_own;
+    connection.is_spent = connection.is_spent || is_shifted;
+    connection.ran_own = own;
     connection.history.add(expected, connection.answer);
     connection.in_transaction =
         connection.answer.state != transaction_state::none;
@@ -161,13 +167,16 @@
 }
 
 /// Whether doubtful rows are the statement's own: its server is known to have
-/// the same rows for different statements, or the statement has had these rows
-/// on another connection too, from which the former is learned.
+/// the same rows for different statements and none of them may be cut, or the
+/// statement has had these rows on another connection too, from which the
+/// former is learned.
 bool proxy::are_rows_confirmed(const server_connection& connection)
 {
     const auto* server = find_server(connection.server);
     const auto owner = sessions_.find(connection.owner);
-    const bool recur = server != nullptr && server->rows_recur;
+    const bool may_be_cut =
+        connection.history.may_hold_cut_row(connection.answer);
+    const bool recur = server != nullptr && server->rows_recur && !may_be_cut;
     if (recur || owner == sessions_.end() || !owner->second.request.doubted)
     {
         return recur;
@@ -175,7 +184,7 @@
     const auto& doubted = *owner->second.request.doubted;
     const bool came_twice = doubted.hash == hash_of_rows(connection.answer);
     auto* first = find_server(doubted.server);
-    if (came_twice && first != nullptr)
+    if (came_twice && !may_be_cut && first != nullptr)
     {
         first->rows_recur = true;
     }
--- a/src/session/proxy_dispatch.cpp
+++ b/src/session/proxy_dispatch.cpp
@@ -94,8 +94,11 @@
             session.request.needs_primary && primary_out_of_reach(now, session);
         if (!hopeless && place(now, id, session))
         {
-            state.order.charge(statement);
-            assigned.push_back(statement);
+            if (sessions_.count(id) != 0) // else it was answered and ended
+            {
+                state.order.charge(statement);
+                assigned.push_back(statement);
+            }
         }
         else if (has_only_evacuated_servers(now, session))
         {
@@ -200,15 +203,23 @@
 bool proxy::place_at(moment now, session_id id, client_session& session,
                      server_state& server)
 {
-    const auto idle = idle_connection(now, server.server.id, session);
-    if (idle != 0)
+    for (auto idle = idle_connection(now, server.server.id, session); idle != 0;
+         idle = idle_connection(now, server.server.id, session))
     {
-        run_on_connection(now, id, session, idle);
-        return true;
+        if (!has_surplus(idle, connections_.at(idle)))
+        {
+            run_on_connection(now, id, session, idle);
+            return true;
+        }
+        give_up_connection(now, idle, answer_fault::unasked);
+    }
+    if (!server.takes_connections(now))
+    {
+        return false;
     }
     if (server.connections >= budget_at(server).connections)
     {
-        const auto spare = longest_idle_connection(now, server.server.id);
+        const auto spare = longest_idle_connection(server.server.id);
         if (spare == 0)
         {
             return false;
@@ -314,7 +325,7 @@
     }
     return server.takes_connections(now) &&
            (server.connections < budget_at(server).connections ||
-            longest_idle_connection(now, server.server.id) != 0);
+            longest_idle_connection(server.server.id) != 0);
 }
 
 /// Queues a statement again that had no effect.
--- a/src/session/proxy_regions.cpp
+++ b/src/session/proxy_regions.cpp
@@ -256,7 +256,7 @@
         }
         if (primary->connections >= budget_at(*primary).connections)
         {
-            close_connection(longest_idle_connection(now, primary->server.id));
+            close_connection(longest_idle_connection(primary->server.id));
         }
         if (primary->connections < budget_at(*primary).connections)
         {
--- /dev/null
+++ b/tests/proxy_answer_review_test.cpp
@@ -0,0 +1,203 @@
+#include "proxy_fixture.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace tanagerhoist
+{
+namespace
+{
+
+/// A proxy whose servers send more than the answers to their statements.
+class surplus_proxy : public proxy_fixture
+{
+public:
+    /// Opens idle connections to the primary.
+    std::vector<connection_id> open_idle(std::size_t count)
+    {
+        std::vector<connection_id> opened;
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            ask(start("primary"), make(statement_kind::read, "1"));
+            opened.push_back(open_last());
+        }
+        for (const auto id : opened)
+        {
+            answer(id, {}, next_signature());
+        }
+        advance(milliseconds(400)); // rested, even if the server repeats
+        subject.renew_primary_lease(now);
+        return opened;
+    }
+
+    void answer(connection_id connection, const std::vector<std::string>& rows,
+                const std::string& signature,
+                transaction_state state = transaction_state::none,
+                const std::vector<std::size_t>& row_starts = {})
+    {
+        for (const auto& row : rows)
+        {
+            subject.server_row(now, connection, row, row_starts);
+        }
+        subject.server_complete(now, connection, signature);
+        subject.server_ready(now, connection, state,
+                             log_position{lead.term(), 100});
+    }
+
+    void use_slots(unsigned slots)
+    {
+        for (auto& [id, server] : servers)
+        {
+            server.slots = slots;
+        }
+        subject.use_servers(now, servers);
+    }
+
+    std::size_t answers(session_id session) const
+    {
+        const auto it = transport.answers.find(session);
+        return it == transport.answers.end() ? 0 : it->second.size();
+    }
+
+    bool is_closed(connection_id connection) const
+    {
+        return std::count(transport.closed.begin(), transport.closed.end(),
+                          connection) != 0;
+    }
+};
+
+constexpr unsigned most_tries = 8;
+
+} // namespace
+
+class proxy_answer_review_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(proxy_answer_review_test);
+    CPPUNIT_TEST(session_ends_while_it_is_placed);
+    CPPUNIT_TEST(unread_bytes_on_idle_connections_use_up_no_retries);
+    CPPUNIT_TEST(rest_holds_no_statement_up_when_no_more_connections_may_open);
+    CPPUNIT_TEST(cut_row_before_another_row_is_not_passed_on);
+    CPPUNIT_TEST(cut_row_is_not_passed_on_where_rows_recur);
+    CPPUNIT_TEST(error_of_a_begin_taken_for_its_read_ends_the_connection);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void session_ends_while_it_is_placed()
+    {
+        surplus_proxy f;
+        f.use_slots(2 * most_tries);
+        for (const auto id : f.open_idle(most_tries + 1))
+        {
+            f.transport.arriving.insert(id);
+        }
+        const auto client = f.start("primary");
+        f.subject.begin_drain(f.now, f.now + milliseconds(1000));
+        f.ask(client, f.make(statement_kind::read, "1"));
+        f.subject.tick(f.now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.answers(client));
+    }
+
+    void unread_bytes_on_idle_connections_use_up_no_retries()
+    {
+        surplus_proxy f;
+        f.use_slots(2 * most_tries);
+        for (const auto id : f.open_idle(most_tries + 1))
+        {
+            f.transport.unread.insert(id);
+        }
+        const auto client = f.start("primary");
+        f.ask(client, f.make(statement_kind::write, "1"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, f.answers(client));
+        f.open_last();
+        f.succeed();
+        CPPUNIT_ASSERT(!f.transport.last_answer(client).error);
+    }
+
+    void rest_holds_no_statement_up_when_no_more_connections_may_open()
+    {
+        surplus_proxy f;
+        f.settings.groups["g"].connections = 2;
+        ++f.settings.version;
+        f.use_settings();
+        const auto one = f.start("primary");
+        const auto two = f.start("primary");
+        f.ask(one, f.make(statement_kind::read, "1"));
+        const auto first = f.open_last();
+        f.ask(two, f.make(statement_kind::read, "2"));
+        const auto second = f.open_last();
+        f.answer(first, {"a"}, "s1");
+        f.answer(second, {"b"}, "s2");
+        f.advance(milliseconds(400));
+        f.subject.renew_primary_lease(f.now);
+        f.subject.server_row(f.now, first, "a");
+        CPPUNIT_ASSERT(f.is_closed(first));
+        f.ask(one, f.make(statement_kind::read, "1"));
+        f.answer(f.transport.sent.back().connection, {"a"}, "s3");
+        f.ask(one, f.make(statement_kind::read, "1"));
+        f.answer(f.open_last(), {"a"}, "s4");
+        const auto sent = f.transport.sent.size();
+        f.ask(one, f.make(statement_kind::read, "1"));
+        CPPUNIT_ASSERT_EQUAL(sent + 1, f.transport.sent.size());
+    }
+
+    void cut_row_before_another_row_is_not_passed_on()
+    {
+        surplus_proxy f;
+        const auto client = f.start("primary");
+        f.ask(client, f.make(statement_kind::read, "1"));
+        const auto connection = f.open_last();
+        f.answer(connection, {"abcd"}, "s1");
+        f.ask(client, f.make(statement_kind::read, "2"));
+        // "ROW ab" of the answer before, cut, and "ROW wxyz"
+        f.answer(connection, {"abROW wxyz"}, "s2", transaction_state::none,
+                 {2});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.answers(client));
+        CPPUNIT_ASSERT(f.is_closed(connection));
+    }
+
+    void cut_row_is_not_passed_on_where_rows_recur()
+    {
+        surplus_proxy f;
+        const auto client = f.start("primary");
+        f.ask(client, f.make(statement_kind::read, "1"));
+        const auto first = f.open_last();
+        f.answer(first, {"a"}, "s1");
+        f.ask(client, f.make(statement_kind::read, "2"));
+        f.answer(first, {"a"}, "s2");
+        const auto connection = f.open_last();
+        f.answer(connection, {"a"}, "s3"); // rows recur at this server
+        f.ask(client, f.make(statement_kind::read, "3"));
+        f.answer(connection, {"aROW wxyz"}, "s4", transaction_state::none, {1});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.answers(client));
+    }
+
+    void error_of_a_begin_taken_for_its_read_ends_the_connection()
+    {
+        surplus_proxy f;
+        const auto client = f.start("primary");
+        f.ask(client, f.make(statement_kind::begin_read));
+        f.ask(client, f.make(statement_kind::read, "1"));
+        const auto connection = f.open_last();
+        f.answer(connection, {}, "-", transaction_state::open);
+        f.answer(connection, {"a"}, "s1", transaction_state::open);
+        f.ask(client, f.make(statement_kind::commit));
+        f.answer(connection, {}, "s2");
+        f.ask(client, f.make(statement_kind::begin_read));
+        f.ask(client, f.make(statement_kind::read, "2"));
+        CPPUNIT_ASSERT_EQUAL(connection, f.transport.sent.back().connection);
+        f.answer(connection, {}, "-", transaction_state::open); // BEGIN, again
+        CPPUNIT_ASSERT(f.transport.sent.back().statement.what.kind ==
+                       statement_kind::read);
+        f.subject.server_error(f.now, connection, session_error::lagging, "");
+        f.subject.server_ready(f.now, connection, transaction_state::none, {});
+        // The read's own answer would be the next statement's.
+        CPPUNIT_ASSERT(f.is_closed(connection));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(proxy_answer_review_test);
+
+} // namespace tanagerhoist
