Statements don't grow past the largest message on their way

Callers with a read of almost 1 MiB would have had their server connection closed, each time again: the line grew by AFTER with a position before a read at a replica, and by the shared name of a prepared statement, which is longer than most clients' names.

Cause: the limit was checked on the client's line only.

A statement now carries the bytes by which its line may grow. A single read without room for the longest position (48 bytes) runs at the primary, which needs none; in a transaction BEGIN carries the position.

--- a/include/tanagerhoist/session/proxy.hpp
+++ b/include/tanagerhoist/session/proxy.hpp
@@ -214,7 +214,9 @@
     static void set_value(client_session& session);
     static bool remove_prepared(client_session& session,
                                 const std::string& name);
-    bool resolve_execute(client_session& session);
+    static bool can_prepare(const statement& what);
+    static std::optional<session_error>
+    resolve_execute(client_session& session);
 
     // Transactions: proxy_transactions.cpp
     void begin(moment now, session_id id, client_session& session);
--- a/include/tanagerhoist/session/statement.hpp
+++ b/include/tanagerhoist/session/statement.hpp
@@ -3,6 +3,8 @@
 
 #include "tanagerhoist/session/log_position.hpp"
 
+#include <cstddef>
+#include <limits>
 #include <optional>
 #include <string>
 
@@ -26,6 +28,9 @@
     malformed
 };
 
+/// Largest part of a statement's line that states a position, in bytes.
+constexpr std::size_t largest_position = 48;
+
 /// A statement of a session.
 struct statement
 {
@@ -34,6 +39,9 @@
     std::string argument; ///< value, shape, or item and data
     bool writes = false;  ///< a `write`, or a `prepare` for writes
     std::string text;     ///< as received from the client
+
+    /// Bytes by which its line may grow on the way to a server.
+    std::size_t room = std::numeric_limits<std::size_t>::max();
 };
 
 /// A statement sent to a backend server.
--- a/src/session/proxy_session_state.cpp
+++ b/src/session/proxy_session_state.cpp
@@ -16,6 +16,13 @@
 /// line to the server.
 constexpr std::size_t statement_copies = 3;
 
+/// Bytes by which a prepared statement's line grows with its name at servers.
+std::size_t growth_of(const statement& what, const prepared_statement& prepared)
+{
+    const auto size = prepared.shared_name().size();
+    return size - std::min(size, what.name.size());
+}
+
 /// Frees the memory of a text: an assignment would keep it for reuse.
 void free_text(std::string& text)
 {
@@ -111,18 +118,30 @@
                              : client_activity::busy;
 }
 
+/// Whether the servers can be told a statement to prepare.
+bool proxy::can_prepare(const statement& what)
+{
+    return growth_of(what, {what.writes, what.argument}) <= what.room;
+}
+
 /// Looks up the prepared statement of an `execute`, and whether it writes.
-/// @return false if the name is unknown
-bool proxy::resolve_execute(client_session& session)
+/// @return why it can't run; nothing if it can
+std::optional<session_error> proxy::resolve_execute(client_session& session)
 {
     auto& what = session.request.what;
     const auto it = session.prepared.find(what.name);
     if (it == session.prepared.end())
     {
-        return false;
+        return session_error::no_statement;
     }
+    const auto growth = growth_of(what, it->second);
+    if (growth > what.room)
+    {
+        return session_error::too_large;
+    }
+    what.room -= growth;
     what.writes = it->second.writes;
-    return true;
+    return std::nullopt;
 }
 
 } // namespace tanagerhoist
--- a/src/session/proxy_sessions.cpp
+++ b/src/session/proxy_sessions.cpp
@@ -132,8 +132,18 @@
     case statement_kind::begin_read:
         begin(now, id, session);
         return;
-    case statement_kind::set:
     case statement_kind::prepare:
+        if (!can_prepare(session.request.what))
+        {
+            answer_error(
+                now, id, session, session_error::too_large,
+                session.request.what.name.substr(0, max_repeated_text));
+            return;
+        }
+        set_value(session);
+        answer_done(now, id, session);
+        return;
+    case statement_kind::set:
         set_value(session);
         answer_done(now, id, session);
         return;
@@ -153,12 +163,15 @@
     default:
         break;
     }
-    if (session.request.what.kind == statement_kind::execute &&
-        !resolve_execute(session))
+    if (session.request.what.kind == statement_kind::execute)
     {
-        answer_error(now, id, session, session_error::no_statement,
-                     session.request.what.name.substr(0, max_repeated_text));
-        return;
+        if (const auto error = resolve_execute(session))
+        {
+            answer_error(
+                now, id, session, *error,
+                session.request.what.name.substr(0, max_repeated_text));
+            return;
+        }
     }
     if (session.state != transaction_state::none || admit(now, id, session))
     {
@@ -215,8 +228,10 @@
     request.first = session.pinned == 0;
     request.writes =
         commit ? session.wrote : request.what.writes && !in_transaction;
+    const bool takes_position =
+        in_transaction || request.what.room >= largest_position;
     request.needs_primary =
-        session.consistency == read_consistency::primary ||
+        session.consistency == read_consistency::primary || !takes_position ||
         (in_transaction ? !session.reads_only : request.what.writes);
     if (session.pinned == 0)
     {
--- a/tools/daemon/session_transport.cpp
+++ b/tools/daemon/session_transport.cpp
@@ -85,8 +85,9 @@
         client.stream->pause();
         client.paused = true;
         client.deadlines.note_input(now_(), 0);
-        proxy_->query(now_(), id, parsed.first,
-                      platform::parse_statement(parsed.second));
+        auto statement = platform::parse_statement(parsed.second);
+        statement.room = parsed.room;
+        proxy_->query(now_(), id, parsed.first, std::move(statement));
     }
     else
     {
