--- a/tests/line_protocol_test.cpp
+++ b/tests/line_protocol_test.cpp
@@ -24,7 +24,9 @@
     CPPUNIT_TEST(unknown_error_is_treated_as_failure);
     CPPUNIT_TEST(error_without_a_code_is_malformed);
     CPPUNIT_TEST(line_end_in_a_text_or_name_starts_no_other_line);
+    CPPUNIT_TEST(odd_fields_of_clients_are_kept);
     CPPUNIT_TEST(status_row_is_parsed);
+    CPPUNIT_TEST(error_text_of_the_largest_message_is_cut);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -226,6 +228,41 @@
                              platform::query_line(sent));
     }
 
+    /// Fields that the page allows, though clients send others.
+    void odd_fields_of_clients_are_kept()
+    {
+        const auto start = platform::parse_client_line("STARTUP d\r a key  ");
+        CPPUNIT_ASSERT(start.what == platform::client_line::kind::start);
+        CPPUNIT_ASSERT_EQUAL(std::string("d\r"), start.first);
+        CPPUNIT_ASSERT_EQUAL(std::string("a key  "), start.second);
+        for (const std::string id : {"-", "\r", "\n", "5\n\r", "\xff"})
+        {
+            const auto query =
+                platform::parse_client_line("QUERY " + id + " COMMIT");
+            CPPUNIT_ASSERT(query.what == platform::client_line::kind::query);
+            server_statement sent;
+            sent.query_id = query.first;
+            sent.what = platform::parse_statement(query.second);
+            CPPUNIT_ASSERT_EQUAL("QUERY " + id + " COMMIT\r\n",
+                                 platform::query_line(sent));
+        }
+        for (const auto* line : {"QUERY  COMMIT", "STARTUP  d", " TERMINATE"})
+        {
+            CPPUNIT_ASSERT(platform::parse_client_line(line).what ==
+                           platform::client_line::kind::malformed);
+        }
+    }
+
+    void error_text_of_the_largest_message_is_cut()
+    {
+        const std::string text(platform::line_limit - 8, 'x');
+        const auto read = platform::parse_server_line("ERROR X " + text);
+        CPPUNIT_ASSERT(read.what == platform::server_line::kind::error);
+        const auto line = platform::error_line(read.error, read.text);
+        CPPUNIT_ASSERT_EQUAL(platform::line_limit + 2, line.size()); // CR LF
+        CPPUNIT_ASSERT_EQUAL(std::string("ERROR FAILED x"), line.substr(0, 14));
+    }
+
     void status_row_is_parsed()
     {
         const auto status =
