Log, record and metrics: names with any bytes stay one readable line

A client that names a database or a query with bytes that are no UTF-8 made the daemon's log line something that a JSON reader refuses. A request id with a line end made two lines of one in the time line and in an explanation, the second one of the caller's choice; NUL made the picture unreadable. A server id with a quote or a backslash broke the page of metrics.

Cause: texts from outside were printed as they came. JSON escapes line ends, but takes bytes above 127 as they are.

Requests of callers with lone surrogates or such bytes were refused or could be read from the record before, too.

Change: control characters, other line ends and bytes that are no UTF-8 are written as \xNN, quotes and backslashes of labels with a backslash before them.

Why it works: what is written is UTF-8 without a control character, whatever came in; other text is unchanged.

--- a/include/tanagerhoist/adapter/json_log.hpp
+++ b/include/tanagerhoist/adapter/json_log.hpp
@@ -7,8 +7,10 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <initializer_list>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace spdlog
 {
@@ -18,6 +20,18 @@
 namespace tanagerhoist
 {
 
+/// Lines dropped since the last one that was written.
+struct log_drops
+{
+    std::uint64_t lines = 0;
+    std::uint64_t changes = 0; ///< those of them that tell of changes
+};
+
+/// One log line as JSON, whatever bytes the fields have.
+std::string json_line(std::string_view vm, moment now, std::string_view event,
+                      std::initializer_list<log_field> fields,
+                      const log_drops& drops);
+
 /// Writes log lines as JSON to standard output through a bounded queue that
 /// drops its oldest lines instead of blocking. Each level has its own limit of
 /// lines per second, so that a flood on one level does not suppress the others.
--- a/src/adapter/json_log.cpp
+++ b/src/adapter/json_log.cpp
@@ -1,5 +1,7 @@
 #include "tanagerhoist/adapter/json_log.hpp"
 
+#include "tanagerhoist/core/printable_text.hpp"
+
 #include <boost/json.hpp>
 #include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
@@ -25,6 +27,27 @@
 
 } // namespace
 
+std::string json_line(std::string_view vm, moment now, std::string_view event,
+                      std::initializer_list<log_field> fields,
+                      const log_drops& drops)
+{
+    boost::json::object line;
+    line["t"] = wall_time();
+    line["ms"] = to_ms(now.time_since_epoch());
+    line["vm"] = printable(vm);
+    line["event"] = event;
+    for (const auto& field : fields)
+    {
+        line[field.name] = printable(field.value);
+    }
+    if (drops.lines != 0)
+    {
+        line["dropped"] = drops.lines;
+        line["dropped_changes"] = drops.changes;
+    }
+    return boost::json::serialize(line);
+}
+
 json_log::json_log(std::string vm, std::uint64_t lines_per_s, clock now)
     : vm_(std::move(vm)), budget_(lines_per_s), now_(std::move(now))
 {
@@ -83,23 +106,15 @@
         return;
     }
     ++lines_in_window_.at(static_cast<std::size_t>(level));
-    boost::json::object line;
-    line["t"] = wall_time();
-    line["ms"] = to_ms(now_().time_since_epoch());
-    line["vm"] = vm_;
-    line["event"] = event;
-    for (const auto& field : fields)
-    {
-        line[field.name] = field.value;
-    }
+    log_drops drops;
     if (const auto total = dropped(); total != reported_dropped_)
     {
-        line["dropped"] = total - reported_dropped_;
-        line["dropped_changes"] = dropped_changes_ - reported_dropped_changes_;
+        drops = {total - reported_dropped_,
+                 dropped_changes_ - reported_dropped_changes_};
         reported_dropped_ = total;
         reported_dropped_changes_ = dropped_changes_;
     }
-    logger_->info(boost::json::serialize(line));
+    logger_->info(json_line(vm_, now_(), event, fields, drops));
 }
 
 } // namespace tanagerhoist
--- a/src/record/explanation.cpp
+++ b/src/record/explanation.cpp
@@ -1,5 +1,6 @@
 #include "tanagerhoist/record/explanation.hpp"
 
+#include "tanagerhoist/core/printable_text.hpp"
 #include "tanagerhoist/core/result_code.hpp"
 #include "tanagerhoist/core/time.hpp"
 #include "tanagerhoist/record/event_kind.hpp"
@@ -181,7 +182,7 @@
     }
     if (vms.empty())
     {
-        return {"No event names request '" + request_id +
+        return {"No event names request '" + printable(request_id) +
                 "': it never arrived, or its events were dropped."};
     }
     std::vector<std::string> sentences;
@@ -193,13 +194,13 @@
             to_text(microseconds(event.wall_us())) + " on " + event.vm() + ": ";
         if (event.request_id() == request_id)
         {
-            sentences.push_back(when + "the request " + describe_step(event) +
-                                ".");
+            sentences.push_back(
+                printable(when + "the request " + describe_step(event) + "."));
         }
         else if (within && affects_request(event, database, vms))
         {
-            sentences.push_back(when + "meanwhile, " + describe_change(event) +
-                                ".");
+            sentences.push_back(
+                printable(when + "meanwhile, " + describe_change(event) + "."));
         }
     }
     return sentences;
--- a/src/record/timeline.cpp
+++ b/src/record/timeline.cpp
@@ -1,5 +1,6 @@
 #include "tanagerhoist/record/timeline.hpp"
 
+#include "tanagerhoist/core/printable_text.hpp"
 #include "tanagerhoist/core/result_code.hpp"
 
 #include <algorithm>
@@ -119,7 +120,7 @@
     append_field(line, "server", event.server());
     append_field(line, "detail", event.detail());
     append_field(line, "settings", std::to_string(event.settings_version()));
-    return line;
+    return printable(line);
 }
 
 } // namespace tanagerhoist
--- a/src/record/timeline_svg.cpp
+++ b/src/record/timeline_svg.cpp
@@ -1,5 +1,6 @@
 #include "tanagerhoist/record/timeline_svg.hpp"
 
+#include "tanagerhoist/core/printable_text.hpp"
 #include "tanagerhoist/decision/hybrid_clock.hpp"
 #include "tanagerhoist/record/event_kind.hpp"
 #include "tanagerhoist/record/timeline.hpp"
@@ -26,7 +27,7 @@
 std::string escaped(const std::string& text)
 {
     std::string out;
-    for (const char c : text)
+    for (const char c : printable(text))
     {
         switch (c)
         {
--- a/tools/daemon/server_metrics.cpp
+++ b/tools/daemon/server_metrics.cpp
@@ -1,5 +1,7 @@
 #include "server_metrics.hpp"
 
+#include "tanagerhoist/core/printable_text.hpp"
+
 #include <array>
 
 namespace tanagerhoist
@@ -22,7 +24,8 @@
 void print(std::ostream& out, const char* name, const std::string& server,
            double value)
 {
-    out << name << "{server=\"" << server << "\"} " << value << '\n';
+    out << name << "{server=\"" << label_value(server) << "\"} " << value
+        << '\n';
 }
 
 } // namespace
