--- a/standin/store_service.cpp
+++ b/standin/store_service.cpp
@@ -16,6 +16,26 @@
 
 constexpr std::size_t page_rows = 500;
 
+/// Decodes `%NN`; leaves others as they are.
+std::string decode_parameter(const std::string& text)
+{
+    constexpr std::size_t digits = 2;
+    constexpr int base = 16;
+    std::string value;
+    for (std::size_t i = 0; i < text.size(); ++i)
+    {
+        unsigned byte = 0;
+        const auto* first = text.data() + i + 1;
+        const bool encoded =
+            text[i] == '%' && i + digits < text.size() &&
+            std::from_chars(first, first + digits, byte, base).ptr ==
+                first + digits;
+        value += encoded ? static_cast<char>(byte) : text[i];
+        i += encoded ? digits : 0;
+    }
+    return value;
+}
+
 /// Value of a parameter of a query; empty if absent.
 std::string parameter(const std::string& target, const std::string& name)
 {
@@ -26,7 +46,7 @@
         const auto pair = target.substr(begin + 1, end - begin - 1);
         if (pair.rfind(name + "=", 0) == 0)
         {
-            return pair.substr(name.size() + 1);
+            return decode_parameter(pair.substr(name.size() + 1));
         }
         begin = end;
     }
