A failover takes no repeated answer for that of its next command

The coordinator kept one connection to each server for a failover and took the next READY on it for the end of its current command. A row of an earlier command then counted for the next one: an older log end (a candidate that lacks commits: LOST), a demotion that was refused or had not run (a primary goes on: ONE; its log end told as final: STALE, LOST), a primary that no longer was one. Rows before an ERROR counted, and a READY without a row ended an exchange and left its answer to the next one.

Cause: an answer names no command. On a kept connection nothing in a STATUS row tells a new one from a repeated one: role, term, position, lag and busy slots may all be the same, and no signature is given.

Change: one exchange a connection: STARTUP, one command, close. Nothing on the connection has had a row before, so a row can only be the command's. A connection whose exchange failed, and whose command may still run, is closed as before.

A new connection may be refused with TOOMANY where a kept one would have served; the VMs leave two connections free at each server for this (reserved_connections), a failover needs one at a time at a server, and a refused one is asked again like a server that is silent. A spare connection opened ahead would save the 12 ms and hold a connection for all that time; not done.

Besides, a server that registers at another address during a failover is now asked there; the kept connection's first address was used until its end.

--- a/standin/session_group_main.cpp
+++ b/standin/session_group_main.cpp
@@ -27,6 +27,7 @@
         parse_endpoint(address, options["store-port"].as<std::string>());
     group.control_time = time_option(options, "control-ms");
     group.promotion_time = time_option(options, "promotion-ms");
+    group.repeated_after = time_option(options, "repeat-ms");
     for (const auto& text : options["server"].as<std::vector<std::string>>())
     {
         const auto parts = split_option(text, 3);
@@ -62,7 +63,10 @@
         "control-ms", "time that a control command takes",
         cxxopts::value<unsigned>()->default_value("0"))(
         "promotion-ms", "time from a promotion request to the new role",
-        cxxopts::value<unsigned>()->default_value("300"));
+        cxxopts::value<unsigned>()->default_value("300"))(
+        "repeat-ms",
+        "time after which control answers are sent again; 0: never",
+        cxxopts::value<unsigned>()->default_value("0"));
     return options;
 }
 
--- a/standin/session_group_service.cpp
+++ b/standin/session_group_service.cpp
@@ -77,7 +77,7 @@
     boost::asio::io_context& context, const session_group_options& options)
     : context_(context),
       group_(options.name, names(options)),
-      control_{options.control_time,
+      control_{options.control_time, options.repeated_after,
                [this](const std::string& server, const std::string& command)
                { command_arrived(server, command); }},
       promotion_time_(options.promotion_time),
--- a/standin/session_group_service.hpp
+++ b/standin/session_group_service.hpp
@@ -36,6 +36,7 @@
     boost::asio::ip::tcp::endpoint store;      ///< where the servers register
     milliseconds control_time{0};              ///< of a control command
     milliseconds promotion_time{0};            ///< from a request to the role
+    milliseconds repeated_after{0}; ///< of control answers sent again; 0: none
 };
 
 /// A group's backend servers, their rows in the store, and the platform's call
--- a/standin/session_server.cpp
+++ b/standin/session_server.cpp
@@ -120,7 +120,9 @@
     {
         if (server_.responds())
         {
-            write(server_.run(command));
+            const auto answer = server_.run(command);
+            write(answer);
+            repeat_later(answer);
         }
         else
         {
@@ -128,16 +130,56 @@
         }
     }
 
-    void write(std::string answer)
+    /// Answers a line; reads the next one unless the startup was refused.
+    void write(const std::string& answer)
     {
-        output_ = std::move(answer);
+        send(answer);
+        if (started_)
+        {
+            read();
+        }
+    }
+
+    /// Sends an answer again, whatever was sent meanwhile.
+    void repeat_later(const std::string& answer)
+    {
+        const auto wait = server_.commands_.repeated_after;
+        if (wait == milliseconds(0))
+        {
+            return;
+        }
+        const auto timer =
+            std::make_shared<asio::steady_timer>(socket_.get_executor(), wait);
+        timer->async_wait(
+            [self = shared_from_this(), timer, answer](error_code error)
+            {
+                if (!error)
+                {
+                    self->send(answer);
+                }
+            });
+    }
+
+    void send(const std::string& bytes)
+    {
+        waiting_ += bytes;
+        if (output_.empty())
+        {
+            send_waiting();
+        }
+    }
+
+    void send_waiting()
+    {
+        output_ = std::exchange(waiting_, {});
         asio::async_write(
             socket_, asio::buffer(output_),
             [self = shared_from_this()](error_code error, std::size_t /*size*/)
             {
-                if (!error && self->started_)
+                self->output_.clear();
+                if (!error && !self->waiting_.empty())
                 {
-                    self->read();
+                    self->send_waiting();
                 }
             });
     }
@@ -146,7 +188,8 @@
     asio::steady_timer timer_;
     session_server& server_;
     std::string input_;
-    std::string output_;
+    std::string output_;  ///< being sent
+    std::string waiting_; ///< to be sent afterwards
     bool started_ = false;
     transaction_state state_ = transaction_state::none;
 };
--- a/standin/session_server.hpp
+++ b/standin/session_server.hpp
@@ -20,6 +20,9 @@
 {
     milliseconds duration; ///< time that each of them takes
 
+    /// Time after which an answer to one is sent again; 0: it is not.
+    milliseconds repeated_after;
+
     /// Called with the server and the command that has arrived.
     std::function<void(const std::string&, const std::string&)> arrived;
 };
--- a/tests/standin_session_server_test.cpp
+++ b/tests/standin_session_server_test.cpp
@@ -130,7 +130,7 @@
     asio::executor_work_guard<asio::io_context::executor_type> work_{
         context_.get_executor()};
     session_group group_{"g", {"s1"}};
-    control_commands commands_{milliseconds(0),
+    control_commands commands_{milliseconds(0), milliseconds(0),
                                [](const std::string&, const std::string&) {}};
     session_server server_{context_,
                            {asio::ip::address_v4::loopback(), 0},
--- a/tools/daemon/group_operation.cpp
+++ b/tools/daemon/group_operation.cpp
@@ -1,6 +1,7 @@
 #include "group_operation.hpp"
 
 #include "platform/failover_call.hpp"
+#include "platform/server_control.hpp"
 
 namespace tanagerhoist
 {
@@ -58,17 +59,12 @@
     {
         return std::nullopt;
     }
-    auto& control = controls_[server.id];
-    if (!control)
-    {
-        const auto* settings = agent_.proxy_.settings();
-        const auto workspace = settings->workspaces.empty()
-                                   ? std::string()
-                                   : settings->workspaces.begin()->first;
-        control = std::make_unique<platform::server_control>(agent_.context_,
-                                                             server, workspace);
-    }
-    const auto status = control->exchange(line, control_timeout);
+    const auto* settings = agent_.proxy_.settings();
+    const auto workspace = settings->workspaces.empty()
+                               ? std::string()
+                               : settings->workspaces.begin()->first;
+    platform::server_control control(agent_.context_, server, workspace);
+    const auto status = control.exchange(line, control_timeout);
     if (!status)
     {
         return std::nullopt;
--- a/tools/daemon/group_operation.hpp
+++ b/tools/daemon/group_operation.hpp
@@ -3,10 +3,6 @@
 
 #include "fleet_agent.hpp"
 
-#include "platform/server_control.hpp"
-
-#include <map>
-#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -48,8 +44,6 @@
 
     fleet_agent& agent_;
     coordinator_term term_;
-    /// Connections to the group's servers, by id.
-    std::map<std::string, std::unique_ptr<platform::server_control>> controls_;
 };
 
 } // namespace tanagerhoist
