HTTP calls take no bytes that came before their request

Seen in a test, not on the wire: bytes that a server sent beside its answers were taken for the answer to the next call on the same connection, or on the next one.

A connection whose buffer holds more than the answer is closed after it. connect() empties the buffer. A status below 200 is no answer, and ends the connection. Cost: one peek at the socket a call, no connection more unless bytes wait.

A call that was not answered whole closes its connection as before; each /failover call has a connection of its own as before.

What remains: a second copy that comes after the next request was sent can't be told from its answer. For the store the users' page excludes it ("A connection on which a response is lost delivers nothing further" and no word of answers given twice), so calls there keep their connection.

--- a/include/tanagerhoist/adapter/http_stream.hpp
+++ b/include/tanagerhoist/adapter/http_stream.hpp
@@ -103,10 +103,12 @@
 
     /// Sends a request and waits for the complete response, whatever its
     /// status. Ignores `keep_alive` of the request.
-    /// @param sent set to true once bytes may have been sent
+    /// @param sent set to true once bytes may have been sent; not if the
+    ///        connection was not usable
     /// @return the response, or nothing if none arrived in time; the
     ///         connection is then closed, since a late response could be
-    ///         mistaken for that of a later request
+    ///         mistaken for that of a later request. It is also closed if more
+    ///         than one response has come
     std::optional<http_answer> exchange(const http_request& request,
                                         milliseconds timeout, bool& sent);
 
@@ -133,6 +135,12 @@
     void limit_delivery(milliseconds time);
 
     bool is_open() const;
+
+    /// Whether a request may be sent: the connection is open, and the peer has
+    /// neither closed it nor sent what answers no request. If not, it is
+    /// closed.
+    bool is_usable();
+
     void close();
 
 private:
--- a/src/adapter/http_stream.cpp
+++ b/src/adapter/http_stream.cpp
@@ -1,6 +1,7 @@
 #include "tanagerhoist/adapter/http_stream.hpp"
 
 #include "tanagerhoist/adapter/fiber_await.hpp"
+#include "tanagerhoist/adapter/silent_socket.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -26,7 +27,7 @@
 constexpr std::size_t max_header_size = std::size_t{8} * 1024; // bytes
 // In bytes.
 constexpr std::uint64_t max_answer_body = std::uint64_t{64} * 1024 * 1024;
-constexpr unsigned http_ok = 200;
+constexpr unsigned http_ok = 200; ///< lower ones precede a response
 
 /// Longest time that the body of a download may take.
 constexpr milliseconds longest_download{10000};
@@ -191,6 +192,7 @@
     {
         return false;
     }
+    state_->buffer.clear();
     state_->stream.expires_after(timeout);
     error = await(
         [&](auto handler)
@@ -232,13 +234,15 @@
     return !error;
 }
 
-/// Ends a call: keeps the connection only after a complete response.
+/// Ends a call: keeps the connection only after one complete response.
 template <class Parser>
 std::optional<http_answer>
 http_client_stream::finish(const http_request& request, Parser& parser,
                            bool complete)
 {
-    if (!complete || !parser.get().keep_alive())
+    complete = complete && parser.get().result_int() >= http_ok;
+    const bool more = state_->buffer.size() != 0;
+    if (!complete || more || !parser.get().keep_alive())
     {
         close();
     }
@@ -265,10 +269,10 @@
 http_client_stream::exchange(const http_request& request, milliseconds timeout,
                              bool& sent)
 {
-    sent = is_open();
+    sent = is_usable();
     http::response_parser<http::string_body> parser;
     parser.body_limit(max_answer_body);
-    bool complete = send(request, timeout);
+    bool complete = sent && send(request, timeout);
     if (complete)
     {
         complete = !await(
@@ -286,10 +290,10 @@
                              milliseconds longest_pause, bool& sent)
 {
     using clock = std::chrono::steady_clock;
-    sent = is_open();
+    sent = is_usable();
     http::response_parser<http::string_body> parser;
     parser.body_limit(max_answer_body);
-    bool going = send(request, timeout);
+    bool going = sent && send(request, timeout);
     if (going)
     {
         going = !await(
@@ -352,6 +356,15 @@
     return state_->stream.socket().is_open();
 }
 
+bool http_client_stream::is_usable()
+{
+    if (is_open() && !is_silent(state_->stream.socket()))
+    {
+        close();
+    }
+    return is_open();
+}
+
 void http_client_stream::close()
 {
     state_->stream.close();
--- a/src/adapter/outbound_connections.cpp
+++ b/src/adapter/outbound_connections.cpp
@@ -101,11 +101,14 @@
                                      milliseconds timeout)
 {
     auto& idle = idle_streams_[where];
-    if (!idle.empty())
+    while (!idle.empty())
     {
         auto stream = std::move(idle.back());
         idle.pop_back();
-        return stream;
+        if (stream->is_usable())
+        {
+            return stream;
+        }
     }
     auto stream = std::make_shared<http_client_stream>(context_);
     busy_streams_.insert(stream);
--- a/tools/load/load_client.cpp
+++ b/tools/load/load_client.cpp
@@ -50,11 +50,14 @@
                                                  milliseconds timeout)
 {
     auto& idle = idle_[to.port];
-    if (!idle.empty())
+    while (!idle.empty())
     {
         auto stream = std::move(idle.back());
         idle.pop_back();
-        return stream;
+        if (stream->is_usable())
+        {
+            return stream;
+        }
     }
     auto stream = std::make_unique<http_client_stream>(context_);
     return stream->connect(to.address, to.port, timeout) ? std::move(stream)
