Platform client takes no bytes that came before its call

Seen in a test, not on the wire: the second copy of an answer stayed in the client's buffer and was taken for the answer to the next call, so a row seemed to have an earlier version.

Cause: http_platform_client reads HTTP by itself and kept its connection and its buffer without a look at what was left in them.

Change: it connects anew if its connection is closed or not silent, and closes one whose buffer holds more than the answer.

Evidence: platform_answer_that_comes_twice_is_not_taken_for_next_call failed before: expected 8, actual 7. It passes now, with http_platform_client_test.

--- a/src/adapter/http_platform_client.cpp
+++ b/src/adapter/http_platform_client.cpp
@@ -1,5 +1,7 @@
 #include "tanagerhoist/adapter/http_platform_client.hpp"
 
+#include "tanagerhoist/adapter/silent_socket.hpp"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -59,7 +61,7 @@
             return {};
         }
         stream_.expires_after(timeout_);
-        if (!stream_.socket().is_open() && !connect())
+        if (!is_usable() && !connect())
         {
             close();
             return {};
@@ -73,6 +75,18 @@
     }
 
 private:
+    /// Whether the connection is open, and the platform has neither closed it
+    /// nor sent what answers no call. If not, it is closed.
+    bool is_usable()
+    {
+        auto& socket = stream_.socket();
+        if (socket.is_open() && !is_silent(socket))
+        {
+            close();
+        }
+        return socket.is_open();
+    }
+
     bool connect()
     {
         beast::error_code result = asio::error::would_block;
@@ -101,7 +115,7 @@
             return std::nullopt;
         }
         auto reply = parse_reply(parser.get().body());
-        if (!parser.get().keep_alive())
+        if (buffer_.size() != 0 || !parser.get().keep_alive())
         {
             close();
         }
--- a/tests/http_repeated_answers_test.cpp
+++ b/tests/http_repeated_answers_test.cpp
@@ -1,6 +1,8 @@
 #include "platform/store_client.hpp"
 #include "scripted_server.hpp"
+#include "tanagerhoist/adapter/http_platform_client.hpp"
 #include "tanagerhoist/adapter/http_stream.hpp"
+#include "tanagerhoist/decision/settings_rows.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -99,6 +101,7 @@
     CPPUNIT_TEST(interim_answer_is_not_taken_for_answer);
     CPPUNIT_TEST(connection_closed_while_idle_fails_no_call);
     CPPUNIT_TEST(store_answer_that_comes_twice_is_not_taken_for_next_call);
+    CPPUNIT_TEST(platform_answer_that_comes_twice_is_not_taken_for_next_call);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -235,6 +238,19 @@
         CPPUNIT_ASSERT((versions == std::vector<std::uint64_t>{7, 8}));
     }
 
+    void platform_answer_that_comes_twice_is_not_taken_for_next_call()
+    {
+        const auto older = http(R"({"version":"7"})");
+        const auto newer = http(R"({"version":"8"})");
+        scripted_server server(in_order({{older + older, newer}, {newer}}));
+        http_platform_client client("127.0.0.1", server.port(), answer_timeout);
+        const auto first = client.call(read_row(settings_head_row));
+        const auto second = client.call(read_row(settings_head_row));
+        CPPUNIT_ASSERT(first.reply && second.reply);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), first.reply->version());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(8), second.reply->version());
+    }
+
 private:
     static void expect(const std::vector<std::string>& bodies,
                        const std::vector<std::string>& found)
