Late messages of a VM's former process don't count again

A report returned the same operations twice (QUOTA by as many), a handover gave a deputy the same operations twice (QUOTA), and a report took the seal acknowledgement of the new process back, so that a failover waited for its next report.

Cause: messages are tied to their order by life and sequence, but a life that differed from the last one was always taken for a restart. Lives are random and tell no order, so a former one was taken for a new one, and its sequence numbers with it; the new process's next message was a restart again, which forgot its stock.

Change: message_order keeps a VM's process, the number of its newest message and the last 8 processes that it replaced, whose messages are dropped. The grantor, the coordinator's reports and the deputies' pool use it. It is not known when the first message that a new coordinator or deputy hears is a former process's; the next one puts that right, as before.

--- a/include/tanagerhoist/fleet/allowance_pool.hpp
+++ b/include/tanagerhoist/fleet/allowance_pool.hpp
@@ -3,6 +3,7 @@
 
 #include "fleet.pb.h"
 #include "tanagerhoist/core/time.hpp"
+#include "tanagerhoist/fleet/message_order.hpp"
 #include "tanagerhoist/session/session_settings.hpp"
 #include "tanagerhoist/session/workspace_limits.hpp"
 
@@ -55,11 +56,6 @@
         std::uint64_t millionths = 0; ///< sum of the portions
         double rate = 0;              ///< of the workspace's limit
     };
-    struct sender
-    {
-        std::uint64_t life = 0;
-        std::uint64_t sequence = 0;
-    };
 
     std::uint64_t most(const session_workspace& limits) const;
     void add(moment now, account& of, const session_workspace& limits,
@@ -68,7 +64,7 @@
     static void remove_old(moment now, account& of);
 
     limit_tolerance tolerance_;
-    std::map<std::string, sender> senders_; ///< by VM
+    std::map<std::string, message_order> senders_; ///< by VM
     std::unordered_map<std::string, account> accounts_;
     std::uint64_t token_ = 0;
     std::uint64_t handed_millionths_ = 0;
--- a/include/tanagerhoist/fleet/fleet_coordinator.hpp
+++ b/include/tanagerhoist/fleet/fleet_coordinator.hpp
@@ -4,6 +4,7 @@
 #include "fleet.pb.h"
 #include "tanagerhoist/core/time.hpp"
 #include "tanagerhoist/fleet/fleet_members.hpp"
+#include "tanagerhoist/fleet/message_order.hpp"
 #include "tanagerhoist/fleet/operation_grantor.hpp"
 #include "tanagerhoist/fleet/server_standings.hpp"
 #include "tanagerhoist/fleet/warmup_ledger.hpp"
@@ -109,7 +110,8 @@
 private:
     struct vm_state
     {
-        proto::VmReport report;
+        message_order messages; ///< reports
+        proto::VmReport report; ///< the newest
         moment heard{};
         std::map<std::uint64_t, moment> views; ///< send time, by sequence
     };
--- a/include/tanagerhoist/fleet/operation_grantor.hpp
+++ b/include/tanagerhoist/fleet/operation_grantor.hpp
@@ -4,6 +4,7 @@
 #include "fleet.pb.h"
 #include "tanagerhoist/core/time.hpp"
 #include "tanagerhoist/fleet/grant_ledger.hpp"
+#include "tanagerhoist/fleet/message_order.hpp"
 #include "tanagerhoist/session/session_settings.hpp"
 #include "tanagerhoist/session/workspace_limits.hpp"
 
@@ -88,9 +89,8 @@
     using demands = google::protobuf::RepeatedPtrField<proto::WorkspaceDemand>;
     struct vm_state
     {
-        std::uint64_t life = 0;
-        std::uint64_t sequence = 0; ///< of the newest report or request
-        demands demand;             ///< of the last report, not yet granted
+        message_order messages; ///< reports and requests
+        demands demand;         ///< of the last report, not yet granted
         moment heard{};
         bool joined = false;     ///< uses no grants of a former coordinator
         bool gone = false;       ///< silent for so long that it holds no grants
--- a/src/fleet/allowance_pool.cpp
+++ b/src/fleet/allowance_pool.cpp
@@ -98,12 +98,11 @@
                                   const proto::OperationHandover& handover,
                                   proto::HandoverReply& reply)
 {
-    auto& from = senders_[handover.vm()];
-    if (from.life == handover.life() && handover.sequence() <= from.sequence)
+    auto& messages = senders_[handover.vm()];
+    if (!messages.accept(handover.life(), handover.sequence()))
     {
         return false;
     }
-    from = {handover.life(), handover.sequence()};
     served_ = now;
     use_token(handover.token());
     reply.set_life(handover.life());
--- a/src/fleet/fleet_coordinator.cpp
+++ b/src/fleet/fleet_coordinator.cpp
@@ -51,8 +51,7 @@
 {
     grantor_.apply_report(now, report);
     auto& vm = vms_[report.vm()];
-    if (vm.report.life() == report.life() &&
-        report.sequence() <= vm.report.sequence())
+    if (!vm.messages.accept(report.life(), report.sequence()))
     {
         return; // duplicate or out of date
     }
--- a/src/fleet/operation_grantor.cpp
+++ b/src/fleet/operation_grantor.cpp
@@ -98,16 +98,15 @@
 void operation_grantor::apply_report(moment now, const proto::VmReport& report)
 {
     auto& vm = vms_[report.vm()];
-    if (vm.life == report.life() && report.sequence() <= vm.sequence)
+    const auto life = vm.messages.life();
+    if (!vm.messages.accept(report.life(), report.sequence()))
     {
         return; // duplicate or out of date
     }
-    if (vm.life != report.life())
+    if (life != report.life())
     {
         ledger_.forget(report.vm()); // a restarted VM holds nothing
     }
-    vm.life = report.life();
-    vm.sequence = report.sequence();
     vm.demand = report.demand();
     note_heard(now, report.vm(), report.token(), vm);
 }
@@ -184,12 +183,11 @@
                               const proto::GrantRequest& request, grants& given)
 {
     const auto it = vms_.find(request.vm());
-    if (it == vms_.end() || it->second.life != request.life() ||
-        request.sequence() <= it->second.sequence)
+    if (it == vms_.end() || it->second.messages.life() != request.life() ||
+        !it->second.messages.accept(request.life(), request.sequence()))
     {
         return false;
     }
-    it->second.sequence = request.sequence();
     note_heard(now, request.vm(), request.token(), it->second);
     grant_demand(now, settings, request.vm(), request.demand(), given);
     return true;
--- a/tests/allowance_pool_test.cpp
+++ b/tests/allowance_pool_test.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST_SUITE(allowance_pool_test);
     CPPUNIT_TEST(parts_of_two_vms_make_one_operation);
     CPPUNIT_TEST(repeated_handover_counts_once);
+    CPPUNIT_TEST(late_handover_of_former_process_counts_once);
     CPPUNIT_TEST(old_operations_are_dropped_but_one);
     CPPUNIT_TEST(operations_above_the_limit_are_dropped);
     CPPUNIT_TEST(newer_coordinator_empties_the_pool);
@@ -59,6 +60,18 @@
         CPPUNIT_ASSERT_EQUAL(0U, granted(handover("b", 1, 0, 1)));
     }
 
+    void late_handover_of_former_process_counts_once()
+    {
+        granted(handover("a", 2, 600000, 0));
+        auto restarted = handover("a", 1, 0, 0);
+        restarted.set_life(2);
+        granted(restarted);
+        proto::HandoverReply reply;
+        CPPUNIT_ASSERT(!pool_.use_handover(now_, settings_,
+                                           handover("a", 2, 600000, 0), reply));
+        CPPUNIT_ASSERT_EQUAL(0U, granted(handover("b", 1, 0, 1)));
+    }
+
     void old_operations_are_dropped_but_one()
     {
         granted(handover("a", 1, 2500000, 0));
--- a/tests/fleet_coordinator_test.cpp
+++ b/tests/fleet_coordinator_test.cpp
@@ -81,6 +81,7 @@
     CPPUNIT_TEST(empty_account_below_limit_is_not_exhausted);
     CPPUNIT_TEST(repeated_request_is_granted_once);
     CPPUNIT_TEST(delayed_position_keeps_its_age);
+    CPPUNIT_TEST(late_report_of_former_process_takes_no_seal_back);
     CPPUNIT_TEST(confirmed_log_end_is_passed_on_with_its_age);
     CPPUNIT_TEST(balance_of_released_lease_is_granted);
     CPPUNIT_TEST(share_of_a_silent_vm_is_not_granted);
@@ -312,6 +313,23 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{100}, later.positions(0).number());
     }
 
+    void late_report_of_former_process_takes_no_seal_back()
+    {
+        coordinator_fixture f;
+        f.add_member("a", 10, f.members.store_now);
+        f.members.rows["a"].row.set_life(2);
+        const auto former = f.report("a");
+        f.subject.apply_report(f.now, former);
+        auto report = f.report("a");
+        report.set_life(2);
+        auto& ack = *report.add_sealed();
+        ack.set_group("g");
+        ack.set_epoch(7);
+        f.subject.apply_report(f.now, report);
+        f.subject.apply_report(f.now, former);
+        CPPUNIT_ASSERT(f.sealed(f.now));
+    }
+
     void confirmed_log_end_is_passed_on_with_its_age()
     {
         coordinator_fixture f;
--- a/tests/operation_grantor_test.cpp
+++ b/tests/operation_grantor_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(newer_token_ends_granting_after_the_term);
     CPPUNIT_TEST(granting_ends_some_time_after_the_term);
     CPPUNIT_TEST(former_holder_grants_the_part_of_the_vms_that_it_hears);
+    CPPUNIT_TEST(late_report_of_former_process_returns_operations_once);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::uint64_t token = 4;
@@ -63,6 +64,26 @@
 
     void end_term() { subject_.use_term(now_, false); }
 
+    /// Has a VM's process send a report, and grants what it asks for.
+    /// @return operations granted
+    std::uint64_t applied(std::uint64_t life, std::uint64_t sequence,
+                          std::uint64_t returned, std::uint64_t missing)
+    {
+        proto::VmReport made;
+        made.set_vm(vm(0));
+        made.set_life(life);
+        made.set_sequence(sequence);
+        made.set_token(token);
+        auto& demand = *made.add_demand();
+        demand.set_workspace("w");
+        demand.set_returned(returned);
+        demand.set_missing(missing);
+        subject_.apply_report(now_, made);
+        operation_grantor::grants given;
+        subject_.grant(now_, settings_, vm(0), given);
+        return given.empty() ? 0 : given[0].operations();
+    }
+
 public:
     void setUp() override { settings_.workspaces["w"] = {rate, rate}; }
 
@@ -130,6 +151,18 @@
         CPPUNIT_ASSERT(granted > 0);
         CPPUNIT_ASSERT(static_cast<double>(granted) <= whole * seconds / 4 + 1);
     }
+
+    /// A restarted VM's tenants got operations twice that its former process
+    /// had returned.
+    void late_report_of_former_process_returns_operations_once()
+    {
+        subject_.begin_term(now_, token, {}, 1);
+        CPPUNIT_ASSERT(applied(1, 1, 0, 10'000) > 50); // all there are
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, applied(1, 2, 50, 0));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{50}, applied(2, 1, 0, 10'000));
+        applied(1, 2, 50, 0); // again
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, applied(2, 2, 0, 10'000));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(operation_grantor_test);
