Positions are dated by views of this coordinator only

Cause: a report names the newest view that its VM had by number only, and the coordinator dates the report's positions from when it sent its view of that number. Each coordinator counts its views by itself. A VM that reports to the new one before its first view arrives names the former one's view; if the new one has just sent it a view of the same number, which is still on its way, the positions seem to be from after that view: too new by up to the time that both datagrams take. It needs equal numbers, so it is rare, and likelier if the former coordinator's term was short.

Change: positions count only if the report names this coordinator's token, as told_leads_ in the daemon did already.

Evidence: position_told_to_former_coordinator_is_not_dated, before: expected 0 positions, actual 1. It passes now. delayed_position_keeps_its_age now begins a term with the token that its reports name, as the daemon does; its checks are the same.

--- a/src/fleet/fleet_coordinator.cpp
+++ b/src/fleet/fleet_coordinator.cpp
@@ -76,11 +76,12 @@
 
 /// Applies the reported positions. A position is dated from the send time of
 /// the view that the report names, since the report was sent after that view,
-/// however long its delivery took.
+/// however long its delivery took. A view of a former coordinator may have the
+/// number of one of this one's.
 void fleet_coordinator::take_positions(const vm_state& vm)
 {
     const auto view = vm.views.find(vm.report.view());
-    if (view == vm.views.end())
+    if (view == vm.views.end() || vm.report.token() != grantor_.token())
     {
         return;
     }
--- a/tests/fleet_coordinator_test.cpp
+++ b/tests/fleet_coordinator_test.cpp
@@ -81,6 +81,7 @@
     CPPUNIT_TEST(empty_account_below_limit_is_not_exhausted);
     CPPUNIT_TEST(repeated_request_is_granted_once);
     CPPUNIT_TEST(delayed_position_keeps_its_age);
+    CPPUNIT_TEST(position_told_to_former_coordinator_is_not_dated);
     CPPUNIT_TEST(late_report_of_former_process_takes_no_seal_back);
     CPPUNIT_TEST(confirmed_log_end_is_passed_on_with_its_age);
     CPPUNIT_TEST(balance_of_released_lease_is_granted);
@@ -289,6 +290,7 @@
     void delayed_position_keeps_its_age()
     {
         coordinator_fixture f;
+        f.subject.reset(f.now, f.token, {}, 1);
         f.subject.apply_report(f.now, f.report("a"));
         f.subject.record_view(f.now, "a", 5);
         auto report = f.report("a");
@@ -313,6 +315,30 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{100}, later.positions(0).number());
     }
 
+    /// Its age was counted from a view of this coordinator that had the same
+    /// number as the former one's, and had not arrived yet.
+    void position_told_to_former_coordinator_is_not_dated()
+    {
+        coordinator_fixture f;
+        f.subject.reset(f.now, f.token, {}, 1);
+        auto report = f.report("a");
+        report.set_token(f.token - 1);
+        report.set_view(5);
+        f.subject.apply_report(f.now, report);
+        f.now += milliseconds(20);
+        f.subject.record_view(f.now, "a", 5);
+        report.set_sequence(++f.sequence); // sent before that view arrived
+        auto& sample = *report.add_positions();
+        sample.set_group("g");
+        sample.set_term(1);
+        sample.set_number(100);
+        f.now += milliseconds(20);
+        f.subject.apply_report(f.now, report);
+        proto::FleetView view;
+        f.subject.add_positions(f.now, view);
+        CPPUNIT_ASSERT_EQUAL(0, view.positions_size());
+    }
+
     void late_report_of_former_process_takes_no_seal_back()
     {
         coordinator_fixture f;
