A view for a VM's former process answers no report of the new one

Cause: a view names by number the report that it answers, and its positions are dated from when that report was sent. Each process counted from 1. A late view that answered a report of the former process was taken for the answer to the new one's report of the same number, which was sent later, so that the positions seemed newer than they were. It needs a former process that had sent few reports, and a view that was on its way while the new one sent as many.

Change: a process numbers its messages from its life modulo 2^32. This makes equal numbers unlikely, not impossible: a process keeps the numbers of its last 16 reports, so about 1 in 10^8 for two processes, in a case that is rare already. A field for the life in the view would be exact; it changes the schema of all daemons and costs 10 bytes a view, and was left. Reports, requests and views that name a report grow by up to 4 bytes.

Evidence: view_for_former_process_answers_no_report, before: !subject. report_sent_at(answered) was false. It passes now.

--- a/include/tanagerhoist/fleet/coordinator_messages.hpp
+++ b/include/tanagerhoist/fleet/coordinator_messages.hpp
@@ -16,6 +16,11 @@
 class coordinator_messages
 {
 public:
+    /// @param life random number of this process. The numbers of its messages
+    ///   begin there, so that the answer to a report of a former process is not
+    ///   taken for one to its own
+    explicit coordinator_messages(std::uint64_t life = 0);
+
     /// Whether a view is newer than all messages before it. If so, it becomes
     /// the newest one, and its sender the coordinator.
     bool accept_view(moment now, std::uint64_t token, std::uint64_t sequence);
@@ -53,7 +58,7 @@
     std::uint64_t token_ = 0;       ///< of the current coordinator
     std::uint64_t newest_view_ = 0; ///< sequence of the last view
     std::uint64_t newest_ = 0;      ///< sequence of the last message received
-    std::uint64_t sent_sequence_ = 0;
+    std::uint64_t sent_sequence_;
     moment last_contact_{};
     std::map<std::uint64_t, moment> reports_; ///< send time, by sequence
 };
--- a/src/fleet/coordinator_messages.cpp
+++ b/src/fleet/coordinator_messages.cpp
@@ -8,8 +8,16 @@
 /// Reports whose send time is kept; views answer one of the last few.
 constexpr std::size_t kept_reports = 16;
 
+/// First numbers lie below this one, to be short in messages.
+constexpr std::uint64_t first_sequences = std::uint64_t{1} << 32U;
+
 } // namespace
 
+coordinator_messages::coordinator_messages(std::uint64_t life)
+    : sent_sequence_(life % first_sequences)
+{
+}
+
 bool coordinator_messages::accept_view(moment now, std::uint64_t token,
                                        std::uint64_t sequence)
 {
--- a/tests/coordinator_messages_test.cpp
+++ b/tests/coordinator_messages_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(grants_count_once_and_only_from_the_coordinator);
     CPPUNIT_TEST(view_keeps_the_send_time_of_the_report_it_answers);
     CPPUNIT_TEST(dropped_view_is_no_contact);
+    CPPUNIT_TEST(view_for_former_process_answers_no_report);
     CPPUNIT_TEST_SUITE_END();
 
     const moment now_{std::chrono::hours(1)};
@@ -77,6 +78,17 @@
         subject.accept_view(now_ + milliseconds(400), 1, 600);
         CPPUNIT_ASSERT(subject.last_contact() == now_);
     }
+
+    /// The positions in a late view that answered a report of the former
+    /// process were dated from a report of this one with the same number.
+    void view_for_former_process_answers_no_report()
+    {
+        coordinator_messages former(0x8d2f'51c3'0b96'e47aU);
+        coordinator_messages subject(0x17e4'a8f0'62d5'39bcU);
+        const auto answered = former.record_report(now_);
+        subject.record_report(now_ + milliseconds(400));
+        CPPUNIT_ASSERT(!subject.report_sent_at(answered));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(coordinator_messages_test);
--- a/tools/daemon/fleet_agent.cpp
+++ b/tools/daemon/fleet_agent.cpp
@@ -103,7 +103,8 @@
       coordinator_(tolerance, settings.sessions().first_start() == "true",
                    warmup_tolerance_of(settings.sessions()),
                    settings.sessions().pace() == "true"),
-      pool_(tolerance)
+      pool_(tolerance),
+      messages_(life)
 {
 }
 
