--- a/src/adapter/http_client_stream.cpp
+++ b/src/adapter/http_client_stream.cpp
@@ -38,6 +38,7 @@
     explicit state(asio::io_context& context) : stream(context) {}
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
+    bool has_answered = false; ///< on the open connection
 };
 
 http_client_stream::http_client_stream(asio::io_context& context)
@@ -52,6 +53,7 @@
 {
     close();
     state_->buffer.clear();
+    state_->has_answered = false;
     error_code error;
     const auto ip = asio::ip::make_address(address, error);
     if (error)
@@ -125,16 +127,18 @@
     return true;
 }
 
-/// Ends a call: keeps the connection only after a complete response. If more
-/// bytes follow it, it may be the repeated answer to an earlier request, with
-/// that to this one behind it.
+/// Ends a call: keeps the connection only after one complete response. If more
+/// bytes follow, it may be the repeated answer to an earlier request, with that
+/// to this one behind it, unless it is the connection's first.
 template <class Parser>
 std::optional<http_answer>
 http_client_stream::finish(const http_request& request,
                            std::optional<Parser>& parser, bool complete)
 {
-    complete = complete && state_->buffer.size() == 0;
-    if (!complete || !parser->get().keep_alive())
+    const bool more = state_->buffer.size() != 0;
+    complete = complete && (!more || !state_->has_answered);
+    state_->has_answered = true;
+    if (!complete || more || !parser->get().keep_alive())
     {
         close();
     }
--- a/src/adapter/http_platform_client.cpp
+++ b/src/adapter/http_platform_client.cpp
@@ -120,12 +120,15 @@
             }
         } while (is_interim(parser->get().result_int()));
         // If more bytes follow, this may be the answer to an earlier call.
-        if (buffer_.size() > 0 || parser->get().result() != http::status::ok)
+        const bool more = buffer_.size() != 0;
+        const bool ambiguous = more && has_answered_;
+        if (ambiguous || parser->get().result() != http::status::ok)
         {
             return std::nullopt;
         }
+        has_answered_ = true;
         auto reply = parse_reply(parser->get().body());
-        if (!parser->get().keep_alive())
+        if (more || !parser->get().keep_alive())
         {
             close();
         }
@@ -163,10 +166,12 @@
         beast::error_code ignored;
         stream_.socket().close(ignored);
         buffer_.clear();
+        has_answered_ = false;
     }
 
     asio::io_context context_{1};
     beast::tcp_stream stream_;
+    bool has_answered_ = false; ///< on the open connection
     tcp::endpoint endpoint_;
     milliseconds timeout_;
     beast::flat_buffer buffer_;
--- a/tools/daemon/fleet_agent.cpp
+++ b/tools/daemon/fleet_agent.cpp
@@ -104,7 +104,8 @@
                    warmup_tolerance_of(settings.sessions()),
                    settings.sessions().pace() == "true"),
       pool_(tolerance),
-      handover_(decisions.limits())
+      handover_(decisions.limits()),
+      messages_(life)
 {
 }
 
