--- a/fuzz/line_protocol_state.cpp
+++ b/fuzz/line_protocol_state.cpp
@@ -59,6 +59,9 @@
         {
         }
     }
+    // Resets the connection, which leaves no port in use after it.
+    peer.set_option(asio::socket_base::linger(true, 0));
+    peer.close();
     stream->abort();
     lines_sent += lines.size();
     return lines;
