Test: a repeated report gets no second warm-up permit

A server in its warm-up would get more than its rate if a report that comes twice were granted twice. It is not: the test passed at once, and failed in a trial with clear_warmup_demand() taken out of fleet_coordinator_warmups.cpp (expected 0, actual 1).

--- a/tests/fleet_coordinator_test.cpp
+++ b/tests/fleet_coordinator_test.cpp
@@ -80,6 +80,7 @@
     CPPUNIT_TEST(grants_never_exceed_the_limit_of_a_window);
     CPPUNIT_TEST(empty_account_below_limit_is_not_exhausted);
     CPPUNIT_TEST(repeated_request_is_granted_once);
+    CPPUNIT_TEST(repeated_report_gets_no_second_warmup_permit);
     CPPUNIT_TEST(delayed_position_keeps_its_age);
     CPPUNIT_TEST(position_told_to_former_coordinator_is_not_dated);
     CPPUNIT_TEST(late_report_of_former_process_takes_no_seal_back);
@@ -402,6 +403,28 @@
             !f.subject.grantor().grant(f.now, f.settings, request, given));
     }
 
+    /// Each report is answered by a view, also a repeated one.
+    void repeated_report_gets_no_second_warmup_permit()
+    {
+        coordinator_fixture f;
+        f.settings.groups["g"].warmup_rate = 100;
+        const server_list servers = {{"s", {"s", "g"}}};
+        f.subject.reset(f.now, f.token, {}, 1);
+        f.now += std::chrono::seconds(10); // the former holder's have lapsed
+        auto report = f.report("a");
+        auto& demand = *report.add_warmup_demand();
+        demand.set_server("s");
+        demand.set_requests(1);
+        for (const int permits : {1, 0})
+        {
+            f.subject.apply_report(f.now, report);
+            proto::FleetView view;
+            f.subject.add_warmup_permits(f.now, f.settings, servers, "a", view);
+            CPPUNIT_ASSERT_EQUAL(permits, view.warmup_permits_size());
+            f.now += std::chrono::seconds(1);
+        }
+    }
+
     void balance_of_released_lease_is_granted()
     {
         coordinator_fixture f;
