--- a/include/tanagerhoist/session/proxy_transport.hpp
+++ b/include/tanagerhoist/session/proxy_transport.hpp
@@ -27,6 +27,9 @@
     std::string text;                   ///< error message
     transaction_state state = transaction_state::none;
     std::optional<log_position> position;
+
+    /// Whether it tells that the statement succeeded or failed.
+    bool has_result() const { return error || !signature.empty(); }
 };
 
 /// Network operations of the proxy. Implementations must not call back into the
@@ -52,6 +55,9 @@
                       const server_statement& statement) = 0;
     virtual void close(connection_id connection) = 0;
 
+    /// Whether bytes of a server have arrived that were not passed on yet.
+    virtual bool has_unread(connection_id connection) const = 0;
+
     /// Requests a grant of operations; a statement is waiting for it.
     virtual void request_grant() = 0;
 };
