Servers whose rows recur, and repeated answers to STATUS

In same-rows-part the reads of an item always have the same rows, as of a server that stores something, and the first lines of answers come again. In status-mixed, STATUS is answered like all else; the other modes still spare it.

--- a/standin/wire_execution.cpp
+++ b/standin/wire_execution.cpp
@@ -1,5 +1,7 @@
 #include "standin/wire_execution.hpp"
 
+#include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace tanagerhoist::standin
@@ -199,7 +201,7 @@
     }
     else if (what.word == "READ" || what.word == "EXECUTE")
     {
-        read_item(answer);
+        read_item(what, answer);
     }
     else
     {
@@ -217,7 +219,7 @@
     return group_.mode.fails && group_.random.chance(fail_share);
 }
 
-void wire_execution::read_item(wire_answer& answer)
+void wire_execution::read_item(const read_statement& what, wire_answer& answer)
 {
     if (fails())
     {
@@ -225,14 +227,20 @@
         answer.text = group_.data.text();
         return;
     }
-    const auto rows = group_.random.below(most_rows + 1);
-    for (std::size_t i = 0; i < rows; ++i)
-    {
-        answer.rows.push_back(group_.data.text());
-    }
+    answer.rows = rows_of(what);
     answer.signature = next_signature();
 }
 
+std::vector<std::string> wire_execution::rows_of(const read_statement& what)
+{
+    wire_random own(std::hash<std::string>()(what.rest));
+    auto& random = group_.mode.same_rows ? own : group_.random;
+    wire_data data(random, group_.mode.any_bytes);
+    std::vector<std::string> rows(random.below(most_rows + 1));
+    std::generate(rows.begin(), rows.end(), [&data] { return data.text(); });
+    return rows;
+}
+
 void wire_execution::write_item(const read_statement& what, wire_answer& answer)
 {
     if (!primary_ || (transaction_ && transaction_->reads_only))
--- a/standin/wire_execution.hpp
+++ b/standin/wire_execution.hpp
@@ -77,7 +77,8 @@
     wire_answer status() const;
     void change(const read_statement& what, wire_answer& answer);
     void begin(const read_statement& what, wire_answer& answer);
-    void read_item(wire_answer& answer);
+    void read_item(const read_statement& what, wire_answer& answer);
+    std::vector<std::string> rows_of(const read_statement& what);
     void write_item(const read_statement& what, wire_answer& answer);
     void commit(wire_answer& answer);
     bool fails();
--- a/standin/wire_modes.cpp
+++ b/standin/wire_modes.cpp
@@ -139,6 +139,10 @@
     {"cut", &cut},
     {"silent", &silent},
     {"proxy-again", &proxy_again},
+    {"status-late", &late, false, false, false, false, true},
+    {"status-mixed", &mixed, true, true, true, false, true},
+    {"same-rows-late", &late, false, false, false, true},
+    {"same-rows-part", &part, false, false, false, true},
     {"mixed", &mixed, true, true, true},
 };
 
--- a/standin/wire_modes.hpp
+++ b/standin/wire_modes.hpp
@@ -39,6 +39,8 @@
     bool any_bytes = false; ///< data of any bytes but CR LF in a row
     bool pieces = false;    ///< all is sent in pieces of a few bytes
     bool fails = false;     ///< some statements fail
+    bool same_rows = false; ///< reads of an item always have the same rows
+    bool status = false;    ///< `STATUS` is answered like all else
 };
 
 /// Returns the mode with this name, or null.
--- a/standin/wire_server.cpp
+++ b/standin/wire_server.cpp
@@ -119,7 +119,7 @@
                            : "COMPLETE " + answer.signature;
         bytes.bytes +=
             "\r\nREADY " + answer.state + ' ' + group_.position() + "\r\n";
-        if (what.word == "STATUS")
+        if (what.word == "STATUS" && !group_.mode.status)
         {
             write(bytes.bytes);
             return;
