A connection that rests is closed for a new one, not used at once

Callers would see: PINNED, a statement that runs outside its transaction, when a BEGIN's earlier result comes again just before the error of the new BEGIN; more often since resting connections are used where the budget is used up. Cause: 'Connections that rest are used where no more may be opened' took the rest for an optimisation. It also keeps unsigned results, which nothing tells from a repeated one, from meeting the next BEGIN. Mend: where the budget is used up, the connection that is idle the longest is closed for a new one, whether it rests or not. No statement waits for a rest.

--- a/src/session/proxy_connections.cpp
+++ b/src/session/proxy_connections.cpp
@@ -52,38 +52,29 @@
 }
 
 /// Returns an idle connection of the session's workspace, preferably one with
-/// the same session values; 0: none. One that is to rest is used where no
-/// further connection may be opened.
+/// the same session values; 0: none.
 connection_id proxy::idle_connection(moment now, const std::string& server,
                                      const client_session& session) const
 {
     const bool needs_true_errors = has_effect(session);
-    const auto* state = this->server(server);
-    const bool may_open =
-        state != nullptr && state->connections < budget_at(*state).connections;
     connection_id found = 0;
-    connection_id resting = 0;
     for (const auto& [id, connection] : connections_)
     {
         if (connection.phase != connection_phase::idle ||
             connection.server != server ||
             connection.workspace != session.workspace ||
-            (needs_true_errors && connection.history.has_errors()))
+            (needs_true_errors && connection.history.has_errors()) ||
+            !is_rested(now, connection))
         {
             continue;
         }
-        if (!is_rested(now, connection))
-        {
-            resting = id;
-            continue;
-        }
         if (connection.state.values() == session.values)
         {
             return id;
         }
         found = id;
     }
-    return found != 0 || may_open ? found : resting;
+    return found;
 }
 
 /// Returns the connection that has been idle for the longest time, in any
