A transaction begins behind no begin that may be repeated; rows of commits

Cause: results of BEGIN have no signature, and the second one looks like the first.

Besides, rows with a commit are treated like rows with a write: a server that gives them keeps to the page, and its commits were all of unknown outcome.

Evidence: transaction_begins_behind_no_begin_that_may_be_repeated fails without the change of idle_connection.

--- a/include/tanagerhoist/session/proxy.hpp
+++ b/include/tanagerhoist/session/proxy.hpp
@@ -287,6 +287,7 @@
     connection_id idle_connection(moment now, const std::string& server,
                                   const client_session& session) const;
     connection_id longest_idle_connection(const std::string& server) const;
+    bool is_repeating(moment now, const std::string& server) const;
     bool is_rested(moment now, const server_connection& connection) const;
     void open_connection(moment now, server_state& server,
                          const std::string& workspace, session_id owner);
--- a/include/tanagerhoist/session/server_connection.hpp
+++ b/include/tanagerhoist/session/server_connection.hpp
@@ -35,6 +35,7 @@
     bool counted = false;                ///< included in the server's `running`
     bool in_transaction = false;         ///< by its last answer
     bool receiving = false;              ///< part of an answer
+    bool has_begun = false;              ///< a transaction, at any time
     bool is_spent = false;               ///< to be closed instead of reused
     bool ran_own = false; ///< its last answer was to the proxy's statement
     moment opened{};
--- a/src/session/proxy_answer_faults.cpp
+++ b/src/session/proxy_answer_faults.cpp
@@ -23,6 +23,11 @@
                  static_cast<std::uint64_t>(what.kind));
 }
 
+bool may_change_data(const statement& what)
+{
+    return what.writes || what.kind == statement_kind::commit;
+}
+
 /// State of a connection after a statement has succeeded on it.
 transaction_state state_after(const server_connection& connection)
 {
@@ -55,7 +60,7 @@
     const bool of_client = connection.runs_request();
     expected_answer expected;
     expected.is_signed = of_client;
-    expected.may_have_rows = of_client && what.kind != statement_kind::commit;
+    expected.may_have_rows = of_client;
     expected.state = state_after(connection);
     expected.statement = hash_of(what);
     return expected;
@@ -169,6 +174,7 @@
     connection.history.add(expected, connection.answer);
     connection.in_transaction =
         connection.answer.state != transaction_state::none;
+    connection.has_begun = connection.has_begun || connection.in_transaction;
     connection.answered = now;
     return true;
 }
@@ -194,7 +200,7 @@
 bool proxy::are_rows_confirmed(const server_connection& connection) const
 {
     const auto doubt = doubt_on(connection);
-    if (connection.current.what.writes)
+    if (may_change_data(connection.current.what))
     {
         const auto* found = server(connection.server);
         return doubt.why != row_doubt::cut_row && found != nullptr &&
@@ -226,7 +232,8 @@
     auto* server = find_server(connection.server);
     const bool has_own_rows =
         !connection.answer.rows.empty() && !connection.history.has_rows();
-    if (server != nullptr && connection.current.what.writes && has_own_rows)
+    if (server != nullptr && may_change_data(connection.current.what) &&
+        has_own_rows)
     {
         server->writes_have_rows = true;
     }
@@ -264,7 +271,8 @@
 {
     const auto owner = sessions_.find(connection.owner);
     if (fault != answer_fault::doubtful_rows || owner == sessions_.end() ||
-        owner->second.request.first || connection.current.what.writes ||
+        owner->second.request.first ||
+        may_change_data(connection.current.what) ||
         owner->second.request.doubted->asked_again)
     {
         return false;
--- a/src/session/proxy_connections.cpp
+++ b/src/session/proxy_connections.cpp
@@ -51,12 +51,22 @@
            now >= connection.answered + state->repeated.rest(now);
 }
 
+/// Whether a server has repeated answers of late. The result of an earlier
+/// begin may then come instead of an error to the next one.
+bool proxy::is_repeating(moment now, const std::string& server) const
+{
+    const auto* state = this->server(server);
+    return state != nullptr && state->repeated.repeats(now);
+}
+
 /// Returns an idle connection of the session's workspace, preferably one with
 /// the same session values; 0: none.
 connection_id proxy::idle_connection(moment now, const std::string& server,
                                      const client_session& session) const
 {
     const bool needs_true_errors = has_effect(session);
+    const bool needs_true_begin =
+        session.state == transaction_state::open && is_repeating(now, server);
     connection_id found = 0;
     for (const auto& [id, connection] : connections_)
     {
@@ -64,6 +74,7 @@
             connection.server != server ||
             connection.workspace != session.workspace ||
             (needs_true_errors && connection.history.has_errors()) ||
+            (needs_true_begin && connection.has_begun) ||
             !is_rested(now, connection))
         {
             continue;
--- a/tests/proxy_answer_review_test.cpp
+++ b/tests/proxy_answer_review_test.cpp
@@ -84,6 +84,8 @@
     CPPUNIT_TEST(cut_row_is_not_passed_on_where_rows_recur);
     CPPUNIT_TEST(rows_of_an_earlier_answer_are_not_passed_on_where_rows_recur);
     CPPUNIT_TEST(rows_of_an_earlier_answer_are_not_passed_on_for_a_write);
+    CPPUNIT_TEST(transaction_begins_behind_no_begin_that_may_be_repeated);
+    CPPUNIT_TEST(rows_of_commits_are_passed_on_where_commits_have_rows);
     CPPUNIT_TEST(rows_of_writes_are_passed_on_where_writes_have_rows);
     CPPUNIT_TEST(
         read_of_a_transaction_with_rows_of_an_earlier_one_is_sent_again);
@@ -213,6 +215,45 @@
                        session_error::outcome_unknown);
     }
 
+    void transaction_begins_behind_no_begin_that_may_be_repeated()
+    {
+        surplus_proxy f;
+        const auto idle = f.open_idle(2);
+        const auto client = f.start("primary");
+        f.ask(client, f.make(statement_kind::begin_read));
+        f.ask(client, f.make(statement_kind::read, "1"));
+        const auto connection = f.transport.sent.back().connection;
+        f.answer(connection, {}, "-", transaction_state::open);
+        f.answer(connection, {}, f.next_signature(), transaction_state::open);
+        f.ask(client, f.make(statement_kind::commit));
+        f.answer(connection, {}, f.next_signature());
+        const auto other = idle.front() == connection ? idle[1] : idle[0];
+        f.subject.server_row(f.now, other, "a"); // the server repeats answers
+        CPPUNIT_ASSERT(f.is_closed(other));
+        f.advance(milliseconds(400));
+        f.subject.renew_primary_lease(f.now);
+        f.ask(client, f.make(statement_kind::begin_read));
+        f.ask(client, f.make(statement_kind::read, "2"));
+        CPPUNIT_ASSERT(f.open_last() != connection);
+        CPPUNIT_ASSERT(f.transport.sent.back().connection != connection);
+        CPPUNIT_ASSERT(f.transport.sent.back().statement.what.kind ==
+                       statement_kind::begin_read);
+    }
+
+    void rows_of_commits_are_passed_on_where_commits_have_rows()
+    {
+        surplus_proxy f;
+        const auto client = f.start("primary");
+        f.ask(client, f.make(statement_kind::begin));
+        f.ask(client, f.make(statement_kind::write, "1"));
+        const auto connection = f.open_last();
+        f.answer(connection, {}, "-", transaction_state::open);
+        f.answer(connection, {}, "s1", transaction_state::open);
+        f.ask(client, f.make(statement_kind::commit));
+        f.answer(connection, {"1"}, "s2");
+        CPPUNIT_ASSERT(!f.transport.last_answer(client).error);
+    }
+
     void rows_of_writes_are_passed_on_where_writes_have_rows()
     {
         surplus_proxy f;
