A read that is sent again waits for the end of a second answer; files by job

A transaction was rolled back although its read could have been sent again (found in the read-through): if bytes of an earlier answer waited at that moment, the doubtful answer was still held, and the first line behind it counted as out of order. It is dropped now before the read waits. read_that_is_sent_again_waits_for_the_end_of_a_second_answer fails without that line (expected s3, the transaction was rolled back).

--- a/include/tanagerhoist/session/proxy.hpp
+++ b/include/tanagerhoist/session/proxy.hpp
@@ -335,16 +335,7 @@
                                            bool ends_answer);
     bool take_answer(moment now, connection_id id,
                      server_connection& connection);
-    const recurring_rows&
-    recurring_at(const server_connection& connection) const;
-    doubtful_rows doubt_on(const server_connection& connection) const;
-    bool are_rows_confirmed(const server_connection& connection) const;
-    const doubted_rows* doubted_by(const server_connection& connection) const;
-    void note_rows_of_write(const server_connection& connection);
-    void note_recurring_rows(const doubted_rows& rows);
-    void doubt_rows(const server_connection& connection, answer_fault fault);
-    bool ask_again(moment now, connection_id id, server_connection& connection,
-                   answer_fault fault);
+    void note_error(server_connection& connection, answer_fault fault);
     bool skip_repeated(moment now, server_connection& connection,
                        answer_fault fault);
     void skip_surplus(moment now, connection_id id,
@@ -356,6 +347,19 @@
                     answer_fault fault);
     void give_up_connection(moment now, connection_id id, answer_fault fault);
 
+    // Rows that may belong to an earlier answer: proxy_row_doubts.cpp
+    const recurring_rows&
+    recurring_at(const server_connection& connection) const;
+    doubtful_rows doubt_on(const server_connection& connection) const;
+    bool are_rows_confirmed(const server_connection& connection) const;
+    const doubted_rows* doubted_by(const server_connection& connection) const;
+    void note_rows(const server_connection& connection);
+    void note_rows_of_write(const server_connection& connection);
+    void note_recurring_rows(const doubted_rows& rows);
+    void doubt_rows(const server_connection& connection, answer_fault fault);
+    bool ask_again(moment now, connection_id id, server_connection& connection,
+                   answer_fault fault);
+
     // Answers: proxy_answers.cpp
     void finish_statement(moment now, connection_id id,
                           server_connection& connection);
--- a/include/tanagerhoist/session/server_connection.hpp
+++ b/include/tanagerhoist/session/server_connection.hpp
@@ -50,12 +50,21 @@
     /// added.
     bool runs_request() const { return busy && !current.query_id.empty(); }
 
+    /// Whether the statement under way may change data.
+    bool may_change_data() const;
+
+    /// What the statement under way allows its answer to be.
+    expected_answer expected() const;
+
     /// Whether a client's transaction is open and all of its statements are
     /// answered.
     bool is_between_statements() const
     {
         return !busy && in_transaction && owner != 0;
     }
+
+private:
+    transaction_state state_after() const;
 };
 
 } // namespace tanagerhoist
--- a/src/session/proxy_answer_faults.cpp
+++ b/src/session/proxy_answer_faults.cpp
@@ -1,7 +1,5 @@
 #include "tanagerhoist/session/proxy.hpp"
 
-#include <xxhash.h>
-
 #include <string>
 
 // What servers send that is not the answer to the statement under way.
@@ -13,38 +11,6 @@
 /// Longest time from the begin to the end of an answer to no statement.
 constexpr milliseconds surplus_timeout{100};
 
-/// Hash of what a statement asks for, the same for all clients.
-std::uint64_t hash_of(const statement& what)
-{
-    const auto text = what.kind == statement_kind::execute
-                          ? what.name + ' ' + what.argument
-                          : what.text;
-    return XXH64(text.data(), text.size(),
-                 static_cast<std::uint64_t>(what.kind));
-}
-
-bool may_change_data(const statement& what)
-{
-    return what.writes || what.kind == statement_kind::commit;
-}
-
-/// State of a connection after a statement has succeeded on it.
-transaction_state state_after(const server_connection& connection)
-{
-    switch (connection.current.what.kind)
-    {
-    case statement_kind::begin:
-    case statement_kind::begin_read:
-        return transaction_state::open;
-    case statement_kind::commit:
-    case statement_kind::rollback:
-        return transaction_state::none;
-    default:
-        return connection.in_transaction ? transaction_state::open
-                                         : transaction_state::none;
-    }
-}
-
 void note_receiving(moment now, server_connection& connection, bool receiving)
 {
     if (!connection.receiving)
@@ -54,18 +20,6 @@
     connection.receiving = receiving;
 }
 
-expected_answer expected_on(const server_connection& connection)
-{
-    const auto& what = connection.current.what;
-    const bool of_client = connection.runs_request();
-    expected_answer expected;
-    expected.is_signed = of_client;
-    expected.may_have_rows = of_client;
-    expected.state = state_after(connection);
-    expected.statement = hash_of(what);
-    return expected;
-}
-
 } // namespace
 
 /// Returns the connection whose answer a line continues. One that runs no
@@ -137,7 +91,7 @@
 bool proxy::take_answer(moment now, connection_id id,
                         server_connection& connection)
 {
-    const auto expected = expected_on(connection);
+    const auto expected = connection.expected();
     const auto fault = connection.history.check(expected, connection.answer,
                                                 recurring_at(connection));
     const bool taken = fault == answer_fault::none ||
@@ -154,23 +108,8 @@
         }
         return false;
     }
-    if (fault == answer_fault::doubtful_error)
-    {
-        // Harmless here, but the statement's own answer may still come.
-        ++figures_.faults.at(static_cast<std::size_t>(fault));
-        connection.is_spent = true;
-    }
-    const bool own = !connection.runs_request();
-    // It may be that of an own statement, whose earlier result came again.
-    const bool is_shifted =
-        connection.answer.error && !own && connection.ran_own;
-    connection.is_spent = connection.is_spent || is_shifted;
-    connection.ran_own = own;
-    if (const auto* doubted = doubted_by(connection))
-    {
-        note_recurring_rows(*doubted);
-    }
-    note_rows_of_write(connection);
+    note_error(connection, fault);
+    note_rows(connection);
     connection.history.add(expected, connection.answer);
     connection.in_transaction =
         connection.answer.state != transaction_state::none;
@@ -179,112 +118,21 @@
     return true;
 }
 
-/// Rows that are known to recur at a connection's server.
-const recurring_rows&
-proxy::recurring_at(const server_connection& connection) const
+/// Closes a connection after its answer if that is an error which may not be
+/// the statement's: its own may still come.
+void proxy::note_error(server_connection& connection, answer_fault fault)
 {
-    static const recurring_rows none;
-    const auto* found = server(connection.server);
-    return found == nullptr ? none : found->recurring;
-}
-
-/// Why the rows received on a connection may not be its statement's.
-doubtful_rows proxy::doubt_on(const server_connection& connection) const
-{
-    return connection.history.doubt_of(
-        expected_on(connection), connection.answer, recurring_at(connection));
-}
-
-/// Whether doubtful rows are the statement's own: its server has rows for
-/// writes, or a transaction's read has had the same ones again.
-bool proxy::are_rows_confirmed(const server_connection& connection) const
-{
-    const auto doubt = doubt_on(connection);
-    if (may_change_data(connection.current.what))
-    {
-        const auto* found = server(connection.server);
-        return doubt.why != row_doubt::cut_row && found != nullptr &&
-               found->writes_have_rows;
-    }
-    const auto* doubted = doubted_by(connection);
-    return doubted != nullptr && doubted->asked_again &&
-           doubted->doubt.why == row_doubt::same_rows &&
-           doubt.why == row_doubt::same_rows;
-}
-
-/// Finds the rows that the connection's statement was not given, if its answer
-/// has the same ones; null: none.
-const doubted_rows* proxy::doubted_by(const server_connection& connection) const
-{
-    const auto owner = sessions_.find(connection.owner);
-    if (owner == sessions_.end() || !owner->second.request.doubted)
-    {
-        return nullptr;
-    }
-    const auto& doubted = *owner->second.request.doubted;
-    return doubted.hash == hash_of_rows(connection.answer) ? &doubted : nullptr;
-}
-
-/// Learns that writes have rows at a server, from a connection that has given
-/// none before.
-void proxy::note_rows_of_write(const server_connection& connection)
-{
-    auto* server = find_server(connection.server);
-    const bool has_own_rows =
-        !connection.answer.rows.empty() && !connection.history.has_rows();
-    if (server != nullptr && may_change_data(connection.current.what) &&
-        has_own_rows)
-    {
-        server->writes_have_rows = true;
-    }
-}
-
-/// Notes that a server has rows like these for different statements.
-void proxy::note_recurring_rows(const doubted_rows& rows)
-{
-    auto* server = find_server(rows.server);
-    if (server != nullptr && rows.doubt.why != row_doubt::cut_row)
-    {
-        server->recurring.add(rows.doubt.first_row);
-    }
-}
-
-/// Notes rows that are not taken, to compare those of the next try with.
-void proxy::doubt_rows(const server_connection& connection, answer_fault fault)
-{
-    const auto owner = sessions_.find(connection.owner);
-    if (fault != answer_fault::doubtful_rows || owner == sessions_.end())
-    {
-        return;
-    }
-    auto& doubted = owner->second.request.doubted;
-    const bool asked_again = doubted && doubted->asked_again;
-    doubted = doubted_rows{connection.server, hash_of_rows(connection.answer),
-                           doubt_on(connection), asked_again};
-}
-
-/// Sends a transaction's read again whose rows are doubtful: it can't be tried
-/// on another connection. A part of an earlier answer does not come twice.
-/// @return whether it was sent
-bool proxy::ask_again(moment now, connection_id id,
-                      server_connection& connection, answer_fault fault)
-{
-    const auto owner = sessions_.find(connection.owner);
-    if (fault != answer_fault::doubtful_rows || owner == sessions_.end() ||
-        owner->second.request.first ||
-        may_change_data(connection.current.what) ||
-        owner->second.request.doubted->asked_again)
+    const bool own = !connection.runs_request();
+    // An earlier result may have been taken for that of an own statement.
+    const bool may_be_of_own =
+        connection.answer.error && !own && connection.ran_own;
+    connection.ran_own = own;
+    if (fault == answer_fault::doubtful_error)
     {
-        return false;
+        ++figures_.faults.at(static_cast<std::size_t>(fault));
     }
-    owner->second.request.doubted->asked_again = true;
-    note_fault(now, connection, fault);
-    connection.history.add_untaken(connection.answer);
-    connection.script.push_front(connection.current);
-    connection.busy = false;
-    connection.answered = now;
-    send_next(now, id, connection);
-    return true;
+    connection.is_spent = connection.is_spent || may_be_of_own ||
+                          fault == answer_fault::doubtful_error;
 }
 
 /// Passes over an answer that is surely an earlier one, as a whole: the
--- a/tests/proxy_answer_review_test.cpp
+++ b/tests/proxy_answer_review_test.cpp
@@ -89,6 +89,7 @@
     CPPUNIT_TEST(rows_of_writes_are_passed_on_where_writes_have_rows);
     CPPUNIT_TEST(
         read_of_a_transaction_with_rows_of_an_earlier_one_is_sent_again);
+    CPPUNIT_TEST(read_that_is_sent_again_waits_for_the_end_of_a_second_answer);
     CPPUNIT_TEST(transactions_with_two_equal_reads_are_served);
     CPPUNIT_TEST(error_of_a_begin_taken_for_its_read_ends_the_connection);
     CPPUNIT_TEST_SUITE_END();
@@ -287,6 +288,25 @@
                              f.transport.last_answer(client).signature);
     }
 
+    void read_that_is_sent_again_waits_for_the_end_of_a_second_answer()
+    {
+        surplus_proxy f;
+        const auto client = f.start("primary");
+        f.ask(client, f.make(statement_kind::begin));
+        f.ask(client, f.make(statement_kind::read, "1"));
+        const auto connection = f.open_last();
+        f.answer(connection, {}, "-", transaction_state::open);
+        f.answer(connection, {"a"}, "s1", transaction_state::open);
+        f.ask(client, f.make(statement_kind::read, "2"));
+        f.transport.unread.insert(connection);
+        f.answer(connection, {"a", "b"}, "s2", transaction_state::open);
+        f.transport.unread.clear();
+        f.answer(connection, {"a"}, "s1", transaction_state::open);
+        f.answer(connection, {"b"}, "s3", transaction_state::open);
+        CPPUNIT_ASSERT_EQUAL(std::string("s3"),
+                             f.transport.last_answer(client).signature);
+    }
+
     /// A server whose items hold the same rows.
     void transactions_with_two_equal_reads_are_served()
     {
