--- a/tools/daemon/session_daemon_metrics.cpp
+++ b/tools/daemon/session_daemon_metrics.cpp
@@ -9,6 +9,44 @@
 namespace tanagerhoist
 {
 
+namespace
+{
+
+/// Prints the histograms of statement times by route and outcome.
+void print_statement_times(std::ostream& out, const proxy_counters& figures)
+{
+    out << "# TYPE tanagerhoist_statement_seconds histogram\n";
+    for (const auto& [labels, histogram] : figures.answers)
+    {
+        const std::string pair =
+            "route=\"" + labels.first + "\",outcome=\"" + labels.second + '"';
+        std::uint64_t sum = 0;
+        for (std::size_t i = 0; i < latency_histogram::buckets; ++i)
+        {
+            sum += histogram.count(i);
+            const bool last = i + 1 == latency_histogram::buckets;
+            out << "tanagerhoist_statement_seconds_bucket{" << pair << ",le=\"";
+            if (last)
+            {
+                out << "+Inf";
+            }
+            else
+            {
+                out << std::chrono::duration<double>(
+                           latency_histogram::bound(i))
+                           .count();
+            }
+            out << "\"} " << sum << '\n';
+        }
+        out << "tanagerhoist_statement_seconds_sum{" << pair << "} "
+            << std::chrono::duration<double>(histogram.sum()).count() << '\n'
+            << "tanagerhoist_statement_seconds_count{" << pair << "} " << sum
+            << '\n';
+    }
+}
+
+} // namespace
+
 /// HTTP connections, of all ports, closed to make room for another one.
 std::uint64_t session_daemon::http_closed() const
 {
@@ -105,34 +143,7 @@
             << to_text(static_cast<answer_fault>(i)) << "\"} "
             << figures.faults.at(i) << '\n';
     }
-    out << "# TYPE tanagerhoist_statement_seconds histogram\n";
-    for (const auto& [labels, histogram] : figures.answers)
-    {
-        const std::string pair =
-            "route=\"" + labels.first + "\",outcome=\"" + labels.second + '"';
-        std::uint64_t sum = 0;
-        for (std::size_t i = 0; i < latency_histogram::buckets; ++i)
-        {
-            sum += histogram.count(i);
-            const bool last = i + 1 == latency_histogram::buckets;
-            out << "tanagerhoist_statement_seconds_bucket{" << pair << ",le=\"";
-            if (last)
-            {
-                out << "+Inf";
-            }
-            else
-            {
-                out << std::chrono::duration<double>(
-                           latency_histogram::bound(i))
-                           .count();
-            }
-            out << "\"} " << sum << '\n';
-        }
-        out << "tanagerhoist_statement_seconds_sum{" << pair << "} "
-            << std::chrono::duration<double>(histogram.sum()).count() << '\n'
-            << "tanagerhoist_statement_seconds_count{" << pair << "} " << sum
-            << '\n';
-    }
+    print_statement_times(out, figures);
     return out.str();
 }
 
