--- a/include/tanagerhoist/session/client_session.hpp
+++ b/include/tanagerhoist/session/client_session.hpp
@@ -21,6 +21,7 @@
 {
     bool writes = false;
     std::string shape;
+    bool fits_servers = true; ///< they can be told it under its shared name
 
     /// Name used at the servers, the same for all sessions that prepare this
     /// shape.
--- a/src/session/proxy_session_state.cpp
+++ b/src/session/proxy_session_state.cpp
@@ -62,6 +62,7 @@
     {
         remove_prepared(session, what.name);
         auto& prepared = session.prepared[what.name];
+        prepared.fits_servers = can_prepare(what);
         prepared.writes = what.writes;
         prepared.shape.swap(what.argument);
     }
@@ -135,7 +136,7 @@
         return session_error::no_statement;
     }
     const auto growth = growth_of(what, it->second);
-    if (growth > what.room)
+    if (growth > what.room || !it->second.fits_servers)
     {
         return session_error::too_large;
     }
--- a/src/session/proxy_sessions.cpp
+++ b/src/session/proxy_sessions.cpp
@@ -133,13 +133,6 @@
         begin(now, id, session);
         return;
     case statement_kind::prepare:
-        if (!can_prepare(session.request.what))
-        {
-            answer_error(
-                now, id, session, session_error::too_large,
-                session.request.what.name.substr(0, max_repeated_text));
-            return;
-        }
         set_value(session);
         answer_done(now, id, session);
         return;
--- a/standin/session_server.cpp
+++ b/standin/session_server.cpp
@@ -249,7 +249,7 @@
 
 std::string session_server::next_signature()
 {
-    return id_ + '.' + std::to_string(++signatures_);
+    return "signature-" + id_ + '.' + std::to_string(++signatures_);
 }
 
 /// Runs a command and returns all lines of the answer.
