--- a/src/session/proxy_sessions.cpp
+++ b/src/session/proxy_sessions.cpp
@@ -132,11 +132,8 @@
     case statement_kind::begin_read:
         begin(now, id, session);
         return;
-    case statement_kind::prepare:
-        set_value(session);
-        answer_done(now, id, session);
-        return;
     case statement_kind::set:
+    case statement_kind::prepare:
         set_value(session);
         answer_done(now, id, session);
         return;
