--- a/review/standin-2/database.cpp
+++ b/review/standin-2/database.cpp
@@ -63,6 +63,7 @@
         made->id = options_.group + "-s" + std::to_string(servers_.size() + 1);
         made->data_centre = data_centre;
         made->primary = servers_.empty();
+        made->lag = options_.lag;
         made->acceptor = std::make_unique<tcp::acceptor>(
             context_, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
         servers_.push_back(std::move(made));
@@ -173,9 +174,9 @@
     asio::steady_timer timer(context_, options_.handshake);
     timer.async_wait(yield);
     const bool mine = group == options_.group && (id.empty() || id == on.at.id);
-    asio::async_write(
-        on.socket, asio::buffer(mine ? ready(on) : error_line("WRONGNODE")),
-        yield);
+    asio::async_write(on.socket,
+                      asio::buffer(mine ? ready(on) : error_line("WRONGNODE")),
+                      yield);
     while (mine)
     {
         auto line = read_line(on.socket, on.input, yield);
@@ -268,18 +269,22 @@
     {
         return error_line("LAGGING");
     }
-    if (at.busy >= options_.slots + longest_queue)
+    if (at.queued >= longest_queue)
     {
         return error_line("BUSY");
     }
-    const auto before = at.busy++;
     asio::steady_timer timer(context_);
-    for (auto ahead = before; ahead >= options_.slots; ahead = at.busy - 1)
+    ++at.queued;
+    while (at.busy >= options_.slots)
     {
         timer.expires_after(slot_check);
         timer.async_wait(yield);
     }
-    ran_({now(), at.id, on.workspace, what.id, what.text});
+    --at.queued;
+    ++at.busy;
+    const auto begun = now();
+    ran_({begun, at.id, on.workspace, what.id, what.text, at.primary,
+          applied(at, begun + options_.work)});
     timer.expires_after(options_.work);
     timer.async_wait(yield);
     --at.busy;
@@ -307,26 +312,34 @@
            "\r\n";
 }
 
-/// Number of the last log entry that a server has.
-std::uint64_t database::applied(const server& at) const
+/// Number of the last log entry that a server has at a moment.
+std::uint64_t database::applied(const server& at, moment when) const
 {
-    const auto limit = at.primary ? now() : now() - options_.lag;
-    return static_cast<std::uint64_t>(
+    const auto limit = at.primary ? when : when - at.lag;
+    const auto number = static_cast<std::uint64_t>(
         std::upper_bound(commits_.begin(), commits_.end(), limit) -
         commits_.begin());
+    return std::max(number, at.applied);
+}
+
+void database::set_lag(std::size_t index, milliseconds lag)
+{
+    auto& changed = *servers_.at(index);
+    changed.applied = applied(changed, now());
+    changed.lag = lag;
 }
 
 bool database::lacks(const server& at, const std::string& after) const
 {
     const auto point = after.find('.');
     return point != std::string::npos &&
-           std::stoull(after.substr(point + 1)) > applied(at);
+           std::stoull(after.substr(point + 1)) > applied(at, now());
 }
 
 std::string database::ready(const link& on) const
 {
     return std::string("READY ") + on.state + ' ' + std::to_string(term_) +
-           '.' + std::to_string(applied(on.at)) + "\r\n";
+           '.' + std::to_string(applied(on.at, now())) + "\r\n";
 }
 
 std::string database::status(const server& at) const
--- a/review/standin-2/database.hpp
+++ b/review/standin-2/database.hpp
@@ -19,6 +19,8 @@
     std::string workspace; ///< who the connection's STARTUP named
     std::string id;        ///< of the statement
     std::string text;
+    bool at_primary = false;
+    std::uint64_t log_end = 0; ///< number that the log reaches during the run
 };
 
 /// How the servers of a group work.
@@ -47,6 +49,10 @@
     /// @return HTTP status
     unsigned promote(const std::string& id);
 
+    /// Changes how much later than the primary a server applies, counted from
+    /// the first. What it has applied stays so.
+    void set_lag(std::size_t index, milliseconds lag);
+
 private:
     struct server
     {
@@ -55,9 +61,12 @@
         std::unique_ptr<asio::ip::tcp::acceptor> acceptor;
         bool primary = false;
         std::uint64_t term = 1;
-        unsigned busy = 0;
+        unsigned busy = 0;   ///< slots
+        unsigned queued = 0; ///< statements that wait for one
         unsigned connections = 0;
         std::uint64_t beats = 0;
+        milliseconds lag{0};       ///< while it is a replica
+        std::uint64_t applied = 0; ///< when the lag was changed
     };
 
     /// One connection, as its server knows it.
@@ -91,7 +100,7 @@
                      const asio::yield_context& yield);
     std::string commit(link& on, std::uint64_t writes);
     bool lacks(const server& at, const std::string& after) const;
-    std::uint64_t applied(const server& at) const;
+    std::uint64_t applied(const server& at, moment when) const;
     std::string ready(const link& on) const;
     std::string status(const server& at) const;
     void beat(server& of);
--- a/review/standin-2/deployment.cpp
+++ b/review/standin-2/deployment.cpp
@@ -16,16 +16,11 @@
 /// Bounds of the users' pages, by the placeholder of the settings' template.
 placeholders common_settings()
 {
-    return {{"zone", data_centre},
-            {"region", "ie-west"},
-            {"bounds.graceS", "6"},
-            {"bounds.quotaWindowS", "5"},
-            {"bounds.quotaOverage", "0.1"},
-            {"bounds.quotaSlack", "20"},
-            {"bootstrap", "true"},
-            {"limits.cpuShare", "0.25"},
-            {"limits.memoryMb", "260"},
-            {"limits.maxFds", "4300"}};
+    return {{"zone", data_centre},          {"region", "ie-west"},
+            {"bounds.graceS", "6"},         {"bounds.quotaWindowS", "5"},
+            {"bounds.quotaOverage", "0.1"}, {"bounds.quotaSlack", "20"},
+            {"bootstrap", "true"},          {"limits.cpuShare", "0.25"},
+            {"limits.memoryMb", "260"},     {"limits.maxFds", "4300"}};
 }
 
 std::string group_name(std::size_t index)
@@ -38,7 +33,8 @@
 deployment::deployment(const deployment_options& options,
                        const std::string& folder,
                        const std::string& record_file)
-    : events_(record_file),
+    : options_(options),
+      events_(record_file),
       platform_(context_, events_,
                 [this](const std::string& group, const std::string& server)
                 {
@@ -52,6 +48,8 @@
         made.group = group_name(i);
         made.data_centres = {data_centre, data_centre, data_centre};
         made.work = options.work;
+        made.lag = options.lag;
+        group_of_.push_back(i);
         groups_.push_back(std::make_unique<database>(
             context_, platform_, made,
             [this](const run& begun)
@@ -63,7 +61,7 @@
                                                 begun.text);
             }));
     }
-    publish(options);
+    publish();
     std::vector<daemon*> targets;
     for (std::size_t i = 0; i < options.daemons; ++i)
     {
@@ -84,8 +82,27 @@
     balancer_ = std::make_unique<balancer>(context_, events_, targets);
 }
 
-void deployment::publish(const deployment_options& options)
+void deployment::move_route(std::size_t database, std::size_t group)
 {
+    group_of_.at(database) = group;
+    publish();
+    events_.write("operator", "version " + std::to_string(version_) + ": db" +
+                                  std::to_string(database) + " at " +
+                                  group_name(group));
+}
+
+void deployment::set_lag(std::size_t group, std::size_t server,
+                         milliseconds lag)
+{
+    groups_.at(group)->set_lag(server, lag);
+    events_.write("case", group_name(group) + "-s" +
+                              std::to_string(server + 1) + " applies " +
+                              std::to_string(lag.count()) + " ms late");
+}
+
+void deployment::publish()
+{
+    const auto& options = options_;
     json::array routes;
     json::array services;
     json::array tenants;
@@ -93,11 +110,11 @@
     {
         routes.push_back(
             json::object{{"database", "db" + std::to_string(i)},
-                         {"backend", group_name(i)},
+                         {"backend", group_name(group_of_.at(i))},
                          {"type", options.type},
                          {"timeoutMs", options.timeout.count()},
                          {"targetLatencyMs", 400},
-                         {"maxStalenessMs", 1500},
+                         {"maxStalenessMs", options.staleness.count()},
                          {"priority", 2}});
         services.push_back(json::object{{"name", group_name(i)},
                                         {"maxConns", connections_per_server},
@@ -111,7 +128,7 @@
                                        {"burst", one.burst}});
     }
     platform_.put("op", "config",
-                  json::serialize(json::object{{"version", 1},
+                  json::serialize(json::object{{"version", ++version_},
                                                {"routes", routes},
                                                {"services", services},
                                                {"tenants", tenants},
--- a/review/standin-2/deployment.hpp
+++ b/review/standin-2/deployment.hpp
@@ -30,8 +30,10 @@
     std::size_t daemons = 3;
     std::size_t groups = 3;
     std::vector<tenant> tenants;
-    milliseconds work{33};       ///< of a statement at a server
-    milliseconds timeout{1000};  ///< of the routes
+    milliseconds work{33};      ///< of a statement at a server
+    milliseconds lag{20};       ///< of replicas
+    milliseconds timeout{1000}; ///< of the routes
+    milliseconds staleness{1500};
     std::string type = "bounded_staleness"; ///< of the routes
 };
 
@@ -54,12 +56,19 @@
     /// Whether a server has begun to run the statement.
     bool has_run(const std::string& id) const { return by_id_.count(id) != 0; }
 
-    /// When a server began to run the statement.
-    moment begun(const std::string& id) const
+    /// The statement's first run; it must have run.
+    const run& run_of(const std::string& id) const
     {
-        return runs_.at(by_id_.at(id)).at;
+        return runs_.at(by_id_.at(id));
     }
 
+    /// Publishes a version of the configuration in which a database is served
+    /// by another group.
+    void move_route(std::size_t database, std::size_t group);
+
+    /// Changes how much later than the primary a server of a group applies.
+    void set_lag(std::size_t group, std::size_t server, milliseconds lag);
+
     /// Waits until all daemons are in rotation.
     /// @return false if they are not in time
     bool wait_until_ready(const asio::yield_context& yield);
@@ -67,8 +76,11 @@
     void pause(milliseconds time, const asio::yield_context& yield);
 
 private:
-    void publish(const deployment_options& options);
+    void publish();
 
+    deployment_options options_;
+    std::vector<std::size_t> group_of_; ///< by number of the database
+    std::uint64_t version_ = 0;         ///< of the configuration
     asio::io_context context_;
     record events_;
     platform platform_;
--- a/review/standin-2/fleet.cpp
+++ b/review/standin-2/fleet.cpp
@@ -112,8 +112,8 @@
     process_ = ::fork();
     if (process_ == 0)
     {
-        const int out =
-            ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+        const int out = ::open(log.c_str(),
+                               O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
         ::dup2(out, STDOUT_FILENO);
         ::dup2(out, STDERR_FILENO);
         ::prctl(PR_SET_PDEATHSIG, SIGKILL); // ends with the case
@@ -204,9 +204,9 @@
     {
         beast::tcp_stream stream(context_);
         stream.expires_after(probe_timeout);
-        stream.async_connect({asio::ip::make_address("127.0.0.1"),
-                              of.at->readiness_port()},
-                             yield);
+        stream.async_connect(
+            {asio::ip::make_address("127.0.0.1"), of.at->readiness_port()},
+            yield);
         http::request<http::empty_body> request(http::verb::get, "/api/ready",
                                                 11);
         request.set(http::field::host, "ready");
--- a/review/standin-2/session.cpp
+++ b/review/standin-2/session.cpp
@@ -42,8 +42,7 @@
     socket_.set_option(tcp::no_delay(true), error);
     const auto line = "STARTUP " + database + ' ' + key + "\r\n";
     asio::async_write(socket_, asio::buffer(line), yield[error]);
-    return !error &&
-           read_line(socket_, input_, yield).rfind("READY I", 0) == 0;
+    return !error && read_line(socket_, input_, yield).rfind("READY I", 0) == 0;
 }
 
 bool session::send(const std::string& id, const std::string& text,
@@ -71,6 +70,10 @@
         {
             made.complete = true;
             made.state = line.at(word.size() + 1);
+            const auto point = line.find('.');
+            made.position = point == std::string::npos
+                                ? 0
+                                : std::stoull(line.substr(point + 1));
             return made;
         }
         else if (word != "ROW")
--- a/review/standin-2/session.hpp
+++ b/review/standin-2/session.hpp
@@ -15,6 +15,7 @@
     std::string result;    ///< COMPLETE's signature, or ERROR's code and text
     bool is_error = false;
     char state = '?';
+    std::uint64_t position = 0; ///< number in READY's position; 0: none
 };
 
 /// A client's session on a connection.
--- a/review/standin-2/store.cpp
+++ b/review/standin-2/store.cpp
@@ -34,8 +34,8 @@
 /// Value of a parameter in a target; keys used here need no decoding.
 std::string parameter(const std::string& target, const std::string& name)
 {
-    const auto at = std::min(target.find('?' + name + '='),
-                             target.find('&' + name + '='));
+    const auto at =
+        std::min(target.find('?' + name + '='), target.find('&' + name + '='));
     if (at == std::string::npos)
     {
         return {};
@@ -167,8 +167,8 @@
 
 json::object platform::begin() const
 {
-    const auto clock = std::chrono::duration_cast<milliseconds>(
-        now().time_since_epoch());
+    const auto clock =
+        std::chrono::duration_cast<milliseconds>(now().time_since_epoch());
     return {{"ver", version_}, {"nowMs", clock.count()}};
 }
 
@@ -200,8 +200,8 @@
         const auto found = rows_.find(key);
         const bool exists = found != rows_.end() && !found->second.removed;
         const auto version = exists ? found->second.version : 0;
-        conflict = conflict ||
-                   version != wanted.at("ver").to_number<std::uint64_t>();
+        conflict =
+            conflict || version != wanted.at("ver").to_number<std::uint64_t>();
         present.push_back(encode(key, exists ? found->second : row{}));
     }
     if (conflict)
@@ -220,8 +220,8 @@
     for (const auto& entry : call.at("remove").as_array())
     {
         const auto& gone = entry.as_object();
-        rows_[{text_of(gone, "table"), text_of(gone, "key")}] = {
-            "", version_, true};
+        rows_[{text_of(gone, "table"), text_of(gone, "key")}] = {"", version_,
+                                                                 true};
     }
     return {200, json::serialize(begin())};
 }
@@ -248,7 +248,8 @@
 {
     const auto table = parameter(target, "table");
     const auto after = number(parameter(target, "after"));
-    const auto until = now() + milliseconds(number(parameter(target, "waitMs")));
+    const auto until =
+        now() + milliseconds(number(parameter(target, "waitMs")));
     asio::steady_timer timer(context_);
     for (;;)
     {
