--- a/review/standin-2/fleet.cpp
+++ b/review/standin-2/fleet.cpp
@@ -150,7 +150,7 @@
 }
 
 balancer::balancer(asio::io_context& context, record& events,
-                   std::vector<daemon*> daemons)
+                   const std::vector<daemon*>& daemons)
     : context_(context), events_(events)
 {
     for (auto* one : daemons)
--- a/review/standin-2/fleet.hpp
+++ b/review/standin-2/fleet.hpp
@@ -54,7 +54,7 @@
 {
 public:
     balancer(asio::io_context& context, record& events,
-             std::vector<daemon*> daemons);
+             const std::vector<daemon*>& daemons);
 
     /// Whether all daemons are in rotation.
     bool are_all_ready() const;
