--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -5,7 +5,7 @@
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
-program=review/build-2/clients_leave
+program=review/build-2/route_moved_back
 [ -x "$program" ] && [ -x target/tools/tanagerhoistd ] || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
