--- a/include/tanagerhoist/session/client_session.hpp
+++ b/include/tanagerhoist/session/client_session.hpp
@@ -54,9 +54,11 @@
     std::string id;
     statement what;
     moment arrived{};
-    moment due{};     ///< arrival plus the route's target latency
-    moment expires{}; ///< arrival plus the route's statement timeout
-    moment sent{};    ///< when it was sent to the server
+    moment due{}; ///< arrival plus the route's target latency
+    /// Arrival plus the route's statement timeout, or when this VM leaves.
+    moment expires{};
+    bool ends_with_vm = false; ///< expires because this VM leaves
+    moment sent{};             ///< when it was sent to the server
     bool needs_primary = false;
     /// A write outside a transaction, or a commit of writes.
     bool writes = false;
@@ -100,6 +102,7 @@
     /// Position of the last commit.
     std::optional<log_position> committed;
     session_request request;
+    bool used = false;    ///< an operation was admitted
     bool leaving = false; ///< to be closed when no statement is outstanding
 
     bool is_idle() const
--- a/include/tanagerhoist/session/proxy.hpp
+++ b/include/tanagerhoist/session/proxy.hpp
@@ -9,6 +9,7 @@
 #include "tanagerhoist/session/backend_server.hpp"
 #include "tanagerhoist/session/client_session.hpp"
 #include "tanagerhoist/session/connection_budget.hpp"
+#include "tanagerhoist/session/drain_schedule.hpp"
 #include "tanagerhoist/session/placement.hpp"
 #include "tanagerhoist/session/position_history.hpp"
 #include "tanagerhoist/session/primary_lease.hpp"
@@ -38,10 +39,6 @@
 namespace tanagerhoist
 {
 
-/// Time within which the load balancer takes a VM out that is not ready: two
-/// failed probes, one second apart.
-constexpr milliseconds balancer_detection_time{2300};
-
 /// Time for statements at a primary that is sealed to end by themselves.
 constexpr milliseconds seal_grace{150};
 
@@ -147,9 +144,9 @@
     void tick(moment now);
     static constexpr milliseconds tick_interval{50};
 
-    /// Starts draining: idle sessions are closed from `close_idle` on, open
-    /// transactions from `end_transactions` on.
-    void begin_drain(moment close_idle, moment end_transactions);
+    /// Starts draining. From `schedule.leaves()` on no statement is sent to a
+    /// server, and the next tick answers those that are outstanding.
+    void begin_drain(const drain_schedule& schedule);
 
     bool is_ready(moment now) const;
 
@@ -407,7 +404,18 @@
     void remove_server(moment now, const std::string& id);
     bool has_primary_work_at(const std::string& server) const;
 
-    // Timeouts and draining: proxy_time.cpp
+    // Leaving of this VM: proxy_drain.cpp
+    void limit_to_drain(session_request& request) const;
+    bool is_too_late(moment now, const client_session& session) const;
+    void refuse_while_leaving(moment now, session_id id,
+                              client_session& session);
+    void reject_too_late(moment now, const std::string& group);
+    microseconds expected_answer_time(moment now,
+                                      const client_session& session) const;
+    void answer_overtaken(moment now, session_id id, client_session& session);
+    void drain(moment now);
+
+    // Timeouts: proxy_time.cpp
     void withdraw(session_id id, const client_session& session);
     void refuse_waiting(moment now, session_id id, client_session& session,
                         session_error error, const std::string& text,
@@ -415,12 +423,13 @@
     void tick_in_pass(moment now);
     void expire_requests(moment now);
     void expire_running(moment now, session_id id, client_session& session);
+    void break_off(moment now, session_id id, client_session& session,
+                   session_error failure, const std::string& text);
     void end_idle_transactions(moment now);
     void check_silent_servers(moment now);
     void probe_failing_primaries(
         moment now, std::unordered_map<std::string, bool>& silent) const;
     void probe(moment now, const std::string& id);
-    void drain(moment now);
     void move_idle_sessions(moment now);
 
     // Work that is ended before its answer: proxy_aborts.cpp
@@ -464,9 +473,7 @@
     moment grants_heard_{}; ///< the last message with grants
     std::optional<moment> isolated_since_;
     connection_id next_connection_ = 1;
-    bool draining_ = false;
-    moment close_idle_{};
-    moment end_transactions_{};
+    std::optional<drain_schedule> drain_; ///< once it has begun
 };
 
 } // namespace tanagerhoist
--- a/src/session/proxy.cpp
+++ b/src/session/proxy.cpp
@@ -71,7 +71,7 @@
 
 bool proxy::is_ready(moment now) const
 {
-    if (!settings_ || draining_ || !primary_lease_.is_valid(now) ||
+    if (!settings_ || drain_ || !primary_lease_.is_valid(now) ||
         is_isolated(now))
     {
         return false;
--- a/src/session/proxy_admission.cpp
+++ b/src/session/proxy_admission.cpp
@@ -39,6 +39,7 @@
     {
         session.refundable_operation = !session.workspace.empty();
         session.request.stage = request_stage::waiting;
+        session.used = true;
         return true;
     }
     if (again)
--- a/src/session/proxy_dispatch.cpp
+++ b/src/session/proxy_dispatch.cpp
@@ -70,6 +70,10 @@
 void proxy::assign_waiting(moment now, const std::string& group)
 {
     auto& state = groups_[group];
+    if (drain_)
+    {
+        reject_too_late(now, group);
+    }
     if (state.waiting.empty())
     {
         return;
--- a/src/session/proxy_sessions.cpp
+++ b/src/session/proxy_sessions.cpp
@@ -26,7 +26,7 @@
 void proxy::start_session(moment now, session_id id,
                           const std::string& database, const std::string& key)
 {
-    if (!settings_)
+    if (!settings_ || (drain_ && now >= drain_->leaves()))
     {
         transport_.end_session(id, session_error::busy);
         return;
@@ -116,6 +116,7 @@
         request.due = now + milliseconds(1000); // its route was just removed
         request.expires = request.due;
     }
+    limit_to_drain(request);
     run_locally(now, id, session);
 }
 
@@ -163,6 +164,11 @@
             return;
         }
     }
+    if (drain_ && is_too_late(now, session))
+    {
+        refuse_while_leaving(now, id, session);
+        return;
+    }
     if (session.state != transaction_state::none || admit(now, id, session))
     {
         submit_to_server(now, id, session);
@@ -287,7 +293,7 @@
     {
         return;
     }
-    const bool drained = draining_ && now >= close_idle_;
+    const bool drained = drain_ && now >= drain_->closes_idle();
     if (it->second.leaving || (drained && it->second.is_idle()))
     {
         end_session(now, id, std::nullopt);
--- a/src/session/proxy_time.cpp
+++ b/src/session/proxy_time.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-// Timeouts and draining of a proxy.
+// Timeouts of a proxy.
 namespace tanagerhoist
 {
 namespace
@@ -53,7 +53,7 @@
     {
         dispatch(now, name);
     }
-    if (draining_)
+    if (drain_)
     {
         drain(now);
     }
@@ -148,22 +148,25 @@
         {
             continue;
         }
-        if (found->second.request.stage != request_stage::running)
+        if (found->second.request.ends_with_vm)
+        {
+            answer_overtaken(now, id, found->second);
+        }
+        else if (found->second.request.stage != request_stage::running)
         {
             refuse_expired(now, id, found->second);
-            continue;
         }
-        expire_running(now, id, found->second);
+        else
+        {
+            expire_running(now, id, found->second);
+        }
     }
 }
 
 /// Aborts a statement that has not been answered before its timeout.
 void proxy::expire_running(moment now, session_id id, client_session& session)
 {
-    auto& request = session.request;
-    const auto connection = request.connection;
-    const auto it = connections_.find(connection);
-    const bool sent = it != connections_.end() && it->second.runs_request();
+    const auto it = connections_.find(session.request.connection);
     if (it != connections_.end())
     {
         auto* server = find_server(it->second.server);
@@ -172,12 +175,26 @@
             server->mark_failing(now);
         }
         record_outcome(now, it->second.server, server_outcome::no_answer);
-        close_connection(connection);
     }
+    ++figures_.refusals["server_too_slow"];
+    break_off(now, id, session, session_error::timeout,
+              "the server took too long");
+}
+
+/// Answers a running statement without its server, which rolls back what it has
+/// not committed.
+/// @param failure error for a statement that ran and had no effect
+void proxy::break_off(moment now, session_id id, client_session& session,
+                      session_error failure, const std::string& text)
+{
+    const auto& request = session.request;
+    const auto it = connections_.find(request.connection);
+    const bool sent = it != connections_.end() && it->second.runs_request();
+    close_connection(request.connection);
     session.pinned = 0;
     session.refundable_operation = session.refundable_operation && !sent;
     const bool is_commit = request.what.kind == statement_kind::commit;
-    auto error = session_error::timeout;
+    auto error = sent ? failure : session_error::busy;
     if (request.writes && sent)
     {
         error = session_error::outcome_unknown;
@@ -189,12 +206,7 @@
         session.state =
             is_commit ? transaction_state::none : transaction_state::failed;
     }
-    else if (!sent)
-    {
-        error = session_error::busy;
-    }
-    ++figures_.refusals["server_too_slow"];
-    answer_error(now, id, session, error, "the server took too long");
+    answer_error(now, id, session, error, text);
 }
 
 /// Rolls back transactions whose clients have been idle for too long, since
@@ -304,32 +316,4 @@
     }
 }
 
-void proxy::begin_drain(moment close_idle, moment end_transactions)
-{
-    draining_ = true;
-    close_idle_ = close_idle;
-    end_transactions_ = end_transactions;
-}
-
-void proxy::drain(moment now)
-{
-    if (now < close_idle_)
-    {
-        return;
-    }
-    std::vector<session_id> ending;
-    for (const auto& [id, session] : sessions_)
-    {
-        const bool outstanding = session.request.stage != request_stage::none;
-        if (session.is_idle() || (!outstanding && now >= end_transactions_))
-        {
-            ending.push_back(id);
-        }
-    }
-    for (const auto id : ending)
-    {
-        end_session(now, id, std::nullopt);
-    }
-}
-
 } // namespace tanagerhoist
--- a/src/session/proxy_transactions.cpp
+++ b/src/session/proxy_transactions.cpp
@@ -14,6 +14,11 @@
                      "in a transaction");
         return;
     }
+    if (drain_ && !drain_->takes_transaction(now))
+    {
+        refuse_while_leaving(now, id, session);
+        return;
+    }
     if (admit(now, id, session))
     {
         open_transaction(now, id, session);
--- a/tests/proxy_answer_review_test.cpp
+++ b/tests/proxy_answer_review_test.cpp
@@ -103,8 +103,11 @@
         {
             f.transport.arriving.insert(id);
         }
+        const drain_schedule schedule(f.now, milliseconds(6000));
+        f.subject.begin_drain(schedule);
+        f.now = schedule.closes_idle();
+        f.subject.renew_primary_lease(f.now);
         const auto client = f.start("primary");
-        f.subject.begin_drain(f.now, f.now + milliseconds(1000));
         f.ask(client, f.make(statement_kind::read, "1"));
         f.subject.tick(f.now);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.answers(client));
--- a/tests/proxy_passes_test.cpp
+++ b/tests/proxy_passes_test.cpp
@@ -95,7 +95,7 @@
         {
             f.ask(id, f.make(statement_kind::write));
         }
-        f.subject.begin_drain(f.now, f.now + milliseconds(3000));
+        f.subject.begin_drain(drain_schedule(f.now, milliseconds(6000)));
         f.advance(milliseconds(1000));
         f.subject.tick(f.now);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.transport.answers[first].size());
--- a/tests/proxy_random_calls_test.cpp
+++ b/tests/proxy_random_calls_test.cpp
@@ -117,7 +117,7 @@
     void drain()
     {
         constexpr int ticks = 100;
-        subject_.begin_drain(now_, now_ + milliseconds(500));
+        subject_.begin_drain(drain_schedule(now_, milliseconds(1000)));
         for (int i = 0; i < ticks; ++i)
         {
             now_ += proxy::tick_interval;
--- a/tests/proxy_sessions_test.cpp
+++ b/tests/proxy_sessions_test.cpp
@@ -402,8 +402,7 @@
     {
         proxy_fixture f;
         const auto id = f.start("primary");
-        f.subject.begin_drain(f.now + milliseconds(2300),
-                              f.now + milliseconds(3000));
+        f.subject.begin_drain(drain_schedule(f.now, milliseconds(6000)));
         f.subject.tick(f.now);
         CPPUNIT_ASSERT(!f.subject.is_ready(f.now));
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, f.transport.ended.count(id));
--- a/tools/daemon/session_daemon.cpp
+++ b/tools/daemon/session_daemon.cpp
@@ -3,6 +3,7 @@
 #include "platform/ready_probe.hpp"
 #include "tanagerhoist/adapter/boot_clock.hpp"
 #include "tanagerhoist/adapter/bound_socket.hpp"
+#include "tanagerhoist/adapter/fiber_await.hpp"
 #include "tanagerhoist/adapter/fiber_loop.hpp"
 #include "tanagerhoist/core/source_id.hpp"
 #include "tanagerhoist/session/resource_parts.hpp"
@@ -24,12 +25,9 @@
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
-/// Part of the grace period reserved for shutdown, when the drain stops waiting
-/// for sessions.
-constexpr milliseconds shutdown_reserve{900};
-
 constexpr milliseconds idle_tick{200};
 constexpr milliseconds accept_pause{100};
+constexpr milliseconds unsent_check_pause{10};
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_unavailable = 503;
 constexpr unsigned status_not_found = 404;
@@ -258,17 +256,14 @@
 
 void session_daemon::begin_drain()
 {
-    if (draining_)
+    if (drain_)
     {
         return;
     }
-    draining_ = true;
-    const auto now = now_();
     const milliseconds grace(
         std::chrono::seconds(settings_.sessions().grace_s()));
-    drain_deadline_ = now + grace - shutdown_reserve;
-    close_idle_at_ = now + balancer_detection_time;
-    proxy_.begin_drain(close_idle_at_, now + grace / 2);
+    drain_.emplace(now_(), grace);
+    proxy_.begin_drain(*drain_);
     lines_.write(log_level::change, "drain",
                  {{"sessions", std::to_string(session_transport_.clients())},
                   {"grace_ms", std::to_string(grace.count())}});
@@ -292,7 +287,7 @@
         lines_.write(log_level::change, ready ? "ready" : "not_ready", {});
     }
     end_if_drained(now);
-    schedule_tick(proxy_.has_work() || draining_
+    schedule_tick(proxy_.has_work() || drain_
                       ? milliseconds(proxy::tick_interval)
                       : idle_tick);
 }
@@ -314,9 +309,13 @@
 
 void session_daemon::end_if_drained(moment now)
 {
-    const bool drained = draining_ && now >= close_idle_at_ + idle_tick &&
-                         session_transport_.clients() == 0;
-    if (stopping_ || !draining_ || (!drained && now < drain_deadline_))
+    if (stopping_ || !drain_)
+    {
+        return;
+    }
+    const bool unused = now >= drain_->closes_idle() + idle_tick &&
+                        session_transport_.clients() == 0;
+    if (!unused && now < drain_->leaves())
     {
         return;
     }
@@ -327,11 +326,23 @@
                          [this]
                          {
                              fleet_.leave();
+                             await_last_answers();
                              context_.stop();
                          })
         .detach();
 }
 
+/// Waits until clients have accepted what was answered, as long as there is
+/// time for it.
+void session_daemon::await_last_answers()
+{
+    while (session_transport_.has_unsent() && now_() < drain_->ends())
+    {
+        asio::steady_timer timer(context_, unsent_check_pause);
+        await([&timer](auto handler) { timer.async_wait(std::move(handler)); });
+    }
+}
+
 http_answer session_daemon::respond(const http_request& request)
 {
     const auto path = request.target.substr(0, request.target.find('?'));
--- a/tools/daemon/session_daemon.hpp
+++ b/tools/daemon/session_daemon.hpp
@@ -9,6 +9,7 @@
 #include "tanagerhoist/adapter/json_log.hpp"
 #include "tanagerhoist/adapter/loop_monitor.hpp"
 #include "tanagerhoist/core/count_rise.hpp"
+#include "tanagerhoist/session/drain_schedule.hpp"
 #include "tanagerhoist/session/proxy.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -18,6 +19,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace tanagerhoist
@@ -46,6 +48,7 @@
     void tick();
     void schedule_tick(milliseconds wait);
     void end_if_drained(moment now);
+    void await_last_answers();
     http_answer respond(const http_request& request);
     std::string metrics_text() const;
     std::uint64_t http_closed() const;
@@ -72,10 +75,8 @@
     boost::asio::signal_set signals_;
     boost::asio::steady_timer timer_;
     boost::asio::steady_timer accept_timer_;
-    moment tick_at_{}; ///< when the next tick is due
-    moment drain_deadline_{};
-    moment close_idle_at_{};
-    bool draining_ = false;
+    moment tick_at_{};                    ///< when the next tick is due
+    std::optional<drain_schedule> drain_; ///< once it has begun
     bool stopping_ = false;
     bool was_ready_ = false;
 };
--- a/tools/daemon/session_transport.cpp
+++ b/tools/daemon/session_transport.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace tanagerhoist
@@ -158,6 +159,16 @@
     }
 }
 
+bool session_transport::has_unsent() const
+{
+    return std::any_of(clients_.begin(), clients_.end(),
+                       [](const auto& entry)
+                       { return entry.second.stream->has_unsent(); }) ||
+           std::any_of(last_answers_.begin(), last_answers_.end(),
+                       [](const auto& entry)
+                       { return entry.second->has_unsent(); });
+}
+
 /// Handles the input that a client has sent ahead.
 void session_transport::read_on(session_id id)
 {
--- a/tools/daemon/session_transport.hpp
+++ b/tools/daemon/session_transport.hpp
@@ -58,6 +58,9 @@
 
     std::size_t clients() const { return clients_.size(); }
 
+    /// Whether a client has yet to accept a part of an answer.
+    bool has_unsent() const;
+
     /// Prints the metrics.
     void print(std::ostream& out) const;
 
