--- a/include/tanagerhoist/session/client_session.hpp
+++ b/include/tanagerhoist/session/client_session.hpp
@@ -3,6 +3,7 @@
 
 #include "tanagerhoist/core/time.hpp"
 #include "tanagerhoist/session/answer_history.hpp"
+#include "tanagerhoist/session/commit_positions.hpp"
 #include "tanagerhoist/session/proxy_transport.hpp"
 #include "tanagerhoist/session/session_settings.hpp"
 
@@ -99,8 +100,7 @@
     /// An operation was taken from the workspace's limit, but no server has
     /// run any of it yet, so it can be refunded.
     bool refundable_operation = false;
-    /// Position of the last commit.
-    std::optional<log_position> committed;
+    commit_positions committed;
     session_request request;
     bool used = false;    ///< an operation was admitted
     bool leaving = false; ///< to be closed when no statement is outstanding
--- a/include/tanagerhoist/session/proxy.hpp
+++ b/include/tanagerhoist/session/proxy.hpp
@@ -253,6 +253,8 @@
     server_state* choose_for_read(moment now, client_session& session);
     std::optional<log_position> needed_position(moment now,
                                                 const client_session& session);
+    log_position reachable(const std::string& group,
+                           const log_position& commit) const;
     bool has_capacity(moment now, const server_state& server,
                       const client_session& session);
     void requeue(session_id id, client_session& session,
--- a/src/session/proxy_answers.cpp
+++ b/src/session/proxy_answers.cpp
@@ -247,7 +247,7 @@
     }
     if (request.writes && !answer.error && answer.position)
     {
-        session.committed = answer.position;
+        session.committed.add(session.group, *answer.position);
     }
     request.stage = request_stage::none;
     session.refundable_operation = false;
--- a/src/session/proxy_dispatch.cpp
+++ b/src/session/proxy_dispatch.cpp
@@ -299,19 +299,29 @@
     }
     auto needed = groups_[session.group].history.position_covering(
         now - route->max_staleness + staleness_margin);
-    if (!needed || !session.committed ||
-        session.consistency != read_consistency::read_your_writes)
+    if (!needed || session.consistency != read_consistency::read_your_writes)
     {
         return needed;
     }
-    auto own = *session.committed;
-    const auto* lead = lead_of(session.group);
-    if (lead != nullptr && own.term < lead->term())
+    const auto own = session.committed.in(session.group);
+    if (own.is_lost)
     {
-        // Commits that a promotion rolled back will never reach a replica.
-        own = std::min(own, {lead->base_term(), lead->base_number()});
+        return std::nullopt;
     }
-    return std::max(*needed, own);
+    return own.position
+               ? std::max(*needed, reachable(session.group, *own.position))
+               : needed;
+}
+
+/// The part of a log up to a commit that servers can have: what a promotion
+/// rolled back will never reach a replica.
+log_position proxy::reachable(const std::string& group,
+                              const log_position& commit) const
+{
+    const auto* lead = lead_of(group);
+    return lead != nullptr && commit.term < lead->term()
+               ? std::min(commit, {lead->base_term(), lead->base_number()})
+               : commit;
 }
 
 bool proxy::has_capacity(moment now, const server_state& server,
--- a/src/session/proxy_sessions.cpp
+++ b/src/session/proxy_sessions.cpp
@@ -69,11 +69,7 @@
         return false;
     }
     session.workspace = workspace == nullptr ? std::string() : *workspace;
-    if (session.group != route->group)
-    {
-        session.group = route->group;
-        session.committed.reset(); // a position of another group's log
-    }
+    session.group = route->group;
     session.consistency = route->consistency;
     session.restricted =
         restricts_regions_ && restriction_of(session).is_restricted();
