--- a/include/tanagerhoist/session/client_session.hpp
+++ b/include/tanagerhoist/session/client_session.hpp
@@ -4,6 +4,7 @@
 #include "tanagerhoist/core/time.hpp"
 #include "tanagerhoist/session/answer_history.hpp"
 #include "tanagerhoist/session/commit_positions.hpp"
+#include "tanagerhoist/session/operation_debit.hpp"
 #include "tanagerhoist/session/proxy_transport.hpp"
 #include "tanagerhoist/session/session_settings.hpp"
 
@@ -97,9 +98,7 @@
     connection_id pinned = 0; ///< connection that the open transaction uses
     moment answered{};        ///< time of the last answer
 
-    /// An operation was taken from the workspace's limit, but no server has
-    /// run any of it yet, so it can be refunded.
-    bool refundable_operation = false;
+    operation_debit operation; ///< taken from the workspace's limit
     commit_positions committed;
     session_request request;
     bool used = false;    ///< an operation was admitted
--- a/include/tanagerhoist/session/proxy.hpp
+++ b/include/tanagerhoist/session/proxy.hpp
@@ -212,6 +212,7 @@
     void end_session_if_done(moment now, session_id id);
     void end_session(moment now, session_id id,
                      std::optional<session_error> error);
+    void leave_connection(connection_id id);
 
     // Values and prepared statements: proxy_session_state.cpp
     static void set_value(client_session& session);
@@ -231,7 +232,7 @@
 
     // Limits of workspaces: proxy_admission.cpp (with use_grants)
     bool admit(moment now, session_id id, client_session& session);
-    void refund(client_session& session);
+    void end_operation(client_session& session);
     void refuse_rate(moment now, session_id id, client_session& session);
     void admit_held(moment now);
 
@@ -360,6 +361,7 @@
                    answer_fault fault);
 
     // Answers: proxy_answers.cpp
+    void end_running(server_connection& connection);
     void finish_statement(moment now, connection_id id,
                           server_connection& connection);
     void finish_proxy_statement(moment now, connection_id id,
--- a/src/session/proxy_admission.cpp
+++ b/src/session/proxy_admission.cpp
@@ -33,11 +33,13 @@
 bool proxy::admit(moment now, session_id id, client_session& session)
 {
     const bool again = session.request.stage == request_stage::held;
-    session.refundable_operation = false;
     if (session.workspace.empty() ||
         limits_.take(now, session.workspace, again))
     {
-        session.refundable_operation = !session.workspace.empty();
+        if (!session.workspace.empty())
+        {
+            session.operation.take();
+        }
         session.request.stage = request_stage::waiting;
         session.used = true;
         return true;
@@ -58,11 +60,11 @@
     return false;
 }
 
-/// Refunds an operation of which no server has run any part: the limit counts
-/// operations that run, and the client will retry.
-void proxy::refund(client_session& session)
+/// Ends a session's operation. One of which nothing has run at a server is
+/// given back to its workspace.
+void proxy::end_operation(client_session& session)
 {
-    if (std::exchange(session.refundable_operation, false))
+    if (session.operation.end())
     {
         limits_.refund(session.workspace);
     }
--- a/src/session/proxy_answer_faults.cpp
+++ b/src/session/proxy_answer_faults.cpp
@@ -130,6 +130,11 @@
     if (fault == answer_fault::doubtful_error)
     {
         ++figures_.faults.at(static_cast<std::size_t>(fault));
+        const auto owner = sessions_.find(connection.owner);
+        if (owner != sessions_.end())
+        {
+            owner->second.operation.note_used(); // its own answer may follow
+        }
     }
     connection.is_spent = connection.is_spent || may_be_of_own ||
                           fault == answer_fault::doubtful_error;
--- a/src/session/proxy_answers.cpp
+++ b/src/session/proxy_answers.cpp
@@ -160,21 +160,29 @@
         return;
     }
     const auto server = connection.server;
+    end_running(connection); // a client's statement that was not sent
     release(now, id, connection);
     dispatch_group_of(now, server);
 }
 
-/// Completes a client's statement.
-void proxy::finish_statement(moment now, connection_id id,
-                             server_connection& connection)
+/// Notes that a statement of this VM no longer runs at its server.
+void proxy::end_running(server_connection& connection)
 {
-    connection.busy = false;
     auto* server = find_server(connection.server);
     if (server != nullptr && connection.counted)
     {
         --server->running;
         connection.counted = false;
     }
+}
+
+/// Completes a client's statement.
+void proxy::finish_statement(moment now, connection_id id,
+                             server_connection& connection)
+{
+    connection.busy = false;
+    end_running(connection);
+    auto* server = find_server(connection.server);
     const auto found = sessions_.find(connection.owner);
     const auto server_id = connection.server;
     if (found == sessions_.end())
@@ -250,7 +258,7 @@
         session.committed.add(session.group, *answer.position);
     }
     request.stage = request_stage::none;
-    session.refundable_operation = false;
+    session.operation.note_used();
     session.answered = now;
     session.state = answer.state;
     if (!in_transaction)
@@ -279,11 +287,7 @@
     const auto state = connection.answer.state;
     const auto server_id = connection.server;
     auto* server = find_server(server_id);
-    if (server != nullptr && connection.counted)
-    {
-        --server->running;
-        connection.counted = false;
-    }
+    end_running(connection);
     if (server != nullptr)
     {
         if (error == session_error::lagging)
@@ -314,7 +318,10 @@
         request.first && had_no_effect && now < request.expires &&
         request.attempts < (failure ? max_failure_retries : max_retries);
     const bool is_commit = request.what.kind == statement_kind::commit;
-    session.refundable_operation = session.refundable_operation && !failure;
+    if (!own && is_not_run(error))
+    {
+        session.operation.note_not_run();
+    }
     if (clean)
     {
         release(now, id, connection);
@@ -346,7 +353,6 @@
 {
     auto& request = session.request;
     const bool is_commit = request.what.kind == statement_kind::commit;
-    session.refundable_operation = session.refundable_operation && !sent;
     if (request.writes && sent)
     {
         session.pinned = 0;
--- a/src/session/proxy_connections.cpp
+++ b/src/session/proxy_connections.cpp
@@ -254,6 +254,11 @@
     connection.answer = session_answer{};
     connection.receiving = false;
     connection.phase = connection_phase::running;
+    const auto owner = sessions_.find(connection.owner);
+    if (connection.runs_request() && owner != sessions_.end())
+    {
+        owner->second.operation.note_sent();
+    }
     transport_.send(id, connection.current);
 }
 
--- a/src/session/proxy_second_tries.cpp
+++ b/src/session/proxy_second_tries.cpp
@@ -62,7 +62,6 @@
 {
     const auto owner = connection.owner;
     const auto server = connection.server;
-    const bool sent = connection.runs_request();
     auto& session = sessions_.at(owner);
     const bool added = session.request.avoid.insert(server).second;
     if (choose_for_read(now, session) == nullptr || !second_tries_.take())
@@ -77,7 +76,6 @@
                   "no answer in its usual time");
     ++figures_.second_tries;
     record_outcome(now, server, server_outcome::no_answer);
-    session.refundable_operation = session.refundable_operation && !sent;
     session.request.moved = true;
     close_connection(id); // a late answer must not meet another statement
     requeue(owner, session, server);
--- a/src/session/proxy_sessions.cpp
+++ b/src/session/proxy_sessions.cpp
@@ -274,7 +274,10 @@
     answer.error = error;
     answer.text = text;
     answer.state = session.state;
-    refund(session);
+    if (session.state != transaction_state::open)
+    {
+        end_operation(session);
+    }
     log_statement(log_level::refused, "refused", now, session,
                   inputs.empty() ? text : text + "; " + inputs);
     transport_.answer(id, answer);
@@ -315,18 +318,33 @@
     withdraw(id, session);
     if (session.request.stage == request_stage::running && session.pinned == 0)
     {
-        // A single statement runs on; its answer is discarded.
-        const auto running = connections_.find(session.request.connection);
-        if (running != connections_.end())
-        {
-            running->second.owner = 0;
-            limit_state(running->second);
-        }
+        leave_connection(session.request.connection);
     }
-    refund(session);
+    end_operation(session);
     roll_back_at_server(now, session);
     sessions_.erase(it);
     dispatch(now, group);
 }
 
+/// Frees a connection of its session, which has ended. A single statement that
+/// was sent runs on, and its answer is discarded; one that waits for the
+/// proxy's own statements is not sent.
+void proxy::leave_connection(connection_id id)
+{
+    const auto running = connections_.find(id);
+    if (running == connections_.end())
+    {
+        return;
+    }
+    auto& connection = running->second;
+    if (!connection.busy)
+    {
+        close_connection(id); // nothing was sent
+        return;
+    }
+    connection.owner = 0;
+    connection.script.clear();
+    limit_state(connection);
+}
+
 } // namespace tanagerhoist
--- a/src/session/proxy_time.cpp
+++ b/src/session/proxy_time.cpp
@@ -192,7 +192,6 @@
     const bool sent = it != connections_.end() && it->second.runs_request();
     close_connection(request.connection);
     session.pinned = 0;
-    session.refundable_operation = session.refundable_operation && !sent;
     const bool is_commit = request.what.kind == statement_kind::commit;
     auto error = sent ? failure : session_error::busy;
     if (request.writes && sent)
--- a/src/session/proxy_transactions.cpp
+++ b/src/session/proxy_transactions.cpp
@@ -40,6 +40,7 @@
                               client_session& session)
 {
     roll_back_at_server(now, session);
+    session.operation.note_used(); // by its client's own choice
     session.state = transaction_state::none;
     session.aborted = false;
     answer_done(now, id, session);
