--- a/include/tanagerhoist/fleet/failover_executor.hpp
+++ b/include/tanagerhoist/fleet/failover_executor.hpp
@@ -113,6 +113,7 @@
     {
         log_position log_end;
         bool draining = false;
+        bool diverged = false; ///< holds commits that were taken back
     };
 
     /// What the servers of a group have answered, but for the old primary.
@@ -132,6 +133,8 @@
                           bool synchronous);
     candidate_answers ask_candidates(const proto::GroupLead& lead,
                                      const std::set<std::string>& ineligible);
+    void note_diverged(const proto::GroupLead& lead, const std::string& server,
+                       const log_position& log_end);
     std::uint64_t next_epoch(const proto::GroupLead& lead);
     bool has_later_primary(const proto::GroupLead& lead);
     bool seal(group_lead_row& row);
@@ -165,6 +168,7 @@
     std::uint64_t newest_term_ = 0; ///< that any server has told
     /// Term that the old primary leads, if it has been promoted again.
     std::optional<std::uint64_t> old_primary_term_;
+    std::set<std::string> diverged_; ///< servers, as logged
     moment next_demotion_at_{};
     /// Server whose promotion was requested and may still happen.
     std::optional<std::string> pending_;
--- a/src/fleet/failover_executor.cpp
+++ b/src/fleet/failover_executor.cpp
@@ -1,4 +1,5 @@
 #include "tanagerhoist/fleet/failover_executor.hpp"
+#include "tanagerhoist/fleet/promotion_history.hpp"
 
 #include <utility>
 
@@ -154,6 +155,7 @@
     old_log_end_.reset();
     old_primary_term_.reset();
     pending_.reset();
+    diverged_.clear();
     newest_term_ = row.lead.term();
     next_demotion_at_ = moment{};
     lines_.write(log_level::change, "lead_change",
@@ -272,6 +274,7 @@
     lead.set_term(role.term);
     lead.set_base_term(role.received.term);
     lead.set_base_number(role.received.number);
+    promotion_history::add(lead, role.term, role.received);
     if (!write(row, lead))
     {
         return std::nullopt;
--- a/src/fleet/failover_executor_candidates.cpp
+++ b/src/fleet/failover_executor_candidates.cpp
@@ -1,4 +1,5 @@
 #include "tanagerhoist/fleet/failover_executor.hpp"
+#include "tanagerhoist/fleet/promotion_history.hpp"
 
 #include <algorithm>
 
@@ -15,11 +16,16 @@
 
 } // namespace
 
-/// Whether a candidate is better than another. With synchronous replicas no
-/// preference outweighs the log, which may hold the last commit.
+/// Whether a candidate is better than another. One whose log has diverged is
+/// the last choice. With synchronous replicas no other preference outweighs the
+/// log, which may hold the last commit.
 bool failover_executor::is_better(const candidate& one, const candidate& other,
                                   bool synchronous)
 {
+    if (one.diverged != other.diverged)
+    {
+        return other.diverged;
+    }
     if (synchronous && !(one.log_end == other.log_end))
     {
         return other.log_end < one.log_end;
@@ -37,6 +43,7 @@
                                   const std::set<std::string>& ineligible)
 {
     const bool synchronous = port_.synchronous_replicas(lead.group()) != 0;
+    const promotion_history history(lead);
     candidate_answers found;
     for (const auto& server : port_.servers(lead.group()))
     {
@@ -47,9 +54,15 @@
         }
         const auto role = port_.role(server);
         const auto log_end = role ? role->received : log_position{};
+        const bool diverged = history.has_diverged(log_end);
+        if (diverged)
+        {
+            note_diverged(lead, server.id, log_end);
+        }
         if (refused)
         {
-            found.newest_refused = std::max(found.newest_refused, log_end);
+            found.newest_refused = std::max(
+                found.newest_refused, diverged ? log_position{} : log_end);
             continue;
         }
         auto& answered = server.is_evacuated() ? found.all_evacuated_answered
@@ -65,11 +78,12 @@
         {
             if (synchronous)
             {
-                found.newest_refused = std::max(found.newest_refused, log_end);
+                found.newest_refused = std::max(
+                    found.newest_refused, diverged ? log_position{} : log_end);
             }
             continue;
         }
-        const candidate present{log_end, server.draining};
+        const candidate present{log_end, server.draining, diverged};
         if (role && (!found.best ||
                      is_better(present, found.best_candidate, synchronous)))
         {
@@ -80,12 +94,29 @@
     return found;
 }
 
+/// Logs once in a failover that a server holds commits that were taken back.
+void failover_executor::note_diverged(const proto::GroupLead& lead,
+                                      const std::string& server,
+                                      const log_position& log_end)
+{
+    if (diverged_.insert(server).second)
+    {
+        lines_.write(log_level::change, "candidate_diverged",
+                     {{"group", lead.group()},
+                      {"server", server},
+                      {"term", std::to_string(log_end.term)},
+                      {"end", std::to_string(log_end.number)}});
+    }
+}
+
 /// Returns a server that is already primary of the newest term that any server
 /// has told, also if that is the old primary, else the most up-to-date one,
 /// preferring servers that are not draining. With synchronous replicas all
 /// eligible servers must answer, since any of them may hold the last commit.
 /// Servers in evacuated data centres are never chosen anew; once they are
-/// closed, the log end of the demoted primary stands for their answers.
+/// closed, the log end of the demoted primary stands for their answers. A
+/// server whose log has diverged is chosen only if no other has answered in
+/// time.
 std::optional<std::string>
 failover_executor::choose_candidate(const proto::GroupLead& lead,
                                     const std::set<std::string>& ineligible)
@@ -115,13 +146,15 @@
             !synchronous || (found.all_answered &&
                              (found.all_evacuated_answered || has_all_commits));
         const bool waited = port_.now() >= until;
-        if (best && complete && (caught_up || waited))
+        const bool diverged = found.best_candidate.diverged;
+        if (best && complete && !diverged && (caught_up || waited))
         {
             return best;
         }
         if (waited)
         {
-            return best && complete ? best : reachable_old_primary(lead);
+            const auto old = reachable_old_primary(lead);
+            return old || !complete ? old : best;
         }
         if (!port_.is_coordinator())
         {
--- a/tests/failover_executor_test.cpp
+++ b/tests/failover_executor_test.cpp
@@ -207,10 +207,101 @@
     CPPUNIT_TEST(promotion_lost_with_the_store_is_found_at_the_servers);
     CPPUNIT_TEST(epoch_lost_with_the_store_is_not_given_out_again);
     CPPUNIT_TEST(failover_ends_when_the_store_comes_back_older);
+    CPPUNIT_TEST(server_that_an_earlier_failover_cut_off_is_promoted);
+    CPPUNIT_TEST(server_cut_off_two_failovers_ago_is_promoted);
+    CPPUNIT_TEST(cut_off_commit_stands_for_an_acknowledged_one);
+    CPPUNIT_TEST(group_with_only_a_diverged_server_stays_without_primary);
+    CPPUNIT_TEST(old_primary_is_left_for_a_diverged_server);
+    CPPUNIT_TEST(server_rolled_back_to_the_common_log_is_passed_over);
     CPPUNIT_TEST(lead_is_created_from_primary_of_latest_term);
     CPPUNIT_TEST_SUITE_END();
 
+    /// Primary p crashed with the log end 1.100, r was promoted with 1.95, and
+    /// has written up to 2.99 without its replicas. p is back with its log.
+    static fake_group after_a_failover()
+    {
+        fake_group f;
+        f.members["p"].answers = false;
+        CPPUNIT_ASSERT(f.change_primary(false));
+        CPPUNIT_ASSERT_EQUAL(std::string("r"), f.row.lead.primary());
+        f.members["p"].answers = true;
+        f.members["p"].role = {false, 1, {1, 100}};
+        f.members["r"].role.received = {2, 99};
+        f.promotions.clear();
+        return f;
+    }
+
 public:
+    void server_that_an_earlier_failover_cut_off_is_promoted()
+    {
+        auto f = after_a_failover();
+        f.members["r"].answers = false;
+        const auto done = f.change_primary(false);
+        CPPUNIT_ASSERT(done);
+        CPPUNIT_ASSERT_EQUAL(std::string("q"), done->lead.primary());
+    }
+
+    void server_cut_off_two_failovers_ago_is_promoted()
+    {
+        auto f = after_a_failover();
+        f.members["p"].answers = false;
+        f.members["q"].role = {false, 2, {2, 97}};
+        f.members["r"].answers = false;
+        CPPUNIT_ASSERT(f.change_primary(false)); // to q, at 2.97
+        f.members["s"].role = {false, 2, {2, 96}};
+        f.members["q"].answers = false;
+        f.members["p"].answers = true; // its 1.100 is before 2.97
+        f.members["r"].answers = true; // its 2.99 is not
+        const auto done = f.change_primary(false);
+        CPPUNIT_ASSERT(done);
+        CPPUNIT_ASSERT_EQUAL(std::string("s"), done->lead.primary());
+    }
+
+    void cut_off_commit_stands_for_an_acknowledged_one()
+    {
+        auto f = after_a_failover();
+        f.synchronous = 1;
+        f.members["r"].answers = false;
+        f.members["q"].role = {false, 2, {2, 99}};
+        f.refusals = 1; // of q, once
+        const auto done = f.change_primary(false);
+        CPPUNIT_ASSERT(done);
+        CPPUNIT_ASSERT_EQUAL(std::string("q"), done->lead.primary());
+        for (const auto& id : f.promotions)
+        {
+            CPPUNIT_ASSERT_EQUAL(std::string("q"), id);
+        }
+    }
+
+    void group_with_only_a_diverged_server_stays_without_primary()
+    {
+        auto f = after_a_failover();
+        f.members["r"].answers = false;
+        f.members["q"].answers = false;
+        const auto done = f.change_primary(false);
+        CPPUNIT_ASSERT(done);
+        CPPUNIT_ASSERT_EQUAL(std::string("p"), done->lead.primary());
+    }
+
+    void old_primary_is_left_for_a_diverged_server()
+    {
+        auto f = after_a_failover();
+        f.members["q"].answers = false;
+        const auto done = f.change_primary(true);
+        CPPUNIT_ASSERT(done);
+        CPPUNIT_ASSERT_EQUAL(std::string("r"), done->lead.primary());
+    }
+
+    void server_rolled_back_to_the_common_log_is_passed_over()
+    {
+        auto f = after_a_failover();
+        f.members["r"].answers = false;
+        f.members["p"].role = {false, 2, {2, 98}};
+        const auto done = f.change_primary(false);
+        CPPUNIT_ASSERT(done);
+        CPPUNIT_ASSERT_EQUAL(std::string("p"), done->lead.primary());
+    }
+
     void failed_primary_is_replaced_by_most_up_to_date_server()
     {
         fake_group f;
