--- a/src/fleet/failover_executor_candidates.cpp
+++ b/src/fleet/failover_executor_candidates.cpp
@@ -59,10 +59,11 @@
         {
             note_diverged(lead, server.id, log_end);
         }
+        // What was cut off stands for no commit that must be kept.
+        const auto kept_end = diverged ? log_position{} : log_end;
         if (refused)
         {
-            found.newest_refused = std::max(
-                found.newest_refused, diverged ? log_position{} : log_end);
+            found.newest_refused = std::max(found.newest_refused, kept_end);
             continue;
         }
         auto& answered = server.is_evacuated() ? found.all_evacuated_answered
@@ -78,8 +79,7 @@
         {
             if (synchronous)
             {
-                found.newest_refused = std::max(
-                    found.newest_refused, diverged ? log_position{} : log_end);
+                found.newest_refused = std::max(found.newest_refused, kept_end);
             }
             continue;
         }
