Process test and soak of a daemon that drains beneath its clients

A session may be closed under a statement only if it was not read: it has not arrived at a server, and was sent no more than 0.2 s before.

--- a/scripts/lib/wire.sh
+++ b/scripts/lib/wire.sh
@@ -22,6 +22,31 @@
     return "$status"
 }
 
+# wire_restarts SEED [OPTION...]: the same while the daemon is stopped and started again and
+# again: its drain is to answer all that it has read. Each stop must end with 0.
+wire_restarts()
+{
+    local seed=$1 status=0
+    shift
+    start_store
+    wait_for calls || { echo "the store does not answer"; return 1; }
+    start_session_daemon
+    : >"$fleet/log/wire"
+    start wire "$build/standin/tanagerhoist-standin-wire" --mode restarts \
+        --seed "$seed" --port "$port" --readiness-port $((port + 1)) \
+        --store-port "$store" --server-port $((port + 5)) "$@"
+    while running "${pids[wire]}"; do
+        sleep "$((seed % 3 + 1)).$((seed * 37 % 10))"
+        stop session || status=1
+        start_session_daemon
+    done
+    ends wire || status=1
+    grep -v '^\[.*\] \[info\]' "$fleet/log/wire"
+    stop session KILL >/dev/null 2>&1
+    stop store KILL >/dev/null 2>&1
+    return "$status"
+}
+
 # wire_test PORT MODE SEED...: a whole test, with one run for each seed.
 wire_test()
 {
--- a/standin/wire_clients.cpp
+++ b/standin/wire_clients.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <chrono>
 #include <deque>
 #include <utility>
 
@@ -18,6 +19,7 @@
 using boost::system::error_code;
 
 constexpr milliseconds redial_pause{50};
+constexpr milliseconds unread_time{200};    ///< of a statement before a close
 constexpr milliseconds longest_wait{30000}; ///< far above all time limits
 constexpr unsigned pause_share = 15;        // percent of statements
 constexpr std::size_t longest_pause = 20;   // ms
@@ -73,6 +75,7 @@
     void connected();
     void line_arrived(const std::string& line);
     void link_lost();
+    bool is_closed_early() const;
 
     void redial(milliseconds pause)
     {
@@ -213,7 +216,8 @@
     std::string transaction_state_;
     bool started_ = false;
     bool outstanding_ = false;
-    std::string id_; ///< of the latest statement
+    std::string id_;                             ///< of the latest statement
+    std::chrono::steady_clock::time_point sent_; ///< when it was
     std::string text_;
     wire_answer answer_;
 };
@@ -334,10 +338,14 @@
 
 void wire_clients::client::link_lost()
 {
-    if (outstanding_ || transaction_ != 0)
+    if (is_closed_early())
     {
         ledger_.add_case(wire_check::broken, id_, "session closed");
     }
+    else if (outstanding_ || transaction_ != 0)
+    {
+        ledger_.count("closed by a restart");
+    }
     else
     {
         ledger_.count(started_ ? "closed idle" : "start failed");
@@ -345,6 +353,19 @@
     redial(redial_pause);
 }
 
+/// Whether the session is closed while it may not be. A daemon that restarts
+/// may close transactions that wait for their client, and must have answered
+/// all that it has read.
+bool wire_clients::client::is_closed_early() const
+{
+    if (!mode_.restarts)
+    {
+        return outstanding_ || transaction_ != 0;
+    }
+    const auto since = std::chrono::steady_clock::now() - sent_;
+    return outstanding_ && (ledger_.has_arrived(id_) || since > unread_time);
+}
+
 void wire_clients::client::end_session(const std::string& message)
 {
     link_->send(message);
@@ -359,6 +380,7 @@
           data_.word();
     text_ = text;
     outstanding_ = true;
+    sent_ = std::chrono::steady_clock::now();
     sent_statement sent;
     sent.text = text;
     sent.client = number_;
--- a/standin/wire_ledger.cpp
+++ b/standin/wire_ledger.cpp
@@ -89,6 +89,12 @@
     return note.sent->transaction;
 }
 
+bool wire_ledger::has_arrived(const std::string& id) const
+{
+    const auto found = statements_.find(id);
+    return found != statements_.end() && !found->second.arrived.empty();
+}
+
 void wire_ledger::check_text(const std::string& id, const statement_note& note,
                              std::string_view text)
 {
--- a/standin/wire_ledger.hpp
+++ b/standin/wire_ledger.hpp
@@ -94,6 +94,9 @@
     /// Notes that a client's write has taken effect.
     void note_effect(const std::string& id);
 
+    /// Whether a client's statement has arrived at a server.
+    bool has_arrived(const std::string& id) const;
+
     /// Notes bytes on a server's connection, for the cases.
     void note_bytes(std::uint64_t connection, std::string_view direction,
                     std::string_view bytes);
--- a/standin/wire_modes.cpp
+++ b/standin/wire_modes.cpp
@@ -125,6 +125,19 @@
     return plans[random.below(std::size(plans))](answer, random);
 }
 
+/// Some statements take long, up to just under their timeout.
+write_plan slow(const answer_bytes& answer, wire_random& random)
+{
+    constexpr unsigned long_share = 4;      // percent
+    constexpr std::size_t long_least = 400; // ms
+    constexpr std::size_t long_most = 900;  // ms
+    constexpr std::size_t usual_most = 12;  // ms
+    const auto takes = random.chance(long_share)
+                           ? random.time(long_least, long_most)
+                           : random.time(1, usual_most);
+    return {{takes, answer.bytes}};
+}
+
 constexpr wire_mode modes[] = {
     {"plain", &plain},
     {"bytes", &plain, true},
@@ -144,6 +157,7 @@
     {"same-rows-late", &late, false, false, false, true},
     {"same-rows-part", &part, false, false, false, true},
     {"mixed", &mixed, true, true, true},
+    {"restarts", &slow, false, false, true, false, false, true},
 };
 
 } // namespace
--- a/standin/wire_modes.hpp
+++ b/standin/wire_modes.hpp
@@ -41,6 +41,7 @@
     bool fails = false;     ///< some statements fail
     bool same_rows = false; ///< reads of an item always have the same rows
     bool status = false;    ///< `STATUS` is answered like all else
+    bool restarts = false;  ///< the daemon is stopped and started meanwhile
 };
 
 /// Returns the mode with this name, or null.
