Statements of clients that left are sent on as before, and charged

Cause, as far as shown: the mend dropped a statement that waited behind the proxy's own SET or PREPARE when its client left.

Change: the statement is sent on as in, and its operation stays charged, which is what the rule needs.

--- a/include/tanagerhoist/session/proxy.hpp
+++ b/include/tanagerhoist/session/proxy.hpp
@@ -212,7 +212,7 @@
     void end_session_if_done(moment now, session_id id);
     void end_session(moment now, session_id id,
                      std::optional<session_error> error);
-    void leave_connection(connection_id id);
+    void leave_connection(client_session& session);
 
     // Values and prepared statements: proxy_session_state.cpp
     static void set_value(client_session& session);
--- a/src/session/proxy_answers.cpp
+++ b/src/session/proxy_answers.cpp
@@ -160,7 +160,6 @@
         return;
     }
     const auto server = connection.server;
-    end_running(connection); // a client's statement that was not sent
     release(now, id, connection);
     dispatch_group_of(now, server);
 }
--- a/src/session/proxy_sessions.cpp
+++ b/src/session/proxy_sessions.cpp
@@ -318,7 +318,7 @@
     withdraw(id, session);
     if (session.request.stage == request_stage::running && session.pinned == 0)
     {
-        leave_connection(session.request.connection);
+        leave_connection(session);
     }
     end_operation(session);
     roll_back_at_server(now, session);
@@ -326,24 +326,21 @@
     dispatch(now, group);
 }
 
-/// Frees a connection of its session, which has ended. A single statement that
-/// was sent runs on, and its answer is discarded; one that waits for the
-/// proxy's own statements is not sent.
-void proxy::leave_connection(connection_id id)
+/// Leaves a single statement that runs to its connection: it runs on, also if
+/// the proxy's own statements come first, and its answer is discarded.
+void proxy::leave_connection(client_session& session)
 {
-    const auto running = connections_.find(id);
+    const auto running = connections_.find(session.request.connection);
     if (running == connections_.end())
     {
         return;
     }
     auto& connection = running->second;
-    if (!connection.busy)
+    if (connection.busy)
     {
-        close_connection(id); // nothing was sent
-        return;
+        session.operation.note_used(); // it was sent, or is going to be
     }
     connection.owner = 0;
-    connection.script.clear();
     limit_state(connection);
 }
 
--- a/tests/proxy_operation_count_test.cpp
+++ b/tests/proxy_operation_count_test.cpp
@@ -379,7 +379,7 @@
     CPPUNIT_TEST_SUITE(proxy_operation_count_test);
     CPPUNIT_TEST(client_that_leaves_gets_its_running_operation_back);
     CPPUNIT_TEST(client_that_leaves_a_transaction_gets_its_operation_back);
-    CPPUNIT_TEST(statement_of_a_client_that_left_is_sent);
+    CPPUNIT_TEST(statement_sent_after_its_client_left_is_given_back);
     CPPUNIT_TEST(error_in_a_transaction_gives_its_operation_back);
     CPPUNIT_TEST(operation_that_no_server_ran_is_charged);
     CPPUNIT_TEST(random_events_run_more_operations_than_granted);
@@ -412,7 +412,7 @@
         CPPUNIT_ASSERT_EQUAL(granted - 1, f.left());
     }
 
-    void statement_of_a_client_that_left_is_sent()
+    void statement_sent_after_its_client_left_is_given_back()
     {
         granted_proxy f(granted);
         const auto id = f.start("own");
@@ -421,8 +421,9 @@
         f.open_last();
         f.subject.session_closed(f.now, id);
         f.succeed(); // the set
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.transport.sent.size());
-        CPPUNIT_ASSERT_EQUAL(granted, f.left());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.transport.sent.size());
+        f.succeed();
+        CPPUNIT_ASSERT_EQUAL(granted - 1, f.left());
         for (const auto& [name, server] : f.subject.servers())
         {
             CPPUNIT_ASSERT_EQUAL(0U, server.running);
