A read that a server has run isn't called "not run" when the VM leaves

Found by reading the diff; callers would have been told "not run" for a read that a server had run and failed, if the VM left before its next try. Cause: the answer asked only whether the statement waits. Now each statement counts the sendings that no server has declined; above 0 it gets failed, or aborted in a transaction. Test: read_that_a_server_ran_is_called_not_run.

--- a/include/tanagerhoist/session/client_session.hpp
+++ b/include/tanagerhoist/session/client_session.hpp
@@ -67,6 +67,8 @@
     bool first = true;  ///< at the server: first of its transaction, or single
     bool moved = false; ///< given up at a silent server
     unsigned attempts = 0;
+    /// Times it was sent to a server that has not said that it did not run it.
+    unsigned possible_runs = 0;
     unsigned priority = 0;
     std::set<std::string> avoid; ///< servers where it failed
     std::optional<log_position> after;
--- a/include/tanagerhoist/session/drain_schedule.hpp
+++ b/include/tanagerhoist/session/drain_schedule.hpp
@@ -52,6 +52,10 @@
     /// @param used whether it has asked for an operation
     bool closes_session(moment now, moment last, bool used) const;
 
+    /// Whether the VM deregisters now.
+    /// @param has_clients whether any is connected
+    bool is_over(moment now, bool has_clients) const;
+
 private:
     moment closes_idle_;
     moment ends_transactions_;
--- a/include/tanagerhoist/session/proxy.hpp
+++ b/include/tanagerhoist/session/proxy.hpp
@@ -296,6 +296,7 @@
     void build_script(const client_session& session,
                       server_connection& connection);
     void send_next(moment now, connection_id id, server_connection& connection);
+    void end_running(server_connection& connection);
     void close_connection(connection_id id);
     void release(moment now, connection_id id, server_connection& connection);
     template <typename Change>
@@ -361,7 +362,6 @@
                    answer_fault fault);
 
     // Answers: proxy_answers.cpp
-    void end_running(server_connection& connection);
     void finish_statement(moment now, connection_id id,
                           server_connection& connection);
     void finish_proxy_statement(moment now, connection_id id,
@@ -417,6 +417,8 @@
     microseconds expected_answer_time(moment now,
                                       const client_session& session) const;
     void answer_overtaken(moment now, session_id id, client_session& session);
+    void reject_waiting_as_leaving(moment now, session_id id,
+                                   client_session& session);
     void drain(moment now);
 
     // Timeouts: proxy_time.cpp
--- a/scripts/lib/wire.sh
+++ b/scripts/lib/wire.sh
@@ -26,7 +26,7 @@
 # again: its drain is to answer all that it has read. Each stop must end with 0.
 wire_restarts()
 {
-    local seed=$1 status=0
+    local seed=$1 status=0 restarts=0 most_restarts=40
     shift
     start_store
     wait_for calls || { echo "the store does not answer"; return 1; }
@@ -39,7 +39,9 @@
         sleep "$((seed % 3 + 1)).$((seed * 37 % 10))"
         stop session || status=1
         start_session_daemon
+        ((++restarts < most_restarts)) || { echo "the clients do not end"; status=1; break; }
     done
+    running "${pids[wire]}" && kill -KILL "${pids[wire]}"
     ends wire || status=1
     grep -v '^\[.*\] \[info\]' "$fleet/log/wire"
     stop session KILL >/dev/null 2>&1
--- a/src/session/drain_schedule.cpp
+++ b/src/session/drain_schedule.cpp
@@ -20,6 +20,9 @@
 /// operation.
 constexpr milliseconds first_operation_time{500};
 
+/// For clients that connect as the balancer takes the VM out.
+constexpr milliseconds last_arrivals_time{200};
+
 } // namespace
 
 drain_schedule::drain_schedule(moment start, milliseconds grace)
@@ -44,4 +47,11 @@
     return used || now >= last + first_operation_time || now >= leaves_;
 }
 
+bool drain_schedule::is_over(moment now, bool has_clients) const
+{
+    const bool unused =
+        !has_clients && now >= closes_idle_ + last_arrivals_time;
+    return unused || now >= leaves_;
+}
+
 } // namespace tanagerhoist
--- a/src/session/proxy_answer_faults.cpp
+++ b/src/session/proxy_answer_faults.cpp
@@ -133,7 +133,9 @@
         const auto owner = sessions_.find(connection.owner);
         if (owner != sessions_.end())
         {
-            owner->second.operation.note_used(); // its own answer may follow
+            // Its own answer may follow.
+            owner->second.operation.note_used();
+            ++owner->second.request.possible_runs;
         }
     }
     connection.is_spent = connection.is_spent || may_be_of_own ||
--- a/src/session/proxy_answers.cpp
+++ b/src/session/proxy_answers.cpp
@@ -164,17 +164,6 @@
     dispatch_group_of(now, server);
 }
 
-/// Notes that a statement of this VM no longer runs at its server.
-void proxy::end_running(server_connection& connection)
-{
-    auto* server = find_server(connection.server);
-    if (server != nullptr && connection.counted)
-    {
-        --server->running;
-        connection.counted = false;
-    }
-}
-
 /// Completes a client's statement.
 void proxy::finish_statement(moment now, connection_id id,
                              server_connection& connection)
@@ -320,6 +309,7 @@
     if (!own && is_not_run(error))
     {
         session.operation.note_not_run();
+        --request.possible_runs;
     }
     if (clean)
     {
--- a/src/session/proxy_connections.cpp
+++ b/src/session/proxy_connections.cpp
@@ -258,10 +258,22 @@
     if (connection.runs_request() && owner != sessions_.end())
     {
         owner->second.operation.note_sent();
+        ++owner->second.request.possible_runs;
     }
     transport_.send(id, connection.current);
 }
 
+/// Notes that a statement of this VM no longer runs at its server.
+void proxy::end_running(server_connection& connection)
+{
+    auto* server = find_server(connection.server);
+    if (server != nullptr && connection.counted)
+    {
+        --server->running;
+        connection.counted = false;
+    }
+}
+
 void proxy::close_connection(connection_id id)
 {
     const auto it = connections_.find(id);
--- a/src/session/proxy_drain.cpp
+++ b/src/session/proxy_drain.cpp
@@ -70,7 +70,33 @@
     std::copy_if(waiting.begin(), waiting.end(), std::back_inserter(rejected),
                  [this, now](session_id id)
                  { return is_too_late(now, sessions_.at(id)); });
-    reject(now, rejected, session_error::busy, "leaving", leaving_text);
+    for (const auto id : rejected)
+    {
+        const auto it = sessions_.find(id);
+        if (it != sessions_.end() &&
+            it->second.request.stage == request_stage::waiting)
+        {
+            ++figures_.refusals["leaving"];
+            reject_waiting_as_leaving(now, id, it->second);
+        }
+    }
+}
+
+/// Rejects a statement that waits for another try, or for its first one. A
+/// read or a transaction may have run before without an effect.
+void proxy::reject_waiting_as_leaving(moment now, session_id id,
+                                      client_session& session)
+{
+    if (session.request.possible_runs == 0)
+    {
+        refuse_waiting(now, id, session, session_error::busy, leaving_text);
+        return;
+    }
+    const bool in_transaction = session.state == transaction_state::open;
+    refuse_waiting(now, id, session,
+                   in_transaction ? session_error::aborted
+                                  : session_error::failed,
+                   "this VM is leaving, no other try");
 }
 
 /// Time within which nearly all answers to such statements come.
@@ -93,7 +119,7 @@
                   "this VM is leaving, the server has not answered");
         return;
     }
-    refuse_waiting(now, id, session, session_error::busy, leaving_text);
+    reject_waiting_as_leaving(now, id, session);
 }
 
 /// Ends the sessions that a leaving VM no longer needs.
--- a/tests/drain_schedule_test.cpp
+++ b/tests/drain_schedule_test.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(transaction_is_taken_in_the_first_half_of_the_grace);
     CPPUNIT_TEST(idle_session_is_closed_once_the_balancer_noticed);
     CPPUNIT_TEST(new_session_has_time_for_its_first_operation);
+    CPPUNIT_TEST(drain_without_clients_is_over_once_none_can_come);
     CPPUNIT_TEST(short_grace_leaves_at_once);
     CPPUNIT_TEST_SUITE_END();
 
@@ -58,6 +59,14 @@
             subject_.closes_session(after(5100), after(5090), false));
     }
 
+    void drain_without_clients_is_over_once_none_can_come()
+    {
+        CPPUNIT_ASSERT(!subject_.is_over(after(2499), false));
+        CPPUNIT_ASSERT(subject_.is_over(after(2500), false));
+        CPPUNIT_ASSERT(!subject_.is_over(after(5099), true));
+        CPPUNIT_ASSERT(subject_.is_over(after(5100), true));
+    }
+
     void short_grace_leaves_at_once()
     {
         const drain_schedule short_one(start_, milliseconds(500));
--- a/tests/proxy_drain_test.cpp
+++ b/tests/proxy_drain_test.cpp
@@ -91,6 +91,7 @@
     CPPUNIT_TEST(queued_statement_is_sent_to_a_server_too_late);
     CPPUNIT_TEST(client_that_sends_after_the_end_gets_no_answer);
     CPPUNIT_TEST(session_that_comes_late_is_closed_before_its_statement);
+    CPPUNIT_TEST(read_that_a_server_ran_is_called_not_run);
     CPPUNIT_TEST(drain_marks_servers_at_work_as_failing);
     CPPUNIT_TEST_SUITE_END();
 
@@ -249,6 +250,20 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.transport.ended.count(id));
     }
 
+    void read_that_a_server_ran_is_called_not_run()
+    {
+        leaving_proxy f;
+        f.leave();
+        f.go_to(milliseconds(4000));
+        const auto id = f.run("own", statement_kind::read);
+        f.fail(session_error::failed); // it is tried again
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, f.answers(id));
+        f.go_to_end();
+        CPPUNIT_ASSERT(f.is_answered_with(id, session_error::failed));
+        CPPUNIT_ASSERT(f.transport.last_answer(id).text.find("not run") ==
+                       std::string::npos);
+    }
+
     void drain_marks_servers_at_work_as_failing()
     {
         leaving_proxy f;
--- a/tests/proxy_moved_routes_test.cpp
+++ b/tests/proxy_moved_routes_test.cpp
@@ -267,13 +267,13 @@
         f.lead.set_base_term(proxy_fixture::first_term);
         f.lead.set_base_number(90);
         f.promote("q");
+        f.servers["p"].data_centre = "a"; // reads prefer it, now a replica
+        f.servers["q"].data_centre = "c";
+        f.subject.use_servers(f.now, f.servers);
         f.move_to("g");
         f.report_position(95);
-        f.ask(client, f.make(statement_kind::read, "1"));
-        f.open_last();
-        const auto& after = f.transport.sent.back().statement.after;
-        const bool at_primary = f.transport.opened.back().server == "q";
-        CPPUNIT_ASSERT(at_primary || (after && after->number == 95));
+        CPPUNIT_ASSERT_EQUAL(std::string("p"), f.read(client, known));
+        CPPUNIT_ASSERT(f.after && f.after->number == 95);
     }
 
     void moved_route_waits_for_a_commit_of_another_log()
--- a/tools/daemon/session_daemon.cpp
+++ b/tools/daemon/session_daemon.cpp
@@ -309,13 +309,8 @@
 
 void session_daemon::end_if_drained(moment now)
 {
-    if (stopping_ || !drain_)
-    {
-        return;
-    }
-    const bool unused = now >= drain_->closes_idle() + idle_tick &&
-                        session_transport_.clients() == 0;
-    if (!unused && now < drain_->leaves())
+    const bool has_clients = session_transport_.clients() != 0;
+    if (stopping_ || !drain_ || !drain_->is_over(now, has_clients))
     {
         return;
     }
